--- /dev/null
+++ b/src/main/java/org/siskindyke/command/DemoCommand.java
@@ -0,0 +1,216 @@
+package org.siskindyke.command;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.google.auto.service.AutoService;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpResponse;
+import org.siskindyke.kernel.document.DocumentReader;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.plugin.table.EmbeddedTable;
+import org.siskindyke.runtime.Logging;
+import org.siskindyke.runtime.RouterProcess;
+import org.siskindyke.runtime.RouterSettings;
+import org.siskindyke.runtime.admin.AdminClient;
+import org.siskindyke.runtime.admin.InstanceStatus;
+import org.siskindyke.runtime.call.Headers;
+import org.siskindyke.runtime.http.Http;
+import org.siskindyke.standin.BackendFaults;
+import org.siskindyke.standin.BackendStandin;
+import org.siskindyke.standin.Ledger;
+
+/** Shows the whole path in one process: four routers, backend stand-ins, a planned leave and a loss. */
+@AutoService(Command.class)
+public final class DemoCommand implements Command {
+    private static final List<String> DOMAINS = List.of("kalna", "katwa", "memari", "guskara");
+    private static final List<String> SERVICES = List.of("haat", "bayna", "bhati");
+    private static final int SLOTS = 12;
+    private static final long WAIT_MILLIS = 20_000;
+    private static final long RECOVERY_BOUND_MILLIS = 4_000;
+    private static final long STEP_MILLIS = 20;
+    private static final int KEYS = 64;
+
+    private final List<Instance> instances = new ArrayList<>();
+
+    private record Instance(
+            String name, RouterProcess router, List<BackendStandin> backends, AdminClient admin, HttpClient caller) {
+        private void stop() {
+            router.close();
+            backends.forEach(BackendStandin::close);
+        }
+    }
+
+    @Override
+    public String name() {
+        return "demo";
+    }
+
+    @Override
+    public String summary() {
+        return "runs routers and backend stand-ins in one process and shows a leave and a loss";
+    }
+
+    @Override
+    public Flags flags() {
+        return new Flags()
+                .toggle("keep", "stays up for curl until interrupted")
+                .toggle("logs", "shows the routers' log lines");
+    }
+
+    @Override
+    public int run(Flags.Values settings, PrintStream out) throws Exception {
+        if (!settings.isOn("logs")) {
+            Logging.configure(java.util.Map.of("SISKINDYKE_LOG_LEVEL", "OFF"));
+        }
+        TableService table = new EmbeddedTable();
+        for (String domain : DOMAINS) {
+            instances.add(start(domain, table));
+        }
+        out.println("1. Started one router and three backend servers in each of " + DOMAINS + ".");
+        for (String service : SERVICES) {
+            instances.get(0).admin().put(example(service), 0, "demo");
+        }
+        await("slices to be owned evenly", this::isLevel);
+        out.println("2. Put the documents of " + SERVICES + "; the 64 slices of haat are owned:");
+        printOwners(out);
+        showCalls(out);
+        showLeave(out);
+        boolean recovered = showLoss(out);
+        if (settings.isOn("keep")) {
+            Instance first = instances.get(0);
+            out.println("Up for curl: curl -i http://127.0.0.1:"
+                    + first.router().address().callerPort()
+                    + "/haat/crock-7   and   siskindyke status --admin 127.0.0.1:"
+                    + first.router().address().adminPort());
+            new CountDownLatch(1).await();
+        }
+        instances.forEach(Instance::stop);
+        out.println(recovered ? "Done." : "Done, but recovery took too long.");
+        return recovered ? 0 : 1;
+    }
+
+    private static Instance start(String domain, TableService table) {
+        RouterProcess router = new RouterProcess(RouterSettings.onFreePorts(domain + "-1", domain), table);
+        router.start();
+        List<BackendStandin> backends = new ArrayList<>();
+        for (String service : SERVICES) {
+            String target = service + "-" + (DOMAINS.indexOf(domain) + 1);
+            BackendStandin backend =
+                    new BackendStandin(target, "127.0.0.1", 0, SLOTS, true, BackendFaults.NONE, new Ledger(null));
+            backends.add(backend);
+            router.announce(new TargetAnnouncement(
+                    ServiceName.of(service), TargetName.of(target), "127.0.0.1", backend.port(), true, true));
+        }
+        AdminClient admin = new AdminClient("127.0.0.1", router.address().adminPort());
+        HttpClient caller = Http.client("127.0.0.1", router.address().callerPort(), Http.Protocol.HTTP_1_1);
+        return new Instance(domain + "-1", router, backends, admin, caller);
+    }
+
+    private void showCalls(PrintStream out) {
+        out.println("3. Calls, each sent to a router that may not own the key:");
+        for (int i = 0; i < DOMAINS.size(); i++) {
+            String path = "/haat/crock-" + i;
+            HttpResponse response = call(instances.get(i), path);
+            out.println("   GET " + path + " at " + instances.get(i).name() + " -> "
+                    + response.status().code() + " "
+                    + response.headers().get(Headers.VERDICT) + " "
+                    + response.payloadBody().toString(StandardCharsets.UTF_8));
+        }
+        HttpResponse order = call(instances.get(0), "/bayna/orders");
+        out.println("   GET /bayna/orders -> " + order.status().code() + " "
+                + order.payloadBody().toString(StandardCharsets.UTF_8));
+    }
+
+    private void showLeave(PrintStream out) throws Exception {
+        Instance leaving = instances.remove(3);
+        long startMillis = System.currentTimeMillis();
+        leaving.router().leave().get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        out.println("4. " + leaving.name() + " left gracefully in " + (System.currentTimeMillis() - startMillis)
+                + " ms; its slices were handed over first:");
+        leaving.stop();
+        await("slices to be owned by three", this::isLevel);
+        printOwners(out);
+    }
+
+    private boolean showLoss(PrintStream out) throws InterruptedException {
+        Instance lost = instances.remove(2);
+        long startMillis = System.currentTimeMillis();
+        lost.stop();
+        out.println("5. " + lost.name() + " is lost without a word. Calling all keys until each is served again:");
+        for (int key = 0; key < KEYS; key++) {
+            String path = "/haat/crock-" + key;
+            await(
+                    "key " + key + " to be served",
+                    () -> call(instances.get(0), path).status().code() == 200);
+        }
+        long tookMillis = System.currentTimeMillis() - startMillis;
+        out.println("   all " + KEYS + " keys served again after " + tookMillis + " ms (bound " + RECOVERY_BOUND_MILLIS
+                + " ms)");
+        printOwners(out);
+        return tookMillis <= RECOVERY_BOUND_MILLIS;
+    }
+
+    private boolean isLevel() {
+        int total = 0;
+        int most = 0;
+        int least = Integer.MAX_VALUE;
+        for (Instance instance : instances) {
+            int slices = instance.admin().instance().slices().getOrDefault("haat", 0);
+            total += slices;
+            most = Math.max(most, slices);
+            least = Math.min(least, slices);
+        }
+        return total == KEYS && most - least <= 1;
+    }
+
+    private void printOwners(PrintStream out) {
+        for (Instance instance : instances) {
+            InstanceStatus status = instance.admin().instance();
+            out.println("   " + status.instance() + ": " + status.slices() + ", lease renewed by " + status.grantor());
+        }
+    }
+
+    private static HttpResponse call(Instance at, String path) {
+        try {
+            return at.caller().request(at.caller().get(path)).toFuture().get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new SiskindykeException(ErrorCode.INTERNAL, "interrupted", e);
+        } catch (Exception e) {
+            throw new SiskindykeException(ErrorCode.PEER_UNAVAILABLE, "call to " + at.name() + " failed", e);
+        }
+    }
+
+    private interface Condition {
+        boolean holds();
+    }
+
+    private static void await(String what, Condition condition) throws InterruptedException {
+        long deadlineMillis = System.currentTimeMillis() + WAIT_MILLIS;
+        while (!condition.holds()) {
+            if (System.currentTimeMillis() > deadlineMillis) {
+                throw new SiskindykeException(ErrorCode.INTERNAL, "gave up waiting for " + what);
+            }
+            Thread.sleep(STEP_MILLIS);
+        }
+    }
+
+    private static ServiceDocument example(String service) throws IOException {
+        try (InputStream text = DemoCommand.class.getResourceAsStream("/examples/" + service + ".yaml")) {
+            return DocumentReader.read(new String(text.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.siskindyke.command;
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/balance/TwoChoicesPolicy.java
@@ -0,0 +1,49 @@
+package org.siskindyke.kernel.balance;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberRow;
+
+/**
+ * Takes the cheaper of two random targets, by latency and calls in flight; its work does not grow with their
+ * number.
+ */
+@AutoService(TargetPolicy.class)
+public final class TwoChoicesPolicy implements TargetPolicy {
+    private static final int TRIES = 4;
+
+    @Override
+    public String name() {
+        return "two-choices";
+    }
+
+    @Override
+    public Optional<MemberRow> choose(
+            List<MemberRow> candidates, Function<MemberId, TargetLoad> loads, RandomGenerator random, long nowMillis) {
+        MemberRow best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        int start = candidates.isEmpty() ? 0 : random.nextInt(candidates.size());
+        int considered = 0;
+        for (int i = 0; i < Math.min(TRIES, candidates.size()) && considered < 2; i++) {
+            MemberRow candidate = candidates.get((start + i * stride(candidates.size(), random)) % candidates.size());
+            TargetLoad load = loads.apply(candidate.id());
+            boolean avoided = load.isAvoided(nowMillis);
+            considered += avoided ? 0 : 1;
+            double cost = avoided ? Double.MAX_VALUE : load.cost();
+            if (cost < bestCost) {
+                best = candidate;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static int stride(int size, RandomGenerator random) {
+        return size <= TRIES ? 1 : 1 + random.nextInt(size - 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/balance/package-info.java
@@ -0,0 +1,2 @@
+/** Policies that choose targets and plan moves. */
+package org.siskindyke.kernel.balance;
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/call/SliceGate.java
@@ -0,0 +1,85 @@
+package org.siskindyke.kernel.call;
+
+/**
+ * Counts the calls in progress of one slice and holds new ones back while the slice is handed over.
+ *
+ * <p>A call whose answer was given up still counts until it has surely ended. Safe for use by several threads.
+ */
+public final class SliceGate {
+    private int running;
+    private long abandonedUntilMillis = Long.MIN_VALUE;
+    private boolean held;
+    private Runnable whenIdle;
+
+    /** Lets a call in unless the slice is held. */
+    public synchronized boolean tryEnter() {
+        if (held) {
+            return false;
+        }
+        running++;
+        return true;
+    }
+
+    /** Ends a call that has surely ended at the backend server. */
+    public void leave() {
+        Runnable idle;
+        synchronized (this) {
+            running--;
+            idle = takeIdle();
+        }
+        run(idle);
+    }
+
+    /**
+     * Ends a call that may still run at the backend server.
+     *
+     * @param surelyEndedMillis the moment from which it has surely ended
+     */
+    public void abandon(long surelyEndedMillis) {
+        synchronized (this) {
+            abandonedUntilMillis = Math.max(abandonedUntilMillis, surelyEndedMillis);
+        }
+        leave();
+    }
+
+    /**
+     * Holds new calls back.
+     *
+     * @param action runs once no call is in progress, possibly at once
+     */
+    public void hold(Runnable action) {
+        Runnable idle;
+        synchronized (this) {
+            held = true;
+            whenIdle = action;
+            idle = takeIdle();
+        }
+        run(idle);
+    }
+
+    /** Lets calls in again. */
+    public synchronized void open() {
+        held = false;
+        whenIdle = null;
+    }
+
+    /** Returns the moment from which all abandoned calls have surely ended. */
+    public synchronized long abandonedUntilMillis() {
+        return abandonedUntilMillis;
+    }
+
+    private Runnable takeIdle() {
+        if (!held || running > 0) {
+            return null;
+        }
+        Runnable idle = whenIdle;
+        whenIdle = null;
+        return idle;
+    }
+
+    private static void run(Runnable action) {
+        if (action != null) {
+            action.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/call/package-info.java
@@ -0,0 +1,2 @@
+/** Verdicts, admission, retries and duplicate suppression of calls. */
+package org.siskindyke.kernel.call;
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/ClusterView.java
@@ -0,0 +1,114 @@
+package org.siskindyke.kernel.control;
+
+import java.util.List;
+
+import org.siskindyke.kernel.document.DocumentCatalog;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.MemberDirectory;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.ownership.OwnershipMap;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableChanges;
+import org.siskindyke.kernel.table.TableReplica;
+
+/** What a router knows of the table, in the typed form that decisions are made from. */
+public final class ClusterView {
+    private final TableReplica replica = new TableReplica();
+    private final MemberDirectory members = new MemberDirectory();
+    private final OwnershipMap ownership = new OwnershipMap();
+    private final DocumentCatalog documents = new DocumentCatalog();
+    private final SuspectList suspects = new SuspectList();
+
+    /** Returns the replicated rows; for the control thread only. */
+    public TableReplica replica() {
+        return replica;
+    }
+
+    /** Returns the members. */
+    public MemberDirectory members() {
+        return members;
+    }
+
+    /** Returns the owners of slices. */
+    public OwnershipMap ownership() {
+        return ownership;
+    }
+
+    /** Returns the documents in force. */
+    public DocumentCatalog documents() {
+        return documents;
+    }
+
+    /** Returns the calls suspected of crashing backend servers. */
+    public SuspectList suspects() {
+        return suspects;
+    }
+
+    /** Returns what a member holds of a service, as the replica knows it. */
+    public HoldingRow holding(ServiceName service, MemberId member) {
+        return HoldingRow.read(replica.get(RowPath.holding(service, member)), service, member);
+    }
+
+    /** Returns the slices of a service that have no owner, as the replica knows them. */
+    public HoldingRow unassigned(ServiceName service) {
+        return HoldingRow.read(replica.get(RowPath.unassigned(service)), service, null);
+    }
+
+    /**
+     * Takes over changes that are complete from this view's version on.
+     *
+     * @param changes the changes
+     * @param nowMillis the present
+     * @return the rows that were new
+     */
+    public List<Row> apply(TableChanges changes, long nowMillis) {
+        return interpret(replica.apply(changes), nowMillis);
+    }
+
+    /**
+     * Takes over rows that are known to be committed.
+     *
+     * @param committed the rows
+     * @param nowMillis the present
+     * @return the rows that were new
+     */
+    public List<Row> applyRows(List<Row> committed, long nowMillis) {
+        return interpret(
+                replica.applyRows(
+                        committed.stream().filter(r -> r.path().isReplicated()).toList()),
+                nowMillis);
+    }
+
+    private List<Row> interpret(List<Row> rows, long nowMillis) {
+        for (Row row : rows) {
+            if (row.path().isIn(RowPath.MEMBERS)) {
+                members.apply(row);
+            } else if (row.path().isIn(RowPath.DOCUMENTS)) {
+                documents.apply(row).ifPresent(accepted -> define(accepted.document(), nowMillis));
+            } else if (row.path().isIn(RowPath.HOLDINGS) && !row.deleted()) {
+                ownership.apply(RowCodec.decode(row, HoldingRow.class), nowMillis);
+            } else if (row.path().isIn(RowPath.SUSPECTS)) {
+                suspects.apply(row);
+            }
+        }
+        return rows;
+    }
+
+    private void define(ServiceDocument document, long nowMillis) {
+        ServiceName service = document.service();
+        if (!document.keys().divided() || ownership.sliceCount(service) > 0) {
+            return;
+        }
+        ownership.define(service, document.keys().slices());
+        String prefix = RowPath.HOLDINGS + service + "/";
+        for (Row row : replica.all()) {
+            if (row.path().isIn(prefix) && !row.deleted()) {
+                ownership.apply(RowCodec.decode(row, HoldingRow.class), nowMillis);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/DeathDuty.java
@@ -0,0 +1,166 @@
+package org.siskindyke.kernel.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.GrantorRing;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+
+/**
+ * Declares members dead whose lease has surely ended, and gives their slices to others in the same transaction.
+ *
+ * <p>Besides the charges of this member's own grantor duty these are members whose grantor is dead, and members that
+ * renew at the table and have stopped doing so.
+ */
+final class DeathDuty {
+    private static final int TABLE_WATCHERS = 2;
+    private static final long RETRY_MILLIS = 100;
+
+    private final ControlContext context;
+    private final TableSync sync;
+    private final TableWriter writer;
+    private final Set<MemberId> declaring = new HashSet<>();
+    private final Map<MemberId, Long> retryAtMillis = new HashMap<>();
+    private final Map<MemberId, Long> orphanedMillis = new HashMap<>();
+    private final Map<MemberId, TouchWatch> touchWatches = new HashMap<>();
+
+    DeathDuty(ControlContext context, TableSync sync, TableWriter writer) {
+        this.context = context;
+        this.sync = sync;
+        this.writer = writer;
+    }
+
+    /** What was last seen of a row by which a member renews its lease at the table. */
+    private static final class TouchWatch {
+        private long revision = -1;
+        private long sinceMillis;
+        private long nextReadMillis;
+        private boolean reading;
+    }
+
+    void onMemberRow(MemberRow member, long nowMillis) {
+        if (!member.mayServe()) {
+            orphanedMillis.remove(member.id());
+            touchWatches.remove(member.id());
+            retryAtMillis.remove(member.id());
+            for (MemberId charge : context.view().members().chargesOf(member.id())) {
+                orphanedMillis.putIfAbsent(charge, nowMillis);
+            }
+            return;
+        }
+        touchWatches.remove(member.id());
+        if (context.view().members().isDead(member.grantor())) {
+            orphanedMillis.putIfAbsent(member.id(), nowMillis);
+        } else {
+            orphanedMillis.remove(member.id());
+        }
+    }
+
+    void tick(long nowMillis) {
+        declareOrphans(nowMillis);
+        watchTouches(nowMillis);
+    }
+
+    /**
+     * Declares a member dead unless its row has changed or a declaration is under way.
+     *
+     * @param id the member, whose lease has surely ended under the row that this view knows
+     * @param reason why, for the log
+     */
+    void declare(MemberId id, String reason) {
+        declare(id, reason, Transaction.builder());
+    }
+
+    private void declare(MemberId id, String reason, Transaction.Builder extra) {
+        long nowMillis = context.nowMillis();
+        Optional<MemberRow> found = context.view().members().serving(id);
+        boolean due = found.isPresent()
+                && !id.equals(context.self())
+                && nowMillis >= retryAtMillis.getOrDefault(id, Long.MIN_VALUE);
+        if (!due || !declaring.add(id)) {
+            return;
+        }
+        MemberRow dead = found.get();
+        TakeoverPlan plan = TakeoverPlan.declareDead(context.view(), dead, context.self(), null);
+        Transaction transaction = extra.addAll(plan.transaction().build()).build();
+        writer.submit(transaction, nowMillis, outcome -> onDeclared(dead, plan, reason, outcome));
+    }
+
+    private void onDeclared(MemberRow dead, TakeoverPlan plan, String reason, CommitOutcome outcome) {
+        declaring.remove(dead.id());
+        retryAtMillis.put(dead.id(), context.nowMillis() + RETRY_MILLIS);
+        sync.refresh();
+        context.listener()
+                .onPlacement(new PlacementDecision(
+                        PlacementDecision.Kind.TAKEOVER,
+                        null,
+                        dead.id(),
+                        null,
+                        plan.sliceCount(),
+                        reason,
+                        outcome.committed()));
+    }
+
+    private void declareOrphans(long nowMillis) {
+        GrantorRing ring = context.view().members().ring();
+        long expiryMillis = context.settings().lease().expiryMillis();
+        for (Map.Entry<MemberId, Long> orphan : Map.copyOf(orphanedMillis).entrySet()) {
+            long staggerMillis = staggerMillis(ring, orphan.getKey());
+            if (nowMillis >= orphan.getValue() + expiryMillis + staggerMillis) {
+                declare(orphan.getKey(), "grantor dead for lease and margin");
+            }
+        }
+    }
+
+    private long staggerMillis(GrantorRing ring, MemberId orphan) {
+        int distance = ring.distance(orphan, context.self());
+        return Math.min(distance, TABLE_WATCHERS * 2)
+                * context.settings().lease().heartbeatMillis();
+    }
+
+    private void watchTouches(long nowMillis) {
+        GrantorRing ring = context.view().members().ring();
+        for (MemberId id : context.view().members().chargesOf(MemberId.TABLE)) {
+            if (!id.equals(context.self()) && ring.distance(id, context.self()) < TABLE_WATCHERS) {
+                watchTouch(id, nowMillis);
+            }
+        }
+    }
+
+    private void watchTouch(MemberId id, long nowMillis) {
+        TouchWatch watch = touchWatches.computeIfAbsent(id, m -> new TouchWatch());
+        if (watch.reading || nowMillis < watch.nextReadMillis) {
+            return;
+        }
+        watch.reading = true;
+        watch.nextReadMillis = nowMillis + context.settings().lease().heartbeatMillis();
+        context.settle(context.table().read(RowPath.touch(id)), (row, failure) -> {
+            watch.reading = false;
+            if (failure == null) {
+                onTouchRead(id, watch, row);
+            }
+        });
+    }
+
+    private void onTouchRead(MemberId id, TouchWatch watch, Row row) {
+        long nowMillis = context.nowMillis();
+        if (row.revision() != watch.revision) {
+            watch.revision = row.revision();
+            watch.sinceMillis = nowMillis;
+            return;
+        }
+        if (nowMillis - watch.sinceMillis >= context.settings().lease().expiryMillis()) {
+            declare(
+                    id,
+                    "row not touched for lease and margin",
+                    Transaction.builder().require(RowPath.touch(id), watch.revision));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
@@ -0,0 +1,344 @@
+package org.siskindyke.kernel.control;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.GrantDecision;
+import org.siskindyke.kernel.membership.HolderLease;
+import org.siskindyke.kernel.membership.LeaseSettings;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+
+/** Keeps this member's own row and lease: joins, renews, replaces its grantor and learns of its end. */
+final class HolderDuty {
+    private static final long TABLE_GRANTOR_REVIEW_MILLIS = 1_000;
+    private static final long RETRY_RENEWAL_MILLIS = 60;
+    private static final long RETRY_WRITE_MILLIS = 100;
+
+    private final ControlContext context;
+    private final TableSync sync;
+    private final TableWriter writer;
+    private final HolderLease lease = new HolderLease();
+    private MemberRow row;
+    private long revision;
+    private Predecessor predecessor = Predecessor.NONE;
+    private GrantorSearch search;
+    private boolean writing;
+    private boolean ended;
+    private List<TargetAnnouncement> wantedTargets = List.of();
+    private boolean leaving;
+    private long nextRenewalMillis;
+    private long nextReviewMillis;
+    private long nextWriteMillis;
+    private long touchCount;
+
+    HolderDuty(ControlContext context, TableSync sync, TableWriter writer, MemberRow template) {
+        this.context = context;
+        this.sync = sync;
+        this.writer = writer;
+        this.row = template;
+        this.wantedTargets = template.targets();
+    }
+
+    /** Finds members of the same instance whose process has provably ended. */
+    @FunctionalInterface
+    interface Predecessor {
+        /** Finds none. */
+        Predecessor NONE = view -> Optional.empty();
+
+        /** Returns an ended predecessor that is not declared dead yet. */
+        Optional<MemberRow> find(ClusterView view);
+    }
+
+    void setPredecessor(Predecessor finder) {
+        predecessor = finder;
+    }
+
+    MemberRow row() {
+        return row;
+    }
+
+    HolderLease lease() {
+        return lease;
+    }
+
+    boolean isJoined() {
+        return revision > 0 && !ended;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    void setTargets(List<TargetAnnouncement> targets) {
+        wantedTargets = List.copyOf(targets);
+    }
+
+    void setLeaving() {
+        leaving = true;
+    }
+
+    boolean isLeavingRecorded() {
+        return isJoined() && row.state() == MemberState.LEAVING;
+    }
+
+    void tick(long nowMillis) {
+        if (ended || !sync.isSynced()) {
+            return;
+        }
+        if (search != null && !search.isFinished()) {
+            search.tick(nowMillis);
+        }
+        if (!isJoined()) {
+            startJoin(nowMillis);
+            return;
+        }
+        renewWhenDue(nowMillis);
+        updateRowWhenNeeded(nowMillis);
+        reviewGrantor(nowMillis);
+    }
+
+    /** Learns that the table's row about this member may have changed. */
+    void onOwnRow(MemberRow stored) {
+        if (stored.state() == MemberState.DEAD && !ended) {
+            end(stored.declaredBy());
+        }
+    }
+
+    private void end(MemberId declaredBy) {
+        ended = true;
+        lease.end();
+        context.listener().onLease(Long.MIN_VALUE);
+        context.listener().onDeclaredDead(declaredBy);
+    }
+
+    // Joining
+
+    private void startJoin(long nowMillis) {
+        if (writing || nowMillis < nextWriteMillis || search != null && !search.isFinished()) {
+            return;
+        }
+        MemberId gone = predecessor.find(context.view()).map(MemberRow::id).orElse(null);
+        search = new GrantorSearch(context, row.failureDomain(), gone, this::join);
+        search.start();
+    }
+
+    private void join(MemberId grantor) {
+        MemberRow joining = new MemberRow(
+                row.id(),
+                row.instance(),
+                row.failureDomain(),
+                row.address(),
+                MemberState.ALIVE,
+                1,
+                grantor,
+                wantedTargets,
+                row.process(),
+                null);
+        Transaction.Builder transaction =
+                Transaction.builder().replace(RowPath.member(row.id()), 0, RowCodec.encode(joining));
+        Optional<MemberRow> gone = predecessor.find(context.view());
+        Optional<TakeoverPlan> takeover = gone.map(g -> TakeoverPlan.declareDead(context.view(), g, row.id(), joining));
+        takeover.ifPresent(plan -> transaction.addAll(plan.transaction().build()));
+        writing = true;
+        writer.submit(transaction.build(), context.nowMillis(), outcome -> {
+            onRowWritten(joining, outcome);
+            takeover.ifPresent(plan -> reportReturn(gone.get(), plan, outcome));
+        });
+    }
+
+    private void reportReturn(MemberRow gone, TakeoverPlan plan, CommitOutcome outcome) {
+        context.listener()
+                .onPlacement(new PlacementDecision(
+                        PlacementDecision.Kind.TAKEOVER,
+                        null,
+                        gone.id(),
+                        row.id(),
+                        plan.sliceCount(),
+                        "process of the same instance has ended",
+                        outcome.committed()));
+    }
+
+    // Renewing
+
+    private void renewWhenDue(long nowMillis) {
+        if (nowMillis < nextRenewalMillis) {
+            return;
+        }
+        nextRenewalMillis = nowMillis + leaseSettings().heartbeatMillis();
+        if (lease.grantor().equals(MemberId.TABLE)) {
+            touch(nowMillis);
+        } else {
+            context.view().members().serving(lease.grantor()).ifPresent(grantor -> renew(grantor, nowMillis));
+        }
+    }
+
+    private void renew(MemberRow grantor, long nowMillis) {
+        long epoch = lease.epoch();
+        PeerPort.Renewal renewal = new PeerPort.Renewal(row.id(), epoch, lease.beginRenewal(nowMillis), false);
+        context.peers().renew(grantor, renewal, reply -> onRenewalReply(grantor.id(), epoch, reply));
+    }
+
+    private void onRenewalReply(MemberId grantor, long epoch, PeerPort.RenewalReply reply) {
+        if (ended || epoch != lease.epoch()) {
+            return;
+        }
+        long nowMillis = context.nowMillis();
+        GrantDecision decision = reply.decision();
+        if (decision.isGranted()) {
+            if (lease.onGranted(reply.sequence(), epoch, reply.leaseMillis(), nowMillis)) {
+                context.listener().onLease(lease.leaseEndMillis());
+            }
+        } else if (decision == GrantDecision.UNKNOWN_EPOCH) {
+            nextRenewalMillis = Math.min(nextRenewalMillis, nowMillis + RETRY_RENEWAL_MILLIS);
+        } else {
+            context.listener().onRenewalRefused(grantor, decision);
+        }
+        boolean lookElsewhere = decision == GrantDecision.GRANTED_LEAVING
+                || decision == GrantDecision.CLOSED
+                || decision == GrantDecision.GIVEN_UP;
+        if (lookElsewhere) {
+            replaceGrantor(grantor);
+        }
+    }
+
+    private void touch(long nowMillis) {
+        long epoch = lease.epoch();
+        long sequence = lease.beginRenewal(nowMillis);
+        Transaction touch = Transaction.builder()
+                .require(RowPath.member(row.id()), revision)
+                .put(RowPath.touch(row.id()), RowCodec.encode(new TouchRow(++touchCount)))
+                .build();
+        context.settle(context.table().commit(touch), (result, failure) -> {
+            if (failure != null || ended) {
+                return;
+            }
+            if (!result.committed()) {
+                sync.fetch(RowPath.member(row.id()));
+            } else if (lease.onGranted(sequence, epoch, leaseSettings().leaseMillis(), context.nowMillis())) {
+                context.listener().onLease(lease.leaseEndMillis());
+            }
+        });
+    }
+
+    private record TouchRow(long count) {}
+
+    // Changing the own row
+
+    private void reviewGrantor(long nowMillis) {
+        if (lease.grantor().equals(MemberId.TABLE)) {
+            if (nowMillis >= nextReviewMillis) {
+                nextReviewMillis = nowMillis + TABLE_GRANTOR_REVIEW_MILLIS;
+                replaceGrantor(null);
+            }
+        } else if (nowMillis - lease.lastGrantMillis() > leaseSettings().replaceAfterMillis()) {
+            replaceGrantor(lease.grantor());
+        }
+    }
+
+    private void replaceGrantor(MemberId excluded) {
+        if (writing || search != null && !search.isFinished() || context.nowMillis() < nextWriteMillis) {
+            return;
+        }
+        search = new GrantorSearch(context, row.failureDomain(), excluded, this::onReplacementFound);
+        search.start();
+    }
+
+    private void onReplacementFound(MemberId grantor) {
+        if (!grantor.equals(lease.grantor()) && !writing) {
+            replaceRow(row.withGrantor(grantor));
+        }
+    }
+
+    private void updateRowWhenNeeded(long nowMillis) {
+        if (writing || nowMillis < nextWriteMillis) {
+            return;
+        }
+        if (leaving && row.state() == MemberState.ALIVE) {
+            replaceRow(row.withState(MemberState.LEAVING, null));
+        } else if (!wantedTargets.equals(row.targets())) {
+            replaceRow(row.withTargets(wantedTargets));
+        }
+    }
+
+    /**
+     * Replaces the own row once the table has answered a read, so that an outage does not leave the member with a
+     * replacement of unknown outcome and without renewals.
+     */
+    private void replaceRow(MemberRow replacement) {
+        writing = true;
+        boolean grantorChanges = replacement.epoch() != row.epoch();
+        context.settle(context.table().read(RowPath.member(row.id())), (stored, failure) -> {
+            if (failure != null || ended) {
+                writing = false;
+                nextWriteMillis = context.nowMillis() + RETRY_WRITE_MILLIS;
+                return;
+            }
+            if (stored.revision() != revision) {
+                writing = false;
+                adopt(stored);
+                return;
+            }
+            if (grantorChanges) {
+                lease.suspend();
+            }
+            Transaction transaction = Transaction.builder()
+                    .replace(RowPath.member(row.id()), revision, RowCodec.encode(replacement))
+                    .build();
+            writer.submit(transaction, context.nowMillis(), outcome -> onRowWritten(replacement, outcome));
+        });
+    }
+
+    private void adopt(Row stored) {
+        if (stored.deleted()) {
+            end(null);
+            return;
+        }
+        sync.learn(List.of(stored));
+        if (!ended) {
+            onOwnRow(RowCodec.decode(stored, MemberRow.class));
+        }
+    }
+
+    private void onRowWritten(MemberRow written, CommitOutcome outcome) {
+        writing = false;
+        if (ended) {
+            return;
+        }
+        if (!outcome.committed()) {
+            lease.resume();
+            nextWriteMillis = context.nowMillis() + RETRY_WRITE_MILLIS;
+            sync.refresh();
+            sync.fetch(RowPath.member(row.id()));
+            return;
+        }
+        MemberRow before = revision == 0 ? null : row;
+        row = written;
+        revision = outcome.version();
+        sync.learn(List.of(new Row(RowPath.member(row.id()), revision, RowCodec.encode(row), false)));
+        sync.refresh();
+        if (before == null || before.epoch() != row.epoch()) {
+            onAppointed(before);
+        }
+    }
+
+    private void onAppointed(MemberRow before) {
+        lease.appoint(row.grantor(), row.epoch(), context.nowMillis());
+        nextRenewalMillis = context.nowMillis();
+        if (before == null) {
+            context.listener().onJoined(row.grantor());
+        } else {
+            context.listener().onGrantorReplaced(before.grantor(), row.grantor());
+        }
+    }
+
+    private LeaseSettings leaseSettings() {
+        return context.settings().lease();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
@@ -0,0 +1,143 @@
+package org.siskindyke.kernel.control;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.siskindyke.kernel.balance.MoveProposal;
+import org.siskindyke.kernel.balance.SliceBalancePolicy;
+import org.siskindyke.kernel.balance.SliceBalancePolicy.MemberLoad;
+import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+
+/**
+ * Gives slices without an owner to members and asks owners to hand slices over where that improves balance.
+ *
+ * <p>The planner of a service is the member with the lowest id among those with a target. Two members that believe so
+ * at
+ * once may waste work; transactions keep ownership right.
+ */
+final class PlannerDuty {
+    private static final long MOVE_PAUSE_MILLIS = 1_000;
+
+    private final ControlContext context;
+    private final TableSync sync;
+    private final TableWriter writer;
+    private final ReleaseDuty releases;
+    private final SliceBalancePolicy policy;
+    private final Set<ServiceName> assigning = new HashSet<>();
+    private final Map<ServiceName, Long> nextMoveMillis = new HashMap<>();
+    private long nextPlanMillis;
+
+    PlannerDuty(
+            ControlContext context,
+            TableSync sync,
+            TableWriter writer,
+            ReleaseDuty releases,
+            SliceBalancePolicy policy) {
+        this.context = context;
+        this.sync = sync;
+        this.writer = writer;
+        this.releases = releases;
+        this.policy = policy;
+    }
+
+    void tick(long nowMillis) {
+        if (nowMillis < nextPlanMillis) {
+            return;
+        }
+        nextPlanMillis = nowMillis + context.settings().planMillis();
+        for (AcceptedDocument accepted : context.view().documents().all()) {
+            if (accepted.document().keys().divided()) {
+                plan(accepted.document(), nowMillis);
+            }
+        }
+    }
+
+    private void plan(ServiceDocument document, long nowMillis) {
+        ServiceName service = document.service();
+        List<MemberRow> members = context.view().members().withTarget(service);
+        Optional<MemberId> planner = members.stream().map(MemberRow::id).min(Comparator.naturalOrder());
+        if (!planner.equals(Optional.of(context.self()))) {
+            return;
+        }
+        HoldingRow unassigned = context.view().unassigned(service);
+        if (!unassigned.slices().isEmpty()) {
+            assign(service, unassigned, members);
+        } else if (nowMillis >= nextMoveMillis.getOrDefault(service, Long.MIN_VALUE)) {
+            move(document, members, nowMillis);
+        }
+    }
+
+    private void assign(ServiceName service, HoldingRow unassigned, List<MemberRow> members) {
+        if (!assigning.add(service)) {
+            return;
+        }
+        Map<MemberId, Integer> counts = new HashMap<>();
+        members.forEach(m -> counts.put(
+                m.id(), context.view().holding(service, m.id()).slices().size()));
+        List<HeldSlice> slices = unassigned.slices().stream()
+                .map(s -> s.passedOn(s.settleMillis()))
+                .toList();
+        HoldingRow none = new HoldingRow(service, null, List.of());
+        Transaction.Builder transaction =
+                Transaction.builder().replace(none.path(), revision(none.path()), RowCodec.encode(none));
+        SliceShares.level(counts, slices).forEach((member, share) -> {
+            HoldingRow holding = context.view().holding(service, member).plus(share);
+            transaction.replace(holding.path(), revision(holding.path()), RowCodec.encode(holding));
+            transaction.require(RowPath.member(member), context.view().members().revision(member));
+        });
+        writer.submit(transaction.build(), context.nowMillis(), outcome -> {
+            assigning.remove(service);
+            sync.refresh();
+            context.listener()
+                    .onPlacement(new PlacementDecision(
+                            PlacementDecision.Kind.ASSIGN,
+                            service,
+                            null,
+                            null,
+                            slices.size(),
+                            "slices without an owner",
+                            outcome.committed()));
+        });
+    }
+
+    private void move(ServiceDocument document, List<MemberRow> members, long nowMillis) {
+        ServiceName service = document.service();
+        List<MemberLoad> loads = members.stream()
+                .map(m -> new MemberLoad(
+                        m.id(), context.view().holding(service, m.id()).slices()))
+                .toList();
+        Optional<MoveProposal> proposal = policy.propose(document, loads);
+        if (proposal.isEmpty()) {
+            return;
+        }
+        nextMoveMillis.put(service, nowMillis + MOVE_PAUSE_MILLIS);
+        MoveProposal move = proposal.get();
+        PeerPort.Release release = new PeerPort.Release(service, move.slices(), move.to(), move.reason());
+        if (move.from().equals(context.self())) {
+            releases.start(release);
+        } else {
+            context.view()
+                    .members()
+                    .serving(move.from())
+                    .ifPresent(m -> context.peers().release(m, release));
+        }
+    }
+
+    private long revision(RowPath path) {
+        return context.view().replica().get(path).revision();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
@@ -0,0 +1,156 @@
+package org.siskindyke.kernel.control;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.SliceRef;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+
+/**
+ * Hands slices that this member owns to another: holds their new calls, waits for those in progress and rewrites both
+ * holdings in one transaction.
+ */
+final class ReleaseDuty {
+    private final ControlContext context;
+    private final TableSync sync;
+    private final TableWriter writer;
+    private final SliceTraffic traffic;
+    private final Set<SliceRef> releasing = new HashSet<>();
+
+    ReleaseDuty(ControlContext context, TableSync sync, TableWriter writer, SliceTraffic traffic) {
+        this.context = context;
+        this.sync = sync;
+        this.writer = writer;
+        this.traffic = traffic;
+    }
+
+    /** Returns the number of slices whose release is under way. */
+    int releasingCount() {
+        return releasing.size();
+    }
+
+    /**
+     * Starts a release unless one of the slices is being released already or does not belong to this member.
+     *
+     * @param release what to hand to whom; a null heir leaves the slices without an owner
+     */
+    void start(PeerPort.Release release) {
+        List<SliceRef> slices = refs(release);
+        HoldingRow holding = context.view().holding(release.service(), context.self());
+        boolean held =
+                held(holding, release.slices()).size() == release.slices().size();
+        boolean free = slices.stream().noneMatch(releasing::contains);
+        if (slices.isEmpty() || !held || !free || !canTake(release)) {
+            report(release, PlacementDecision.Kind.MOVE_REFUSED, false);
+            return;
+        }
+        releasing.addAll(slices);
+        RowPath path = holding.path();
+        long knownRevision = context.view().replica().get(path).revision();
+        context.settle(context.table().read(path), (row, failure) -> {
+            if (failure != null || row.revision() != knownRevision) {
+                releasing.removeAll(slices);
+                sync.refresh();
+                report(release, PlacementDecision.Kind.MOVE_REFUSED, false);
+            } else {
+                traffic.hold(slices, () -> commit(release, slices));
+            }
+        });
+    }
+
+    private boolean canTake(PeerPort.Release release) {
+        if (release.heir() == null) {
+            return true;
+        }
+        Optional<MemberRow> heir = context.view().members().serving(release.heir());
+        return !release.heir().equals(context.self())
+                && heir.filter(m -> m.state() == MemberState.ALIVE && m.takesWorkOf(release.service()))
+                        .isPresent();
+    }
+
+    private void commit(PeerPort.Release release, List<SliceRef> slices) {
+        ServiceName service = release.service();
+        HoldingRow mine = context.view().holding(service, context.self());
+        List<HeldSlice> moving = held(mine, release.slices());
+        if (moving.size() != slices.size()) {
+            finish(release, slices, false);
+            return;
+        }
+        HoldingRow rest = mine.minus(new HashSet<>(release.slices()));
+        HoldingRow theirs = (release.heir() == null
+                        ? context.view().unassigned(service)
+                        : context.view().holding(service, release.heir()))
+                .plus(moving.stream().map(s -> s.passedOn(0)).toList());
+        Transaction.Builder transaction = Transaction.builder()
+                .replace(rest.path(), revision(rest.path()), RowCodec.encode(rest))
+                .replace(theirs.path(), revision(theirs.path()), RowCodec.encode(theirs));
+        if (release.heir() != null) {
+            transaction.require(
+                    RowPath.member(release.heir()), context.view().members().revision(release.heir()));
+        }
+        writer.submit(transaction.build(), context.nowMillis(), outcome -> {
+            if (outcome.committed()) {
+                learn(rest, theirs, outcome.version());
+                pushTo(release.heir());
+            }
+            sync.refresh();
+            finish(release, slices, outcome.committed());
+        });
+    }
+
+    private void learn(HoldingRow rest, HoldingRow theirs, long version) {
+        sync.learn(List.of(
+                new Row(rest.path(), version, RowCodec.encode(rest), false),
+                new Row(theirs.path(), version, RowCodec.encode(theirs), false)));
+    }
+
+    private void pushTo(MemberId heir) {
+        if (heir != null) {
+            context.view().members().serving(heir).ifPresent(sync::gossipWith);
+        }
+    }
+
+    private void finish(PeerPort.Release release, List<SliceRef> slices, boolean committed) {
+        releasing.removeAll(slices);
+        traffic.resume(slices);
+        report(release, PlacementDecision.Kind.MOVE, committed);
+    }
+
+    private void report(PeerPort.Release release, PlacementDecision.Kind kind, boolean committed) {
+        context.listener()
+                .onPlacement(new PlacementDecision(
+                        kind,
+                        release.service(),
+                        context.self(),
+                        release.heir(),
+                        release.slices().size(),
+                        release.reason(),
+                        committed));
+    }
+
+    private long revision(RowPath path) {
+        return context.view().replica().get(path).revision();
+    }
+
+    private static List<HeldSlice> held(HoldingRow holding, List<Integer> indexes) {
+        Set<Integer> wanted = new HashSet<>(indexes);
+        return holding.slices().stream().filter(s -> wanted.contains(s.index())).toList();
+    }
+
+    private static List<SliceRef> refs(PeerPort.Release release) {
+        return release.slices().stream()
+                .map(index -> new SliceRef(release.service(), index))
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/SliceShares.java
@@ -0,0 +1,38 @@
+package org.siskindyke.kernel.control;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.ownership.HeldSlice;
+
+/** Divides slices among members so that their counts come out as even as possible. */
+final class SliceShares {
+    private SliceShares() {}
+
+    private record Level(int count, MemberId member) {}
+
+    /**
+     * Divides slices.
+     *
+     * @param counts the members and how many slices each has already
+     * @param slices the slices to divide
+     * @return the slices each member gets; members that get none are left out
+     */
+    static Map<MemberId, List<HeldSlice>> level(Map<MemberId, Integer> counts, List<HeldSlice> slices) {
+        PriorityQueue<Level> lowest =
+                new PriorityQueue<>(Comparator.comparingInt(Level::count).thenComparing(Level::member));
+        counts.forEach((member, count) -> lowest.add(new Level(count, member)));
+        Map<MemberId, List<HeldSlice>> shares = new HashMap<>();
+        for (HeldSlice slice : slices) {
+            Level next = lowest.remove();
+            shares.computeIfAbsent(next.member(), m -> new ArrayList<>()).add(slice);
+            lowest.add(new Level(next.count() + 1, next.member()));
+        }
+        return shares;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -0,0 +1,199 @@
+package org.siskindyke.kernel.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableChanges;
+
+/**
+ * Keeps the view up to date: a few readers of each failure domain ask the table, and everyone exchanges changes with
+ * random others.
+ */
+final class TableSync {
+    /** Members of each failure domain that ask the table. */
+    static final int READERS_PER_DOMAIN = 2;
+
+    private static final int POLL_LIMIT_ROWS = 2_000;
+    private static final int GOSSIP_LIMIT_ROWS = 200;
+    private static final long FIRST_POLL_RETRY_MILLIS = 100;
+    private static final long STALE_POLLS = 8;
+
+    private final ControlContext context;
+    private final FailureDomain domain;
+    private final Consumer<List<Row>> onRows;
+    private boolean synced;
+    private boolean polling;
+    private boolean pollAgain;
+    private long nextPollMillis;
+    private long nextGossipMillis;
+    private long lastTableAnswerMillis = Long.MIN_VALUE;
+    private long lastFreshMillis = Long.MIN_VALUE;
+
+    TableSync(ControlContext context, FailureDomain domain, Consumer<List<Row>> onRows) {
+        this.context = context;
+        this.domain = domain;
+        this.onRows = onRows;
+    }
+
+    /** Tells whether all changes were read at least once. */
+    boolean isSynced() {
+        return synced;
+    }
+
+    /** Returns when the table last answered this member; {@link Long#MIN_VALUE} for never. */
+    long lastTableAnswerMillis() {
+        return lastTableAnswerMillis;
+    }
+
+    void tick(long nowMillis) {
+        if (nowMillis >= nextPollMillis && (!synced || isReader() || isStale(nowMillis))) {
+            poll();
+        }
+        if (synced && nowMillis >= nextGossipMillis) {
+            nextGossipMillis = nowMillis + jittered(context.settings().gossipMillis());
+            gossipWithRandomMember();
+        }
+    }
+
+    /** Asks the table for changes as soon as possible. */
+    void refresh() {
+        if (polling) {
+            pollAgain = true;
+        } else {
+            poll();
+        }
+    }
+
+    /** Takes over rows that are known to be committed. */
+    void learn(List<Row> rows) {
+        notifyOf(context.view().applyRows(rows, context.nowMillis()));
+    }
+
+    /** Reads one row from the table and takes it over. */
+    void fetch(RowPath path) {
+        context.settle(context.table().read(path), (row, failure) -> {
+            if (failure == null) {
+                lastTableAnswerMillis = context.nowMillis();
+                learn(List.of(row));
+            }
+        });
+    }
+
+    /** Answers another member's side of an exchange. */
+    PeerPort.Gossip onGossip(PeerPort.Gossip gossip) {
+        accept(gossip);
+        return new PeerPort.Gossip(
+                context.self(),
+                version(),
+                context.view().replica().changesSince(gossip.tableVersion(), GOSSIP_LIMIT_ROWS));
+    }
+
+    /** Exchanges changes with a member at once. */
+    void gossipWith(MemberRow member) {
+        PeerPort.Gossip mine = new PeerPort.Gossip(context.self(), version(), TableChanges.none(0));
+        context.peers().gossip(member, mine, this::onGossipReply);
+    }
+
+    private void onGossipReply(PeerPort.Gossip reply) {
+        accept(reply);
+        if (reply.tableVersion() >= version()) {
+            return;
+        }
+        TableChanges lacking = context.view().replica().changesSince(reply.tableVersion(), GOSSIP_LIMIT_ROWS);
+        context.view()
+                .members()
+                .serving(reply.member())
+                .ifPresent(m -> context.peers()
+                        .gossip(m, new PeerPort.Gossip(context.self(), version(), lacking), this::accept));
+    }
+
+    private void accept(PeerPort.Gossip gossip) {
+        if (synced && gossip.changes().upToVersion() > version()) {
+            notifyOf(context.view().apply(gossip.changes(), context.nowMillis()));
+        }
+        if (gossip.tableVersion() >= version()) {
+            lastFreshMillis = context.nowMillis();
+        }
+    }
+
+    private void poll() {
+        polling = true;
+        nextPollMillis = context.nowMillis() + jittered(context.settings().pollMillis());
+        context.settle(context.table().changesSince(version(), POLL_LIMIT_ROWS), this::onPolled);
+    }
+
+    private void onPolled(TableChanges changes, Throwable failure) {
+        long nowMillis = context.nowMillis();
+        polling = false;
+        if (failure != null) {
+            nextPollMillis = nowMillis
+                    + FIRST_POLL_RETRY_MILLIS
+                    + jittered(context.settings().pollMillis());
+            return;
+        }
+        lastTableAnswerMillis = nowMillis;
+        lastFreshMillis = nowMillis;
+        boolean complete = changes.rows().size() < POLL_LIMIT_ROWS;
+        synced |= complete;
+        notifyOf(context.view().apply(changes, nowMillis));
+        if (pollAgain || !complete) {
+            pollAgain = false;
+            poll();
+        }
+    }
+
+    private void notifyOf(List<Row> rows) {
+        if (!rows.isEmpty()) {
+            onRows.accept(rows);
+        }
+    }
+
+    private long version() {
+        return context.view().replica().version();
+    }
+
+    /** Tells whether neither the table nor a peer has confirmed this view for several poll intervals. */
+    private boolean isStale(long nowMillis) {
+        return nowMillis - lastFreshMillis > STALE_POLLS * context.settings().pollMillis();
+    }
+
+    private boolean isReader() {
+        int before = 0;
+        for (MemberRow member : context.view().members().serving()) {
+            boolean precedes = member.failureDomain().equals(domain)
+                    && member.state() == MemberState.ALIVE
+                    && member.id().compareTo(context.self()) < 0;
+            before += precedes ? 1 : 0;
+        }
+        return before < READERS_PER_DOMAIN;
+    }
+
+    private void gossipWithRandomMember() {
+        List<MemberRow> order = context.view().members().ring().order();
+        if (order.size() < 2) {
+            return;
+        }
+        MemberRow chosen = order.get(context.random().nextInt(order.size()));
+        if (!chosen.id().equals(context.self())) {
+            gossipWith(chosen);
+        }
+    }
+
+    private long jittered(long millis) {
+        return millis - millis / 4 + context.random().nextLong(millis / 2 + 1);
+    }
+
+    /** Returns the members that a change should reach first. */
+    static List<MemberRow> rows(ClusterView view, List<MemberId> ids) {
+        List<MemberRow> rows = new ArrayList<>();
+        ids.forEach(id -> view.members().serving(id).ifPresent(rows::add));
+        return rows;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/TableWriter.java
@@ -0,0 +1,131 @@
+package org.siskindyke.kernel.control;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+import org.siskindyke.kernel.table.CommitResult;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+
+/**
+ * Writes transactions one at a time and settles the outcome of each.
+ *
+ * <p>Each transaction also replaces this member's writer row by its own number. A transaction whose answer was lost is
+ * sent again unchanged; when that meets a conflict, the number in the writer row tells whether the first try took
+ * effect.
+ */
+public final class TableWriter {
+    private static final long FIRST_RETRY_MILLIS = 50;
+    private static final long LAST_RETRY_MILLIS = 1_000;
+
+    private final ControlContext context;
+    private final RowPath writerPath;
+    private final Deque<Pending> queue = new ArrayDeque<>();
+    private long writerRevision;
+    private long nextNumber = 1;
+    private boolean inFlight;
+    private long retryAtMillis;
+    private long retryDelayMillis = FIRST_RETRY_MILLIS;
+
+    /**
+     * Creates a writer.
+     *
+     * @param context shared parts
+     */
+    TableWriter(ControlContext context) {
+        this.context = context;
+        this.writerPath = RowPath.writer(context.self());
+    }
+
+    private record WriterRow(long number) {}
+
+    private static final class Pending {
+        private final Transaction transaction;
+        private final long number;
+        private final Consumer<CommitOutcome> onOutcome;
+        private boolean ambiguous;
+
+        private Pending(Transaction transaction, long number, Consumer<CommitOutcome> onOutcome) {
+            this.transaction = transaction;
+            this.number = number;
+            this.onOutcome = onOutcome;
+        }
+    }
+
+    /** Returns the number of transactions that are not settled. */
+    public int pendingCount() {
+        return queue.size();
+    }
+
+    /**
+     * Queues a transaction.
+     *
+     * @param transaction what to write
+     * @param nowMillis the present
+     * @param onOutcome receives the outcome once it is known, however long that takes
+     */
+    public void submit(Transaction transaction, long nowMillis, Consumer<CommitOutcome> onOutcome) {
+        queue.add(new Pending(transaction, nextNumber++, onOutcome));
+        tick(nowMillis);
+    }
+
+    /** Sends the next transaction, or the present one again, when it is due. */
+    public void tick(long nowMillis) {
+        Pending head = queue.peek();
+        if (head == null || inFlight || nowMillis < retryAtMillis) {
+            return;
+        }
+        inFlight = true;
+        Transaction numbered = Transaction.builder()
+                .addAll(head.transaction)
+                .replace(writerPath, writerRevision, RowCodec.encode(new WriterRow(head.number)))
+                .build();
+        context.settle(
+                context.table().commit(numbered), (result, failure) -> onAnswer(head, result, failure, nowMillis));
+    }
+
+    private void onAnswer(Pending head, CommitResult result, Throwable failure, long sentMillis) {
+        if (failure != null) {
+            head.ambiguous = true;
+            retryLater(sentMillis);
+        } else if (result.committed()) {
+            settle(head, new CommitOutcome(true, result.version()), sentMillis);
+        } else if (head.ambiguous) {
+            context.settle(
+                    context.table().read(writerPath),
+                    (row, readFailure) -> onProof(head, row, readFailure, sentMillis));
+        } else {
+            settle(head, CommitOutcome.CONFLICT, sentMillis);
+        }
+    }
+
+    private void onProof(Pending head, Row writer, Throwable failure, long sentMillis) {
+        if (failure != null) {
+            retryLater(sentMillis);
+        } else if (!writer.deleted() && RowCodec.decode(writer, WriterRow.class).number() == head.number) {
+            settle(head, new CommitOutcome(true, writer.revision()), sentMillis);
+        } else {
+            settle(head, CommitOutcome.CONFLICT, sentMillis);
+        }
+    }
+
+    private void settle(Pending head, CommitOutcome outcome, long sentMillis) {
+        queue.remove(head);
+        inFlight = false;
+        retryDelayMillis = FIRST_RETRY_MILLIS;
+        if (outcome.committed()) {
+            writerRevision = outcome.version();
+        }
+        head.onOutcome.accept(outcome);
+        tick(sentMillis);
+    }
+
+    private void retryLater(long sentMillis) {
+        inFlight = false;
+        retryAtMillis = sentMillis + retryDelayMillis + context.random().nextLong(retryDelayMillis);
+        retryDelayMillis = Math.min(LAST_RETRY_MILLIS, retryDelayMillis * 2);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
@@ -0,0 +1,152 @@
+package org.siskindyke.kernel.control;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+
+/**
+ * Builds the transaction that declares a member dead and gives its slices to others.
+ *
+ * <p>The rows written are bounded per service by {@link #MAX_HEIRS}, whatever the number of slices.
+ */
+final class TakeoverPlan {
+    /** Most members that share the slices of a dead one, per service. */
+    static final int MAX_HEIRS = 3;
+
+    private final ClusterView view;
+    private final Transaction.Builder transaction = Transaction.builder();
+    private int slices;
+
+    private TakeoverPlan(ClusterView view) {
+        this.view = view;
+    }
+
+    /**
+     * Plans a takeover.
+     *
+     * @param view what the declarer knows
+     * @param dead the member to declare dead
+     * @param declaredBy the declarer
+     * @param heir takes all slices of the services it serves; null to choose heirs by load
+     * @return the plan
+     */
+    static TakeoverPlan declareDead(ClusterView view, MemberRow dead, MemberId declaredBy, MemberRow heir) {
+        TakeoverPlan plan = new TakeoverPlan(view);
+        plan.transaction.replace(
+                RowPath.member(dead.id()),
+                view.members().revision(dead.id()),
+                RowCodec.encode(dead.withState(MemberState.DEAD, declaredBy)));
+        for (ServiceName service : servicesOf(dead)) {
+            plan.reassign(service, dead, heir);
+        }
+        return plan;
+    }
+
+    Transaction.Builder transaction() {
+        return transaction;
+    }
+
+    int sliceCount() {
+        return slices;
+    }
+
+    private static List<ServiceName> servicesOf(MemberRow member) {
+        return member.targets().stream()
+                .map(TargetAnnouncement::service)
+                .distinct()
+                .toList();
+    }
+
+    private void reassign(ServiceName service, MemberRow dead, MemberRow heir) {
+        Row row = view.replica().get(RowPath.holding(service, dead.id()));
+        HoldingRow holding = HoldingRow.read(row, service, dead.id());
+        transaction.require(row.path(), row.revision());
+        if (holding.slices().isEmpty()) {
+            return;
+        }
+        slices += holding.slices().size();
+        transaction.put(row.path(), RowCodec.encode(new HoldingRow(service, dead.id(), List.of())));
+        long settleMillis = settleMillis(service, dead);
+        List<HeldSlice> passedOn = holding.slices().stream()
+                .map(s -> s.passedOn(Math.max(s.settleMillis(), settleMillis)))
+                .toList();
+        List<MemberRow> heirs = heir != null && heir.targetOf(service).isPresent()
+                ? List.of(heir)
+                : heirs(view, service, dead.id(), Optional.of(dead));
+        if (heirs.isEmpty()) {
+            addTo(RowPath.unassigned(service), service, null, passedOn);
+        } else {
+            share(service, passedOn, heirs, heir);
+        }
+    }
+
+    private void share(ServiceName service, List<HeldSlice> passedOn, List<MemberRow> heirs, MemberRow joining) {
+        Map<MemberId, Integer> counts = new TreeMap<>();
+        for (MemberRow heir : heirs) {
+            counts.put(heir.id(), view.holding(service, heir.id()).slices().size());
+        }
+        Map<MemberId, List<HeldSlice>> shares = SliceShares.level(counts, passedOn);
+        shares.forEach((heir, share) -> {
+            if (joining == null) {
+                transaction.require(RowPath.member(heir), view.members().revision(heir));
+            }
+            addTo(RowPath.holding(service, heir), service, heir, share);
+        });
+    }
+
+    private void addTo(RowPath path, ServiceName service, MemberId owner, List<HeldSlice> more) {
+        Row row = view.replica().get(path);
+        HoldingRow holding = HoldingRow.read(row, service, owner);
+        transaction.replace(path, row.revision(), RowCodec.encode(holding.plus(more)));
+    }
+
+    /** Returns how long an heir waits because the dead member's backend server may still run its calls. */
+    private long settleMillis(ServiceName service, MemberRow dead) {
+        boolean checksGrants =
+                dead.targetOf(service).map(TargetAnnouncement::checksGrants).orElse(false);
+        if (checksGrants) {
+            return 0;
+        }
+        Optional<AcceptedDocument> accepted = view.documents().get(service);
+        return accepted.map(a -> a.document().calls().timeoutMillis()).orElse(0L);
+    }
+
+    /**
+     * Chooses who may take over slices: those with the fewest, in other failure domains than the one that was hit.
+     *
+     * @param view what is known
+     * @param service the service
+     * @param excluded a member that must not be chosen
+     * @param hit a member whose failure domain may be lost; empty where nothing failed
+     * @return at most {@link #MAX_HEIRS} members
+     */
+    static List<MemberRow> heirs(ClusterView view, ServiceName service, MemberId excluded, Optional<MemberRow> hit) {
+        List<MemberRow> candidates = new ArrayList<>(view.members().withTarget(service));
+        candidates.removeIf(m -> m.id().equals(excluded));
+        hit.ifPresent(lost -> {
+            boolean othersExist =
+                    candidates.stream().anyMatch(m -> !m.failureDomain().equals(lost.failureDomain()));
+            candidates.removeIf(m -> othersExist && m.failureDomain().equals(lost.failureDomain()));
+        });
+        candidates.sort(Comparator.comparingInt(
+                        (MemberRow m) -> view.holding(service, m.id()).slices().size())
+                .thenComparing(MemberRow::id));
+        return candidates.subList(0, Math.min(MAX_HEIRS, candidates.size()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/document/CallRule.java
@@ -0,0 +1,45 @@
+package org.siskindyke.kernel.document;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * How calls of a service may be treated.
+ *
+ * @param timeoutMillis longest time from arrival to answer, and longest time a call may run
+ * @param idempotentMethods methods whose calls may run more than once
+ * @param idempotentPaths path prefixes whose calls may run more than once
+ * @param retryBudgetPercent retries allowed as a share of first attempts
+ * @param queueLength calls that may wait for a slot of a target
+ * @param queueMillis longest time a call waits for a slot
+ * @param resendWindowSeconds how long a call's Idempotency-Key is remembered
+ */
+public record CallRule(
+        @JsonProperty(required = true) long timeoutMillis,
+        List<String> idempotentMethods,
+        List<String> idempotentPaths,
+        Integer retryBudgetPercent,
+        Integer queueLength,
+        Long queueMillis,
+        Integer resendWindowSeconds) {
+    private static final int DEFAULT_RETRY_BUDGET_PERCENT = 10;
+    private static final int DEFAULT_QUEUE_LENGTH = 64;
+    private static final int DEFAULT_RESEND_WINDOW_SECONDS = 600;
+    private static final int QUEUE_SHARE_OF_TIMEOUT = 4;
+
+    /** Copies the lists and fills in defaults. */
+    public CallRule {
+        idempotentMethods = idempotentMethods == null ? List.of("GET", "HEAD") : List.copyOf(idempotentMethods);
+        idempotentPaths = idempotentPaths == null ? List.of() : List.copyOf(idempotentPaths);
+        retryBudgetPercent = retryBudgetPercent == null ? DEFAULT_RETRY_BUDGET_PERCENT : retryBudgetPercent;
+        queueLength = queueLength == null ? DEFAULT_QUEUE_LENGTH : queueLength;
+        queueMillis = queueMillis == null ? Long.valueOf(timeoutMillis / QUEUE_SHARE_OF_TIMEOUT) : queueMillis;
+        resendWindowSeconds = resendWindowSeconds == null ? DEFAULT_RESEND_WINDOW_SECONDS : resendWindowSeconds;
+    }
+
+    /** Tells whether a call may run more than once. */
+    public boolean isIdempotent(String method, String path) {
+        return idempotentMethods.contains(method) || idempotentPaths.stream().anyMatch(path::startsWith);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/document/DocumentProblem.java
@@ -0,0 +1,16 @@
+package org.siskindyke.kernel.document;
+
+/**
+ * One thing that is wrong with a document.
+ *
+ * @param path the field, such as {@code targets[2].slots}
+ * @param line one-based line in the text, 0 where unknown
+ * @param message what is wrong
+ * @param fix how to mend it
+ */
+public record DocumentProblem(String path, int line, String message, String fix) {
+    @Override
+    public String toString() {
+        return "line " + line + ": " + path + ": " + message + "; " + fix;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/document/InvalidDocumentException.java
@@ -0,0 +1,27 @@
+package org.siskindyke.kernel.document;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+
+/** Reports everything that is wrong with a document. */
+public final class InvalidDocumentException extends SiskindykeException {
+    private static final long serialVersionUID = 1L;
+
+    private final transient List<DocumentProblem> problems;
+
+    /** Creates the error from at least one problem. */
+    public InvalidDocumentException(List<DocumentProblem> problems) {
+        super(
+                ErrorCode.INVALID_DOCUMENT,
+                problems.stream().map(DocumentProblem::toString).collect(Collectors.joining("\n")));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** Returns the problems in the order of the text. */
+    public List<DocumentProblem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/document/package-info.java
@@ -0,0 +1,2 @@
+/** Service documents: model, strict reading and validation. */
+package org.siskindyke.kernel.document;
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/error/package-info.java
@@ -0,0 +1,2 @@
+/** Coded, unchecked errors. */
+package org.siskindyke.kernel.error;
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
@@ -0,0 +1,127 @@
+package org.siskindyke.kernel.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+
+/** The members as the replica knows them. Written by the control thread; may be read by any thread. */
+public final class MemberDirectory {
+    private final Map<MemberId, MemberRow> serving = new ConcurrentHashMap<>();
+    private final Map<MemberId, MemberRow> dead = new ConcurrentHashMap<>();
+    private final Map<MemberId, Long> revisions = new ConcurrentHashMap<>();
+    private final Map<ServiceName, List<MemberRow>> takersByService = new ConcurrentHashMap<>();
+    private final Map<MemberId, Set<MemberId>> chargesByGrantor = new HashMap<>();
+    private GrantorRing ring;
+
+    /**
+     * Takes over a member row.
+     *
+     * @param row the row, possibly deleted
+     * @return the member, empty for a deleted row
+     */
+    public Optional<MemberRow> apply(Row row) {
+        MemberId id = MemberId.of(row.path().lastSegment());
+        ring = null;
+        revisions.put(id, row.revision());
+        MemberRow before = serving.get(id);
+        if (before != null) {
+            chargesByGrantor.getOrDefault(before.grantor(), Set.of()).remove(id);
+        }
+        if (row.deleted()) {
+            serving.remove(id);
+            dead.remove(id);
+            revisions.remove(id);
+            index(before, null);
+            return Optional.empty();
+        }
+        MemberRow member = RowCodec.decode(row, MemberRow.class);
+        index(before, member);
+        if (member.mayServe()) {
+            serving.put(id, member);
+            chargesByGrantor
+                    .computeIfAbsent(member.grantor(), g -> new TreeSet<>())
+                    .add(id);
+        } else {
+            serving.remove(id);
+            dead.put(id, member);
+        }
+        return Optional.of(member);
+    }
+
+    /** Returns a member that is not dead. */
+    public Optional<MemberRow> serving(MemberId id) {
+        return Optional.ofNullable(serving.get(id));
+    }
+
+    /** Returns all members that are not dead. */
+    public Collection<MemberRow> serving() {
+        return serving.values();
+    }
+
+    /** Returns the dead members whose rows still exist. */
+    public Collection<MemberRow> dead() {
+        return dead.values();
+    }
+
+    /** Tells whether the table is known to say that a member is dead. */
+    public boolean isDead(MemberId id) {
+        return dead.containsKey(id);
+    }
+
+    /** Returns the revision of a member's row, 0 where none is known. */
+    public long revision(MemberId id) {
+        return revisions.getOrDefault(id, 0L);
+    }
+
+    /** Returns the members that have a target of a service and take new work. */
+    public List<MemberRow> withTarget(ServiceName service) {
+        return takersByService.getOrDefault(service, List.of());
+    }
+
+    private void index(MemberRow before, MemberRow after) {
+        Set<ServiceName> services = new HashSet<>();
+        Stream.of(before, after)
+                .filter(Objects::nonNull)
+                .flatMap(m -> m.targets().stream())
+                .forEach(t -> services.add(t.service()));
+        services.forEach(service -> replaceTaker(service, before, after));
+    }
+
+    private void replaceTaker(ServiceName service, MemberRow before, MemberRow after) {
+        List<MemberRow> takers = new ArrayList<>(withTarget(service));
+        takers.removeIf(m -> before != null && m.id().equals(before.id()));
+        if (after != null && after.state() == MemberState.ALIVE && after.takesWorkOf(service)) {
+            takers.add(after);
+        }
+        takersByService.put(service, List.copyOf(takers));
+    }
+
+    /** Returns the members that are not dead and record a grantor; for the control thread only. */
+    public Set<MemberId> chargesOf(MemberId grantor) {
+        return Set.copyOf(chargesByGrantor.getOrDefault(grantor, Set.of()));
+    }
+
+    /** Returns the ring of members that take charges; for the control thread only. */
+    public GrantorRing ring() {
+        if (ring == null) {
+            ring = GrantorRing.of(serving.values().stream()
+                    .filter(m -> m.state() == MemberState.ALIVE)
+                    .toList());
+        }
+        return ring;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/ownership/HeldSlice.java
@@ -0,0 +1,20 @@
+package org.siskindyke.kernel.ownership;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+
+/**
+ * One slice in a holding; written as an array to keep rows short.
+ *
+ * @param index position of the slice in its service
+ * @param generation grows by one with each change of owner
+ * @param settleMillis how long the owner waits, from learning of the slice, before it serves it
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({"index", "generation", "settleMillis"})
+public record HeldSlice(int index, long generation, long settleMillis) {
+    /** Returns the slice as its next owner holds it. */
+    public HeldSlice passedOn(long newSettleMillis) {
+        return new HeldSlice(index, generation + 1, newSettleMillis);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/ownership/HoldingRow.java
@@ -0,0 +1,62 @@
+package org.siskindyke.kernel.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+
+/**
+ * The table's row about the slices of a service that one member owns, or that nobody owns.
+ *
+ * <p>A slice is listed in exactly one holding. It moves by a transaction that rewrites both rows.
+ *
+ * @param service the service
+ * @param member the owner; null for the slices without an owner
+ * @param slices the slices, by index
+ */
+public record HoldingRow(ServiceName service, MemberId member, List<HeldSlice> slices) {
+    /** Copies and sorts the list. */
+    public HoldingRow {
+        slices = slices.stream()
+                .sorted(Comparator.comparingInt(HeldSlice::index))
+                .toList();
+    }
+
+    /** Returns the path of this holding's row. */
+    public RowPath path() {
+        return member == null ? RowPath.unassigned(service) : RowPath.holding(service, member);
+    }
+
+    /**
+     * Reads a holding.
+     *
+     * @param row the row, possibly absent
+     * @param service the service it is of
+     * @param member the owner; null for the slices without an owner
+     * @return the holding, empty where the row is absent
+     */
+    public static HoldingRow read(Row row, ServiceName service, MemberId member) {
+        return row.deleted() ? new HoldingRow(service, member, List.of()) : RowCodec.decode(row, HoldingRow.class);
+    }
+
+    /** Returns the holding with more slices. */
+    public HoldingRow plus(List<HeldSlice> more) {
+        List<HeldSlice> all = new ArrayList<>(slices);
+        all.addAll(more);
+        return new HoldingRow(service, member, all);
+    }
+
+    /** Returns the holding without the slices of the given indexes. */
+    public HoldingRow minus(Set<Integer> indexes) {
+        return new HoldingRow(
+                service,
+                member,
+                slices.stream().filter(s -> !indexes.contains(s.index())).toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/ownership/KeyHash.java
@@ -0,0 +1,23 @@
+package org.siskindyke.kernel.ownership;
+
+import java.nio.charset.StandardCharsets;
+
+import com.google.common.hash.Hashing;
+
+/** Maps keys to slices. */
+public final class KeyHash {
+    private KeyHash() {}
+
+    /**
+     * Returns the slice of a key.
+     *
+     * @param key the key
+     * @param slices number of slices of the service
+     * @return index of the slice
+     */
+    public static int sliceOf(String key, int slices) {
+        long hash =
+                Hashing.murmur3_128().hashString(key, StandardCharsets.UTF_8).asLong();
+        return (int) Math.floorMod(hash, (long) slices);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/ownership/SliceOwner.java
@@ -0,0 +1,17 @@
+package org.siskindyke.kernel.ownership;
+
+import org.siskindyke.kernel.id.MemberId;
+
+/**
+ * Who owns a slice, as far as this router knows.
+ *
+ * @param member the owner; null where the slice has none
+ * @param generation the generation of the ownership
+ * @param usableMillis the moment, by this router's clock, from which the owner may serve the slice
+ */
+public record SliceOwner(MemberId member, long generation, long usableMillis) {
+    /** Tells whether a member owns the slice and has waited long enough to serve it. */
+    public boolean isUsableBy(MemberId candidate, long nowMillis) {
+        return candidate.equals(member) && nowMillis >= usableMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/table/RowCodec.java
@@ -0,0 +1,51 @@
+package org.siskindyke.kernel.table;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+
+/** Converts rows between typed values and JSON text. Fields that a newer version wrote are ignored when read. */
+public final class RowCodec {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .serializationInclusion(JsonInclude.Include.NON_NULL)
+            .build();
+
+    private RowCodec() {}
+
+    /**
+     * Encodes a value.
+     *
+     * @param value a record that Jackson can write
+     * @return JSON text
+     */
+    public static String encode(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new SiskindykeException(
+                    ErrorCode.INTERNAL, "cannot encode " + value.getClass().getSimpleName(), e);
+        }
+    }
+
+    /**
+     * Decodes a row.
+     *
+     * @param row the row
+     * @param type the record type
+     * @param <T> the record type
+     * @return the value
+     * @throws SiskindykeException with code {@code CORRUPT_ROW} where the text does not fit the type
+     */
+    public static <T> T decode(Row row, Class<T> type) {
+        try {
+            return MAPPER.readValue(row.value(), type);
+        } catch (JsonProcessingException e) {
+            throw new SiskindykeException(ErrorCode.CORRUPT_ROW, "row " + row.path() + " is not readable", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/table/RowPath.java
@@ -0,0 +1,123 @@
+package org.siskindyke.kernel.table;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+
+/**
+ * Names a row of the table: a kind and a name in it, separated by slashes.
+ *
+ * @param value the text
+ */
+public record RowPath(@JsonValue String value) implements Comparable<RowPath> {
+    /** Prefix of member rows. */
+    public static final String MEMBERS = "members/";
+
+    /** Prefix of rows that list the slices a member holds of a service. */
+    public static final String HOLDINGS = "holdings/";
+
+    /** Prefix of the documents in force. */
+    public static final String DOCUMENTS = "documents/";
+
+    /** Prefix of earlier revisions of documents; not replicated. */
+    public static final String HISTORY = "history/";
+
+    /** Prefix of the rows that prove which write of a member was the last; not replicated. */
+    public static final String WRITERS = "writers/";
+
+    /** Prefix of the rows by which members renew a lease at the table; not replicated. */
+    public static final String TOUCHES = "touches/";
+
+    /** Prefix of the rows that name calls suspected of crashing backend servers. */
+    public static final String SUSPECTS = "suspects/";
+
+    private static final String UNASSIGNED = "unassigned";
+
+    /**
+     * Parses the text form.
+     *
+     * @param text the text
+     * @return the path
+     */
+    @JsonCreator
+    public static RowPath of(String text) {
+        return new RowPath(text);
+    }
+
+    /** Returns the path of a member's row. */
+    public static RowPath member(MemberId member) {
+        return new RowPath(MEMBERS + member);
+    }
+
+    /** Returns the path of the row that lists what a member holds of a service. */
+    public static RowPath holding(ServiceName service, MemberId member) {
+        return new RowPath(HOLDINGS + service + "/" + member);
+    }
+
+    /** Returns the path of the row that lists the slices of a service without an owner. */
+    public static RowPath unassigned(ServiceName service) {
+        return new RowPath(HOLDINGS + service + "/" + UNASSIGNED);
+    }
+
+    /** Returns the path of a service's document. */
+    public static RowPath document(ServiceName service) {
+        return new RowPath(DOCUMENTS + service);
+    }
+
+    /** Returns the path of one revision in the history of a document. */
+    public static RowPath history(ServiceName service, long revision) {
+        return new RowPath(HISTORY + service + "/" + revision);
+    }
+
+    /** Returns the path of the row that proves a member's last write. */
+    public static RowPath writer(MemberId member) {
+        return new RowPath(WRITERS + member);
+    }
+
+    /** Returns the path of the row by which a member renews its lease at the table. */
+    public static RowPath touch(MemberId member) {
+        return new RowPath(TOUCHES + member);
+    }
+
+    /** Returns the path of the row about a suspected call. */
+    public static RowPath suspect(ServiceName service, String fingerprint) {
+        return new RowPath(SUSPECTS + service + "/" + fingerprint);
+    }
+
+    /** Returns the writer row of an administrator working through an instance. */
+    public static RowPath adminWriter(InstanceName instance, String token) {
+        return new RowPath(WRITERS + "admin/" + instance + "/" + token);
+    }
+
+    /** Tells whether every router keeps a copy of rows of this kind. */
+    public boolean isReplicated() {
+        return isIn(MEMBERS) || isIn(HOLDINGS) || isIn(DOCUMENTS) || isIn(SUSPECTS);
+    }
+
+    /** Tells whether the row is of a kind. */
+    public boolean isIn(String prefix) {
+        return value.startsWith(prefix);
+    }
+
+    /** Returns the part after the last slash. */
+    public String lastSegment() {
+        return value.substring(value.lastIndexOf('/') + 1);
+    }
+
+    /** Tells whether the row lists slices without an owner. */
+    public boolean isUnassigned() {
+        return isIn(HOLDINGS) && lastSegment().equals(UNASSIGNED);
+    }
+
+    @Override
+    public int compareTo(RowPath other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/table/TableChanges.java
@@ -0,0 +1,21 @@
+package org.siskindyke.kernel.table;
+
+import java.util.List;
+
+/**
+ * Rows that changed after a version, each in its latest state, ordered by revision.
+ *
+ * @param upToVersion the rows are complete for all replicated changes up to this version
+ * @param rows the latest state of each changed row
+ */
+public record TableChanges(long upToVersion, List<Row> rows) {
+    /** Copies the list. */
+    public TableChanges {
+        rows = List.copyOf(rows);
+    }
+
+    /** Returns the changes that say that nothing changed. */
+    public static TableChanges none(long version) {
+        return new TableChanges(version, List.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/table/TableReplica.java
@@ -0,0 +1,114 @@
+package org.siskindyke.kernel.table;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A copy of the replicated rows that is complete up to a version.
+ *
+ * <p>Two replicas reconcile by version alone: each sends the rows whose revision lies above the other's version.
+ */
+public final class TableReplica {
+    private final Map<RowPath, Row> rows = new HashMap<>();
+    private final TreeMap<Long, List<RowPath>> pathsByRevision = new TreeMap<>();
+    private long version;
+
+    /** Returns the version up to which all replicated changes are known. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the number of rows, deleted ones included. */
+    public int size() {
+        return rows.size();
+    }
+
+    /** Returns a row, in its absent form where it is not known. */
+    public Row get(RowPath path) {
+        Row row = rows.get(path);
+        return row == null ? Row.absent(path) : row;
+    }
+
+    /** Returns all rows, deleted ones included, in no particular order. */
+    public Iterable<Row> all() {
+        return rows.values();
+    }
+
+    /**
+     * Applies changes that start at or below this replica's version.
+     *
+     * @param changes the changes
+     * @return the rows that were new to this replica, in the order given
+     */
+    public List<Row> apply(TableChanges changes) {
+        List<Row> applied = new ArrayList<>();
+        for (Row row : changes.rows()) {
+            if (put(row)) {
+                applied.add(row);
+            }
+        }
+        version = Math.max(version, changes.upToVersion());
+        return applied;
+    }
+
+    /**
+     * Takes over rows that are known to be committed, without a claim to completeness.
+     *
+     * @param committed the rows
+     * @return the rows that were new to this replica
+     */
+    public List<Row> applyRows(List<Row> committed) {
+        return apply(new TableChanges(version, committed));
+    }
+
+    /**
+     * Returns what a replica at a lower version lacks.
+     *
+     * @param sinceVersion the other replica's version
+     * @param limitRows at most about this many rows; rows of one transaction are not split
+     * @return the changes, complete up to their {@code upToVersion}
+     */
+    public TableChanges changesSince(long sinceVersion, int limitRows) {
+        if (sinceVersion >= version) {
+            return TableChanges.none(sinceVersion);
+        }
+        List<Row> changed = new ArrayList<>();
+        for (Map.Entry<Long, List<RowPath>> entry :
+                pathsByRevision.tailMap(sinceVersion, false).entrySet()) {
+            if (entry.getKey() > version) {
+                break;
+            }
+            if (changed.size() >= limitRows) {
+                return new TableChanges(entry.getKey() - 1, changed);
+            }
+            for (RowPath path : entry.getValue()) {
+                changed.add(rows.get(path));
+            }
+        }
+        return new TableChanges(version, changed);
+    }
+
+    private boolean put(Row row) {
+        Row known = rows.get(row.path());
+        if (known != null && known.revision() >= row.revision()) {
+            return false;
+        }
+        if (known != null) {
+            forget(known);
+        }
+        rows.put(row.path(), row);
+        pathsByRevision.computeIfAbsent(row.revision(), r -> new ArrayList<>(2)).add(row.path());
+        return true;
+    }
+
+    private void forget(Row known) {
+        List<RowPath> paths = pathsByRevision.get(known.revision());
+        paths.remove(known.path());
+        if (paths.isEmpty()) {
+            pathsByRevision.remove(known.revision());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks that are passed in. */
+package org.siskindyke.kernel.time;
--- /dev/null
+++ b/src/main/java/org/siskindyke/plugin/key/QueryKeyExtractor.java
@@ -0,0 +1,20 @@
+package org.siskindyke.plugin.key;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.kernel.call.KeyExtractor;
+import org.siskindyke.kernel.document.KeyRule;
+import org.siskindyke.kernel.document.KeyRule.KeySource;
+
+/** Finds the key in a query parameter. */
+@AutoService(KeyExtractor.class)
+public final class QueryKeyExtractor implements KeyExtractor {
+    @Override
+    public KeySource source() {
+        return KeySource.QUERY;
+    }
+
+    @Override
+    public String extract(KeyRule rule, CallParts parts) {
+        return parts.queryParameter(rule.name());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/plugin/key/package-info.java
@@ -0,0 +1,2 @@
+/** Extractors that find the key of a call. */
+package org.siskindyke.plugin.key;
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/AdminGateway.java
@@ -0,0 +1,126 @@
+package org.siskindyke.runtime;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.admin.AdminOperations;
+import org.siskindyke.runtime.admin.AdminServer;
+import org.siskindyke.runtime.admin.ClusterStatus;
+import org.siskindyke.runtime.admin.DocumentStore;
+import org.siskindyke.runtime.admin.InstanceStatus;
+import org.siskindyke.runtime.peer.LinkFaults;
+import org.siskindyke.runtime.peer.PeerClients;
+import org.siskindyke.runtime.peer.StatusClient;
+
+/** Connects the administration API to a router. */
+final class AdminGateway implements AdminOperations {
+    private final RouterProcess router;
+    private final ControlThread control;
+    private final LinkFaults faults;
+    private final PrometheusMeterRegistry registry;
+    private final boolean faultInjection;
+    private final DocumentStore documents;
+    private final StatusClient statusClient;
+    private final AdminServer server;
+
+    AdminGateway(
+            RouterProcess router,
+            ControlThread control,
+            MonotonicClock clock,
+            TableService table,
+            PeerClients peers,
+            LinkFaults faults,
+            PrometheusMeterRegistry registry,
+            RouterSettings settings) {
+        this.router = router;
+        this.control = control;
+        this.faults = faults;
+        this.registry = registry;
+        this.faultInjection = settings.faultInjection();
+        this.documents =
+                new DocumentStore(control, table, () -> router.incarnation().node());
+        this.statusClient = new StatusClient(peers);
+        this.server = new AdminServer(this);
+    }
+
+    AdminServer server() {
+        return server;
+    }
+
+    @Override
+    public DocumentStore documents() {
+        return documents;
+    }
+
+    @Override
+    public void announce(TargetAnnouncement announcement) {
+        router.announce(announcement);
+    }
+
+    @Override
+    public void withdraw(ServiceName service) {
+        router.withdraw(service);
+    }
+
+    @Override
+    public CompletionStage<Optional<TargetAnnouncement>> target(ServiceName service) {
+        return control.ask(() -> router.target(service));
+    }
+
+    @Override
+    public CompletionStage<InstanceStatus> instanceStatus() {
+        return control.ask(router::status);
+    }
+
+    @Override
+    public CompletionStage<ClusterStatus> clusterStatus() {
+        CompletableFuture<List<MemberRow>> members = control.ask(
+                () -> List.copyOf(router.incarnation().node().view().members().serving()));
+        return members.thenCompose(statusClient::ask).thenCombine(control.ask(this::accepted), this::combine);
+    }
+
+    private record Accepted(Map<String, Long> documents, Map<String, Integer> unassigned) {}
+
+    private Accepted accepted() {
+        ClusterView view = router.incarnation().node().view();
+        Map<String, Long> numbers = new TreeMap<>();
+        Map<String, Integer> unassigned = new TreeMap<>();
+        view.documents().all().forEach(a -> {
+            ServiceName service = a.document().service();
+            numbers.put(service.value(), a.number());
+            int slices = view.unassigned(service).slices().size();
+            if (slices > 0) {
+                unassigned.put(service.value(), slices);
+            }
+        });
+        return new Accepted(numbers, unassigned);
+    }
+
+    private ClusterStatus combine(StatusClient.Answers answers, Accepted accepted) {
+        return new ClusterStatus(answers.instances(), answers.silent(), accepted.documents(), accepted.unassigned());
+    }
+
+    @Override
+    public String metricsPage() {
+        return registry.scrape();
+    }
+
+    @Override
+    public boolean cutLinks(List<Integer> peerPorts) {
+        if (faultInjection) {
+            faults.cutTo(java.util.Set.copyOf(peerPorts));
+        }
+        return faultInjection;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/ControlThread.java
@@ -0,0 +1,129 @@
+package org.siskindyke.runtime;
+
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.siskindyke.kernel.table.CommitResult;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableChanges;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.kernel.table.Transaction;
+
+/** The one thread that owns a router's control state. */
+public final class ControlThread implements AutoCloseable {
+    private static final System.Logger LOGGER = System.getLogger(ControlThread.class.getName());
+
+    private final ScheduledExecutorService executor;
+
+    /** Starts the thread. */
+    public ControlThread(String name) {
+        executor = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    /** Runs an action on the thread; failures are logged and do not stop the thread. */
+    public void execute(Runnable action) {
+        try {
+            executor.execute(() -> runLogged(action));
+        } catch (RejectedExecutionException e) {
+            LOGGER.log(Level.DEBUG, "control thread has ended; action dropped");
+        }
+    }
+
+    /** Runs an action on the thread after a delay. */
+    public void schedule(Runnable action, long delayMillis) {
+        try {
+            executor.schedule(() -> runLogged(action), delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOGGER.log(Level.DEBUG, "control thread has ended; action dropped");
+        }
+    }
+
+    /** Runs an action on the thread at a fixed interval. */
+    public void repeat(Runnable action, long intervalMillis) {
+        executor.scheduleWithFixedDelay(() -> runLogged(action), intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Computes a value on the thread. */
+    public <T> CompletableFuture<T> ask(Supplier<T> question) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        execute(() -> {
+            try {
+                answer.complete(question.get());
+            } catch (RuntimeException e) {
+                answer.completeExceptionally(e);
+            }
+        });
+        return answer;
+    }
+
+    /** Returns a table service whose stages complete on the thread. */
+    public TableService confine(TableService table) {
+        return new ConfinedTable(table);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private static void runLogged(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOGGER.log(Level.ERROR, "event=control-failure", e);
+        }
+    }
+
+    private final class ConfinedTable implements TableService {
+        private final TableService table;
+
+        private ConfinedTable(TableService table) {
+            this.table = table;
+        }
+
+        @Override
+        public CompletionStage<TableChanges> changesSince(long version, int limitRows) {
+            return confine(table.changesSince(version, limitRows));
+        }
+
+        @Override
+        public CompletionStage<Row> read(RowPath path) {
+            return confine(table.read(path));
+        }
+
+        @Override
+        public CompletionStage<List<Row>> list(String prefix, int limitRows) {
+            return confine(table.list(prefix, limitRows));
+        }
+
+        @Override
+        public CompletionStage<CommitResult> commit(Transaction transaction) {
+            return confine(table.commit(transaction));
+        }
+
+        private <T> CompletionStage<T> confine(CompletionStage<T> stage) {
+            CompletableFuture<T> confined = new CompletableFuture<>();
+            stage.whenComplete((value, failure) -> execute(() -> {
+                if (failure == null) {
+                    confined.complete(value);
+                } else {
+                    confined.completeExceptionally(failure);
+                }
+            }));
+            confined.whenComplete((value, failure) -> {});
+            return confined;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/CrashDetector.java
@@ -0,0 +1,153 @@
+package org.siskindyke.runtime;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.siskindyke.kernel.call.Refusal;
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.control.SuspectList.SuspectRow;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.call.Call;
+import org.siskindyke.runtime.call.CallFingerprint;
+import org.siskindyke.runtime.call.CallObserver;
+import org.siskindyke.runtime.call.LocalTarget;
+import org.siskindyke.runtime.call.Reply;
+import org.siskindyke.runtime.call.TrafficState;
+
+/**
+ * Notices crashes of the backend servers beside this router and records the calls that were running.
+ *
+ * <p>Lost answers lead to one connection attempt; an address that refuses it has crashed, and the calls whose answers
+ * were lost shortly before are suspects.
+ */
+final class CrashDetector implements CallObserver {
+    private static final System.Logger LOGGER = System.getLogger(CrashDetector.class.getName());
+    private static final long SUSPECT_WINDOW_MILLIS = 2_000;
+    private static final int MOST_SUSPECTS = 256;
+
+    private final MonotonicClock clock;
+    private final ControlThread control;
+    private final Consumer<ServiceName> onUnreachable;
+    private final Supplier<ControlNode> node;
+    private final Deque<Loss> losses = new ArrayDeque<>();
+    private final Set<ServiceName> probing = new HashSet<>();
+
+    CrashDetector(
+            MonotonicClock clock,
+            ControlThread control,
+            Consumer<ServiceName> onUnreachable,
+            Supplier<ControlNode> node) {
+        this.clock = clock;
+        this.control = control;
+        this.onUnreachable = onUnreachable;
+        this.node = node;
+    }
+
+    private record Loss(ServiceName service, RowPath path, long atMillis) {}
+
+    @Override
+    public void onDispatch(Call call, TrafficState state, long generation, long leaseEndMillis, long nowMillis) {
+        // Only the outcome matters here.
+    }
+
+    @Override
+    public void onReply(Call call, LocalTarget target, Reply reply) {
+        boolean lost = reply.refusal() == Refusal.ANSWER_LOST;
+        if (lost || reply.refusal() == Refusal.TARGET_UNREACHABLE) {
+            control.execute(() -> examine(call, target.announcement(), lost));
+        }
+    }
+
+    /** Forgets losses of a service whose backend server announces itself, if none was noticed to have crashed. */
+    void onAnnounced(TargetAnnouncement announcement) {
+        long oldestMillis = clock.nowMillis() - SUSPECT_WINDOW_MILLIS;
+        losses.removeIf(l -> l.atMillis() < oldestMillis);
+    }
+
+    private void examine(Call call, TargetAnnouncement target, boolean lost) {
+        if (lost && losses.size() < MOST_SUSPECTS) {
+            RowPath path = RowPath.suspect(call.service(), CallFingerprint.of(call));
+            losses.add(new Loss(call.service(), path, clock.nowMillis()));
+        }
+        if (probing.add(target.service())) {
+            probe(target);
+        }
+    }
+
+    private void probe(TargetAnnouncement target) {
+        try {
+            AsynchronousSocketChannel channel = AsynchronousSocketChannel.open();
+            channel.connect(new InetSocketAddress(target.host(), target.port()), null, new CompletionHandler<>() {
+                @Override
+                public void completed(Void result, Object attachment) {
+                    close(channel);
+                    control.execute(() -> probing.remove(target.service()));
+                }
+
+                @Override
+                public void failed(Throwable failure, Object attachment) {
+                    close(channel);
+                    control.execute(() -> onCrash(target));
+                }
+            });
+        } catch (IOException e) {
+            probing.remove(target.service());
+            LOGGER.log(Level.WARNING, "event=probe-failed service=" + target.service(), e);
+        }
+    }
+
+    private static void close(AsynchronousSocketChannel channel) {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            LOGGER.log(Level.DEBUG, "event=probe-close-failed", e);
+        }
+    }
+
+    private void onCrash(TargetAnnouncement target) {
+        probing.remove(target.service());
+        long oldestMillis = clock.nowMillis() - SUSPECT_WINDOW_MILLIS;
+        Set<RowPath> suspects = new HashSet<>();
+        losses.removeIf(loss -> {
+            boolean ofTarget = loss.service().equals(target.service());
+            if (ofTarget && loss.atMillis() >= oldestMillis) {
+                suspects.add(loss.path());
+            }
+            return ofTarget;
+        });
+        LOGGER.log(
+                Level.WARNING,
+                "event=target-crashed service=" + target.service() + " target=" + target.target() + " suspects="
+                        + suspects.size());
+        onUnreachable.accept(target.service());
+        suspects.forEach(this::record);
+    }
+
+    private void record(RowPath path) {
+        Row known = node.get().view().replica().get(path);
+        int crashes = node.get().view().suspects().crashes(path) + 1;
+        Transaction transaction = Transaction.builder()
+                .replace(path, known.revision(), RowCodec.encode(new SuspectRow(crashes, System.currentTimeMillis())))
+                .build();
+        node.get().submit(transaction, outcome -> {
+            if (!outcome.committed()) {
+                control.schedule(() -> record(path), SUSPECT_WINDOW_MILLIS / 10);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/LocalTargets.java
@@ -0,0 +1,184 @@
+package org.siskindyke.runtime;
+
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.call.BackendClient;
+import org.siskindyke.runtime.call.LocalDispatcher;
+import org.siskindyke.runtime.call.LocalTarget;
+import org.siskindyke.runtime.call.TrafficState;
+
+/**
+ * Follows the announcements of the backend servers beside this router; for the control thread only.
+ *
+ * <p>A backend server that withdraws, or whose address refuses connections, takes no new work and its slices are handed
+ * over. One that falls silent without refusing connections may be frozen: its slices are handed over only if it checks
+ * grants, after the last grant has ended; otherwise it could run buffered calls when it returns.
+ */
+final class LocalTargets {
+    private static final System.Logger LOGGER = System.getLogger(LocalTargets.class.getName());
+    private static final long SILENT_AFTER_MILLIS = 4_000;
+
+    private final MonotonicClock clock;
+    private final LocalDispatcher dispatcher;
+    private final Map<ServiceName, Entry> entries = new HashMap<>();
+
+    LocalTargets(MonotonicClock clock, LocalDispatcher dispatcher) {
+        this.clock = clock;
+        this.dispatcher = dispatcher;
+    }
+
+    private static final class Entry {
+        private TargetAnnouncement announcement;
+        private long heardMillis;
+        private long grantEndMillis = Long.MIN_VALUE;
+        private long documentNumber;
+        private boolean withdrawn;
+    }
+
+    /** Takes an announcement, which a backend server repeats every second. */
+    void announce(TargetAnnouncement announcement, ControlNode node) {
+        Entry entry = entries.computeIfAbsent(announcement.service(), s -> new Entry());
+        entry.heardMillis = clock.nowMillis();
+        entry.withdrawn = false;
+        if (!announcement.equals(entry.announcement)) {
+            LOGGER.log(
+                    Level.INFO,
+                    "event=target-announced service=" + announcement.service() + " target=" + announcement.target()
+                            + " address=" + announcement.host() + ":" + announcement.port() + " checksGrants="
+                            + announcement.checksGrants());
+            replace(entry, announcement, node);
+        }
+    }
+
+    /** Stops new work of a target because its backend server asks for it. */
+    void withdraw(ServiceName service, ControlNode node) {
+        Entry entry = entries.get(service);
+        if (entry != null) {
+            entry.withdrawn = true;
+            stopWork(entry, "withdrawn", node);
+        }
+    }
+
+    /** Stops new work of a target because its address refuses connections. */
+    void onUnreachable(ServiceName service, ControlNode node) {
+        Entry entry = entries.get(service);
+        if (entry != null) {
+            stopWork(entry, "unreachable", node);
+        }
+    }
+
+    /** Returns the announcements as the member's row should show them. */
+    List<TargetAnnouncement> announcements() {
+        List<TargetAnnouncement> all = new ArrayList<>();
+        entries.values().forEach(e -> all.add(e.announcement));
+        return all;
+    }
+
+    /** Tells whether a target is known. */
+    Optional<TargetAnnouncement> find(ServiceName service) {
+        return Optional.ofNullable(entries.get(service)).map(e -> e.announcement);
+    }
+
+    void tick(ControlNode node, TrafficState traffic) {
+        long nowMillis = clock.nowMillis();
+        for (Entry entry : List.copyOf(entries.values())) {
+            followDocument(entry, node, nowMillis);
+            if (nowMillis - entry.heardMillis > SILENT_AFTER_MILLIS && entry.announcement.checksGrants()) {
+                stopWork(entry, "silent", node);
+            }
+            if (!entry.announcement.accepting()) {
+                dropWhenEmpty(entry, node, traffic);
+            }
+        }
+    }
+
+    /** Renews the grants of the backend servers that check them. */
+    void renewGrants(TrafficState traffic) {
+        long endMillis = traffic.leaseEndMillis();
+        for (Entry entry : entries.values()) {
+            boolean silent = clock.nowMillis() - entry.heardMillis > SILENT_AFTER_MILLIS;
+            if (entry.announcement.checksGrants() && !silent && endMillis > entry.grantEndMillis) {
+                entry.grantEndMillis = endMillis;
+                dispatcher
+                        .target(entry.announcement.service())
+                        .ifPresent(target -> target.client()
+                                .renewGrant(new BackendClient.Grant(traffic.self(), 0, endMillis))
+                                .subscribe());
+            }
+        }
+    }
+
+    /** Returns the moment until which a frozen backend server of a service might still run calls. */
+    long frozenUntilMillis(ServiceName service) {
+        Entry entry = entries.get(service);
+        boolean silent = entry != null && clock.nowMillis() - entry.heardMillis > SILENT_AFTER_MILLIS;
+        return silent ? entry.grantEndMillis : Long.MIN_VALUE;
+    }
+
+    private void stopWork(Entry entry, String reason, ControlNode node) {
+        TargetAnnouncement known = entry.announcement;
+        if (!known.accepting()) {
+            return;
+        }
+        LOGGER.log(
+                Level.INFO,
+                "event=target-stopped service=" + known.service() + " target=" + known.target() + " reason=" + reason);
+        TargetAnnouncement stopped = new TargetAnnouncement(
+                known.service(), known.target(), known.host(), known.port(), false, known.checksGrants());
+        entry.announcement = stopped;
+        dispatcher.target(known.service()).ifPresent(target -> target.setAccepting(false));
+        node.setTargets(announcements());
+    }
+
+    private void replace(Entry entry, TargetAnnouncement announcement, ControlNode node) {
+        TargetAnnouncement before = entry.announcement;
+        entry.announcement = announcement;
+        Optional<AcceptedDocument> accepted = node.view().documents().get(announcement.service());
+        Optional<LocalTarget> attached = dispatcher.target(announcement.service());
+        boolean sameServer = before != null
+                && before.host().equals(announcement.host())
+                && before.port() == announcement.port()
+                && before.target().equals(announcement.target())
+                && before.checksGrants() == announcement.checksGrants();
+        if (sameServer && attached.isPresent()) {
+            attached.get().setAccepting(true);
+        } else {
+            dispatcher.attach(new LocalTarget(
+                    announcement, accepted.map(AcceptedDocument::document).orElse(null)));
+        }
+        node.setTargets(announcements());
+    }
+
+    private void followDocument(Entry entry, ControlNode node, long nowMillis) {
+        ServiceName service = entry.announcement.service();
+        node.view().documents().get(service).ifPresent(accepted -> {
+            if (accepted.number() != entry.documentNumber) {
+                entry.documentNumber = accepted.number();
+                dispatcher.target(service).ifPresent(t -> t.follow(accepted.document(), nowMillis));
+            }
+        });
+    }
+
+    private void dropWhenEmpty(Entry entry, ControlNode node, TrafficState traffic) {
+        ServiceName service = entry.announcement.service();
+        boolean idle = dispatcher
+                .target(service)
+                .map(t -> t.slots().used() == 0 && t.slots().waiting() == 0)
+                .orElse(true);
+        if (idle && node.hasHandedOver(service) && (entry.withdrawn || traffic.callsInProgress() == 0)) {
+            entries.remove(service);
+            dispatcher.detach(service);
+            node.setTargets(announcements());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -0,0 +1,363 @@
+package org.siskindyke.runtime;
+
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.servicetalk.http.api.HttpServerContext;
+import org.siskindyke.kernel.balance.SliceBalancePolicy;
+import org.siskindyke.kernel.balance.TargetPolicy;
+import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.control.ControlContext;
+import org.siskindyke.kernel.control.ControlListener;
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.control.PlacementDecision;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.GrantDecision;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.admin.InstanceStatus;
+import org.siskindyke.runtime.call.CallMetrics;
+import org.siskindyke.runtime.call.CallReader;
+import org.siskindyke.runtime.call.CallRouter;
+import org.siskindyke.runtime.call.CallerServer;
+import org.siskindyke.runtime.call.LocalDispatcher;
+import org.siskindyke.runtime.call.LocalTarget;
+import org.siskindyke.runtime.call.TrafficState;
+import org.siskindyke.runtime.http.Http;
+import org.siskindyke.runtime.http.Json;
+import org.siskindyke.runtime.peer.HttpPeerPort;
+import org.siskindyke.runtime.peer.Incarnation;
+import org.siskindyke.runtime.peer.LinkFaults;
+import org.siskindyke.runtime.peer.PeerClients;
+import org.siskindyke.runtime.peer.PeerForwarder;
+import org.siskindyke.runtime.peer.PeerServer;
+
+/** One router: its servers, its control thread and its present life as a member. */
+public final class RouterProcess implements AutoCloseable {
+    private static final System.Logger LOGGER = System.getLogger(RouterProcess.class.getName());
+    private static final long TICK_MILLIS = 25;
+    private static final long REJOIN_MILLIS = 200;
+
+    private final RouterSettings settings;
+    private final TableService table;
+    private final MonotonicClock clock = SystemMonotonicClock.INSTANCE;
+    private final ControlThread control;
+    private final LinkFaults faults = new LinkFaults();
+    private final PeerClients peers = new PeerClients(faults);
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final CallMetrics metrics = new CallMetrics(registry);
+    private final CrashDetector crashes;
+    private final InvariantMonitor invariants;
+    private final LocalDispatcher dispatcher;
+    private final LocalTargets targets;
+    private final CompletableFuture<Void> left = new CompletableFuture<>();
+    private final List<HttpServerContext> servers = new ArrayList<>();
+    private volatile Incarnation incarnation;
+    private MemberAddress address;
+    private boolean leaving;
+
+    /**
+     * Creates a router that has not started.
+     *
+     * @param settings its settings
+     * @param table the table service
+     */
+    public RouterProcess(RouterSettings settings, TableService table) {
+        this.settings = settings;
+        this.control = new ControlThread("control-" + settings.instance());
+        this.table = control.confine(table);
+        this.crashes = new CrashDetector(clock, control, this::onTargetUnreachable, () -> incarnation.node());
+        this.invariants = new InvariantMonitor(crashes);
+        this.dispatcher = new LocalDispatcher(clock, System::currentTimeMillis, invariants);
+        this.targets = new LocalTargets(clock, dispatcher);
+    }
+
+    /** Starts the servers and joins; returns before the member has joined. */
+    public void start() {
+        TargetPolicy targetPolicy = Plugins.named(TargetPolicy.class, settings.targetPolicy(), TargetPolicy::name);
+        CallRouter router = new CallRouter(
+                clock,
+                this::traffic,
+                dispatcher,
+                new PeerForwarder(peers, clock),
+                targetPolicy,
+                () -> control.execute(() -> incarnation.node().refresh()));
+        CallerServer callers = new CallerServer(new CallReader(clock), router, this::traffic, metrics);
+        PeerServer peerServer =
+                new PeerServer(clock, control, () -> incarnation, dispatcher, () -> Json.write(status()));
+        AdminGateway gateway = new AdminGateway(this, control, clock, table, peers, faults, registry, settings);
+        HttpServerContext callerContext =
+                serve(settings.callerPort(), Http.Protocol.HTTP_1_1, whenReady(callers::handle));
+        HttpServerContext peerContext = serve(settings.peerPort(), Http.Protocol.HTTP_2, whenReady(peerServer::handle));
+        HttpServerContext adminContext =
+                serve(settings.adminPort(), Http.Protocol.HTTP_1_1, whenReady(gateway.server()::handle));
+        address = new MemberAddress(
+                settings.host(), Http.portOf(peerContext), Http.portOf(callerContext), Http.portOf(adminContext));
+        incarnation = newIncarnation();
+        control.repeat(this::tick, TICK_MILLIS);
+        LOGGER.log(
+                Level.INFO,
+                "event=router-started instance=" + settings.instance() + " failureDomain=" + settings.failureDomain()
+                        + " callerPort=" + address.callerPort() + " peerPort=" + address.peerPort() + " adminPort="
+                        + address.adminPort());
+    }
+
+    private HttpServerContext serve(int port, Http.Protocol protocol, io.servicetalk.http.api.HttpService service) {
+        HttpServerContext context = Http.serve(settings.host(), port, protocol, service);
+        servers.add(context);
+        return context;
+    }
+
+    private io.servicetalk.http.api.HttpService whenReady(io.servicetalk.http.api.HttpService service) {
+        return (context, request, factory) -> incarnation == null
+                ? io.servicetalk.concurrent.api.Single.succeeded(factory.serviceUnavailable())
+                : service.handle(context, request, factory);
+    }
+
+    /** Returns where the router listens. */
+    public MemberAddress address() {
+        return address;
+    }
+
+    /** Returns the number of invariant violations seen. */
+    public long invariantViolations() {
+        return invariants.violations();
+    }
+
+    /** Returns a future that completes when the router has left. */
+    public CompletableFuture<Void> left() {
+        return left;
+    }
+
+    /** Takes the announcement of a backend server beside this router. */
+    public void announce(TargetAnnouncement announcement) {
+        control.execute(() -> {
+            crashes.onAnnounced(announcement);
+            if (!leaving) {
+                targets.announce(announcement, incarnation.node());
+            }
+        });
+    }
+
+    /** Stops new work of a backend server. */
+    public void withdraw(ServiceName service) {
+        control.execute(() -> targets.withdraw(service, incarnation.node()));
+    }
+
+    /** Returns the announcement of a service's backend server; for the control thread. */
+    Optional<TargetAnnouncement> target(ServiceName service) {
+        return targets.find(service);
+    }
+
+    /** Returns the present life as a member. */
+    Incarnation incarnation() {
+        return incarnation;
+    }
+
+    /** Hands everything over and leaves; cuts no call in progress. */
+    public CompletableFuture<Void> leave() {
+        control.execute(() -> {
+            leaving = true;
+            LOGGER.log(Level.INFO, "event=router-leaving instance=" + settings.instance());
+            incarnation.node().leave();
+        });
+        return left;
+    }
+
+    @Override
+    public void close() {
+        control.close();
+        servers.forEach(context -> context.closeAsync().subscribe());
+        dispatcher.targets().forEach(LocalTarget::close);
+        peers.close();
+        left.complete(null);
+    }
+
+    private TrafficState traffic() {
+        return incarnation.traffic();
+    }
+
+    private void tick() {
+        Incarnation present = incarnation;
+        present.node().tick();
+        targets.tick(present.node(), present.traffic());
+        dispatcher.expire(present.traffic());
+        if (leaving && present.traffic().callsInProgress() == 0) {
+            present.node().onTrafficIdle();
+        }
+    }
+
+    private void onTargetUnreachable(ServiceName service) {
+        targets.onUnreachable(service, incarnation.node());
+    }
+
+    private Incarnation newIncarnation() {
+        long unique =
+                System.currentTimeMillis() * 1_000 + ThreadLocalRandom.current().nextInt(1_000);
+        MemberId self = MemberId.of(settings.instance(), unique);
+        ClusterView view = new ClusterView();
+        TrafficState traffic = new TrafficState(self, view, clock, control::schedule, targets::frozenUntilMillis);
+        ControlContext context = new ControlContext(
+                self,
+                settings.control(),
+                clock,
+                new Random(unique),
+                table,
+                new HttpPeerPort(peers, control),
+                new Listener(self, traffic),
+                view);
+        MemberRow template = new MemberRow(
+                self,
+                settings.instance(),
+                settings.failureDomain(),
+                address,
+                MemberState.ALIVE,
+                0,
+                MemberId.TABLE,
+                targets.announcements(),
+                ProcessProbe.self(),
+                null);
+        SliceBalancePolicy policy =
+                Plugins.named(SliceBalancePolicy.class, settings.slicePolicy(), SliceBalancePolicy::name);
+        ControlNode node = new ControlNode(context, template, traffic, policy);
+        node.setPredecessor(this::findPredecessor);
+        return new Incarnation(node, traffic);
+    }
+
+    private Optional<MemberRow> findPredecessor(ClusterView view) {
+        return view.members().serving().stream()
+                .filter(m -> m.instance().equals(settings.instance()))
+                .filter(m -> ProcessProbe.hasEnded(m.process()))
+                .findFirst();
+    }
+
+    /** Describes this instance; for the control thread. */
+    InstanceStatus status() {
+        ControlNode node = incarnation.node();
+        ClusterView view = node.view();
+        long nowMillis = clock.nowMillis();
+        Map<String, Long> documents = new TreeMap<>();
+        Map<String, Integer> slices = new TreeMap<>();
+        view.documents().all().forEach(a -> {
+            ServiceName service = a.document().service();
+            documents.put(service.value(), a.number());
+            int owned = view.holding(service, node.row().id()).slices().size();
+            if (owned > 0) {
+                slices.put(service.value(), owned);
+            }
+        });
+        List<InstanceStatus.TargetStatus> targetStatus = new ArrayList<>();
+        dispatcher.targets().forEach(t -> targetStatus.add(targetStatus(t)));
+        long lastTableMillis = node.lastTableAnswerMillis();
+        return new InstanceStatus(
+                settings.instance().value(),
+                node.row().id().value(),
+                settings.failureDomain().value(),
+                node.isJoined() ? node.row().state().name() : "JOINING",
+                node.row().grantor().value(),
+                Math.max(0, traffic().hasLease() ? traffic().leaseEndMillis() - nowMillis : 0),
+                view.replica().version(),
+                lastTableMillis == Long.MIN_VALUE ? -1 : nowMillis - lastTableMillis,
+                documents,
+                slices,
+                targetStatus,
+                node.chargeCount(),
+                node.releasingSlices(),
+                node.pendingWrites(),
+                traffic().callsInProgress(),
+                metrics.refusalsByCause(),
+                view.suspects().refusedCount(),
+                invariants.violations());
+    }
+
+    private static InstanceStatus.TargetStatus targetStatus(LocalTarget target) {
+        return new InstanceStatus.TargetStatus(
+                target.announcement().service().value(),
+                target.announcement().target().value(),
+                target.isAccepting(),
+                target.announcement().checksGrants(),
+                target.slots().used(),
+                target.slots().mostUsed(),
+                target.slots().waiting());
+    }
+
+    /** Logs what happens to a member and passes it on to traffic threads. */
+    private final class Listener implements ControlListener {
+        private final MemberId self;
+        private final TrafficState traffic;
+
+        private Listener(MemberId self, TrafficState traffic) {
+            this.self = self;
+            this.traffic = traffic;
+        }
+
+        @Override
+        public void onLease(long leaseEndMillis) {
+            traffic.setLeaseEnd(leaseEndMillis);
+            if (leaseEndMillis != Long.MIN_VALUE) {
+                targets.renewGrants(traffic);
+            }
+        }
+
+        @Override
+        public void onJoined(MemberId grantor) {
+            LOGGER.log(Level.INFO, "event=joined member=" + self + " grantor=" + grantor);
+        }
+
+        @Override
+        public void onDeclaredDead(MemberId declaredBy) {
+            LOGGER.log(Level.WARNING, "event=declared-dead member=" + self + " by=" + declaredBy);
+            if (!leaving) {
+                control.schedule(() -> incarnation = newIncarnation(), REJOIN_MILLIS);
+            } else {
+                left.complete(null);
+            }
+        }
+
+        @Override
+        public void onLeft() {
+            LOGGER.log(Level.INFO, "event=left member=" + self);
+            left.complete(null);
+        }
+
+        @Override
+        public void onGrantorReplaced(MemberId before, MemberId after) {
+            LOGGER.log(Level.INFO, "event=grantor-replaced member=" + self + " before=" + before + " after=" + after);
+        }
+
+        @Override
+        public void onRenewalRefused(MemberId grantor, GrantDecision decision) {
+            LOGGER.log(
+                    Level.DEBUG,
+                    "event=renewal-refused member=" + self + " grantor=" + grantor + " decision=" + decision);
+        }
+
+        @Override
+        public void onPlacement(PlacementDecision decision) {
+            DecisionLog.placement(self, decision);
+        }
+
+        @Override
+        public void onDefect(RuntimeException defect) {
+            LOGGER.log(Level.ERROR, "event=control-failure member=" + self, defect);
+            if (defect instanceof org.siskindyke.kernel.error.SiskindykeException coded
+                    && coded.code() == org.siskindyke.kernel.error.ErrorCode.INVARIANT_VIOLATED) {
+                invariants.report(defect.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/admin/DocumentStore.java
@@ -0,0 +1,160 @@
+package org.siskindyke.runtime.admin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+
+import org.siskindyke.kernel.control.CommitOutcome;
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.document.DocumentRow;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.kernel.table.Transaction;
+import org.siskindyke.runtime.ControlThread;
+
+/**
+ * Reads and edits documents in the table. An edit carries the revision it started from; of two racing edits one
+ * wins.
+ */
+public final class DocumentStore {
+    private static final int LIMIT_ROWS = 1_000;
+    private static final long EDIT_TIMEOUT_SECONDS = 5;
+
+    private final ControlThread control;
+    private final TableService table;
+    private final Supplier<ControlNode> node;
+
+    /**
+     * Creates a store.
+     *
+     * @param control the control thread, on which edits are written
+     * @param table the table service
+     * @param node gives the present member
+     */
+    public DocumentStore(ControlThread control, TableService table, Supplier<ControlNode> node) {
+        this.control = control;
+        this.table = table;
+        this.node = node;
+    }
+
+    /** Reads the accepted revision of a document; fails with {@code NOT_FOUND}. */
+    public CompletionStage<DocumentRow> get(ServiceName service) {
+        return table.read(RowPath.document(service)).thenApply(row -> {
+            if (row.deleted()) {
+                throw new SiskindykeException(ErrorCode.NOT_FOUND, "no document for service '" + service + "'");
+            }
+            return RowCodec.decode(row, DocumentRow.class);
+        });
+    }
+
+    /** Lists the accepted documents. */
+    public CompletionStage<List<DocumentRow>> list() {
+        return table.list(RowPath.DOCUMENTS, LIMIT_ROWS).thenApply(DocumentStore::decode);
+    }
+
+    /** Lists all accepted revisions of a document, oldest first. */
+    public CompletionStage<List<DocumentRow>> history(ServiceName service) {
+        return table.list(RowPath.HISTORY + service + "/", LIMIT_ROWS).thenApply(rows -> {
+            List<DocumentRow> revisions = new ArrayList<>(decode(rows));
+            revisions.sort((a, b) -> Long.compare(a.number(), b.number()));
+            return revisions;
+        });
+    }
+
+    /**
+     * Puts a document.
+     *
+     * @param document the document
+     * @param expectedNumber the revision that the edit started from; 0 for a new document
+     * @param editor who edits
+     * @return the accepted revision; fails with {@code REVISION_CONFLICT}, or with {@code TABLE_UNAVAILABLE} where it
+     * is
+     *     not known in time whether the edit was accepted
+     */
+    public CompletionStage<DocumentRow> put(ServiceDocument document, long expectedNumber, String editor) {
+        RowPath path = RowPath.document(document.service());
+        return table.read(path).thenCompose(row -> {
+            Optional<DocumentRow> before =
+                    row.deleted() ? Optional.empty() : Optional.of(RowCodec.decode(row, DocumentRow.class));
+            long number = before.map(DocumentRow::number).orElse(0L);
+            if (number != expectedNumber) {
+                throw conflict(document.service(), expectedNumber, number);
+            }
+            before.ifPresent(b -> checkChange(b.document(), document));
+            DocumentRow next = new DocumentRow(document, number + 1, editor, System.currentTimeMillis());
+            return write(next, path, row, before.isEmpty());
+        });
+    }
+
+    private CompletionStage<DocumentRow> write(DocumentRow next, RowPath path, Row before, boolean isNew) {
+        ServiceName service = next.document().service();
+        String text = RowCodec.encode(next);
+        Transaction.Builder transaction = Transaction.builder()
+                .replace(path, before.deleted() ? 0 : before.revision(), text)
+                .put(RowPath.history(service, next.number()), text);
+        if (isNew && next.document().keys().divided()) {
+            List<HeldSlice> slices = IntStream.range(0, next.document().keys().slices())
+                    .mapToObj(i -> new HeldSlice(i, 0, 0))
+                    .toList();
+            transaction.replace(RowPath.unassigned(service), 0, RowCodec.encode(new HoldingRow(service, null, slices)));
+        }
+        CompletableFuture<CommitOutcome> outcome = new CompletableFuture<>();
+        control.execute(() -> node.get().submit(transaction.build(), outcome::complete));
+        return outcome.orTimeout(EDIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .handle((settled, failure) -> accepted(next, settled, failure));
+    }
+
+    private static DocumentRow accepted(DocumentRow next, CommitOutcome settled, Throwable failure) {
+        if (failure != null) {
+            throw new SiskindykeException(
+                    ErrorCode.TABLE_UNAVAILABLE,
+                    "the table service has not confirmed the edit; it may be accepted yet: read the document before "
+                            + "editing again");
+        }
+        if (!settled.committed()) {
+            throw conflict(next.document().service(), next.number() - 1, -1);
+        }
+        return next;
+    }
+
+    private static void checkChange(ServiceDocument before, ServiceDocument after) {
+        boolean sameDivision = before.keys().divided() == after.keys().divided()
+                && before.keys().slices() == after.keys().slices();
+        if (!sameDivision) {
+            throw new SiskindykeException(
+                    ErrorCode.INVALID_DOCUMENT,
+                    "keys: divided and slices are fixed once a service exists; keep divided="
+                            + before.keys().divided() + " and slices="
+                            + before.keys().slices());
+        }
+        if (!before.team().equals(after.team())) {
+            throw new SiskindykeException(
+                    ErrorCode.INVALID_DOCUMENT, "team: the document belongs to '" + before.team() + "'; keep it");
+        }
+    }
+
+    private static SiskindykeException conflict(ServiceName service, long expected, long actual) {
+        String now = actual < 0 ? "changed" : "now at revision " + actual;
+        return new SiskindykeException(
+                ErrorCode.REVISION_CONFLICT,
+                "the edit of '" + service + "' started from revision " + expected + " but the document is " + now
+                        + "; get it, merge and put it again");
+    }
+
+    private static List<DocumentRow> decode(List<Row> rows) {
+        return rows.stream().map(r -> RowCodec.decode(r, DocumentRow.class)).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administration API. */
+package org.siskindyke.runtime.admin;
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -0,0 +1,143 @@
+package org.siskindyke.runtime.call;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.servicetalk.concurrent.api.Completable;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.transport.api.RetryableException;
+import org.siskindyke.kernel.call.Refusal;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.runtime.http.Http;
+import org.siskindyke.runtime.peer.Bytes;
+
+import static io.servicetalk.buffer.netty.BufferAllocators.DEFAULT_ALLOCATOR;
+
+/** Sends calls to the backend server beside this router, one exchange a connection at a time. */
+public final class BackendClient implements AutoCloseable {
+    private static final Duration GRANT_TIMEOUT = Duration.ofMillis(300);
+
+    private final TargetAnnouncement target;
+    private final HttpClient client;
+
+    /**
+     * Creates a client.
+     *
+     * @param target the backend server
+     * @param connections most connections to it
+     */
+    public BackendClient(TargetAnnouncement target, int connections) {
+        this.target = target;
+        this.client = Http.client(target.host(), target.port(), Http.Protocol.HTTP_1_1, connections);
+    }
+
+    /**
+     * The grant that a call is sent under.
+     *
+     * @param member the owner
+     * @param generation generation of the ownership; 0 for an undivided service
+     * @param endMillis end of the owner's lease
+     */
+    public record Grant(MemberId member, long generation, long endMillis) {}
+
+    /** Returns the backend server. */
+    public TargetAnnouncement target() {
+        return target;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param call the call
+     * @param grant the grant it is sent under
+     * @param remainingMillis longest wait for the whole answer
+     * @return the outcome; never fails
+     */
+    public Single<Reply> send(Call call, Grant grant, long remainingMillis) {
+        HttpRequest request =
+                client.newRequest(HttpRequestMethod.of(call.method(), properties(call.method())), call.target());
+        for (Header header : call.headers()) {
+            request.headers().add(header.name(), header.value());
+        }
+        request.headers().set(Headers.CALL_ID, call.id());
+        request.headers().set(Headers.MEMBER, grant.member().value());
+        request.headers().set(Headers.DEADLINE, Long.toString(remainingMillis));
+        request.headers().set(Headers.GRANT_END, Long.toString(grant.endMillis()));
+        if (call.slice() != null) {
+            request.headers().set(Headers.SLICE, Integer.toString(call.slice().index()));
+            request.headers().set(Headers.KEY, call.key());
+            request.headers().set(Headers.GENERATION, Long.toString(grant.generation()));
+        }
+        if (call.body().length > 0) {
+            request.payloadBody(DEFAULT_ALLOCATOR.wrap(call.body()));
+        }
+        return client.request(request)
+                .map(response -> toReply(call, response))
+                .timeout(Duration.ofMillis(Math.max(1, remainingMillis)))
+                .onErrorReturn(BackendClient::toReply);
+    }
+
+    /**
+     * Tells a backend server that checks grants until when it may run calls of a member.
+     *
+     * @param grant the grant
+     */
+    public Completable renewGrant(Grant grant) {
+        HttpRequest request = client.put("/siskindyke/grant");
+        request.headers().set(Headers.MEMBER, grant.member().value());
+        request.headers().set(Headers.GRANT_END, Long.toString(grant.endMillis()));
+        return client.request(request).timeout(GRANT_TIMEOUT).toCompletable().onErrorComplete();
+    }
+
+    @Override
+    public void close() {
+        client.closeAsyncGracefully().subscribe();
+    }
+
+    private static HttpRequestMethod.Properties properties(String method) {
+        return switch (method) {
+            case "GET", "HEAD", "OPTIONS", "TRACE" -> HttpRequestMethod.Properties.SAFE_IDEMPOTENT;
+            case "PUT", "DELETE" -> HttpRequestMethod.Properties.IDEMPOTENT;
+            default -> HttpRequestMethod.Properties.NONE;
+        };
+    }
+
+    private static Reply toReply(Call call, HttpResponse response) {
+        CharSequence echoed = response.headers().get(Headers.CALL_ID);
+        if (echoed != null && !echoed.toString().equals(call.id())) {
+            return Reply.mayHaveRun(Refusal.ANSWER_LOST);
+        }
+        CharSequence notRun = response.headers().get(Headers.NOT_RUN);
+        if (notRun != null && "true".contentEquals(notRun)) {
+            return Reply.notRun(Refusal.TARGET_REFUSED, 0);
+        }
+        List<Header> headers = new ArrayList<>(Headers.endToEnd(response.headers()));
+        headers.removeIf(h -> h.name().startsWith("siskindyke-"));
+        return Reply.answer(response.status().code(), headers, Bytes.of(response.payloadBody()));
+    }
+
+    private static Reply toReply(Throwable failure) {
+        if (isNotSent(failure)) {
+            return Reply.notRun(Refusal.TARGET_UNREACHABLE, 0);
+        }
+        boolean timeout = failure instanceof java.util.concurrent.TimeoutException;
+        return Reply.mayHaveRun(timeout ? Refusal.DEADLINE : Refusal.ANSWER_LOST);
+    }
+
+    /** Tells whether a failed request was surely not sent. */
+    static boolean isNotSent(Throwable failure) {
+        return failure instanceof RetryableException || failure instanceof java.net.ConnectException;
+    }
+
+    /** Tells whether a status is one that the target uses to say that it is overloaded. */
+    static boolean isOverloaded(int status) {
+        return status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
@@ -0,0 +1,280 @@
+package org.siskindyke.runtime.call;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+import io.servicetalk.concurrent.SingleSource.Processor;
+import io.servicetalk.concurrent.api.Single;
+import org.siskindyke.kernel.call.Refusal;
+import org.siskindyke.kernel.call.ResendWindow.Lookup;
+import org.siskindyke.kernel.call.SliceGate;
+import org.siskindyke.kernel.call.SlotQueue;
+import org.siskindyke.kernel.call.Verdict;
+import org.siskindyke.kernel.control.SuspectList;
+import org.siskindyke.kernel.document.CallRule;
+import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.ownership.SliceOwner;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.time.MonotonicClock;
+
+import static io.servicetalk.concurrent.api.Processors.newSingleProcessor;
+import static io.servicetalk.concurrent.api.SourceAdapters.fromSource;
+
+/**
+ * Hands calls to the backend servers beside this router: the only place from which they are reached.
+ *
+ * <p>A call passes, in this order: ownership and lease, the slice's gate, the memory of resends, the target's slots,
+ * and
+ * ownership and lease once more right before it is sent.
+ */
+public final class LocalDispatcher {
+    private static final long MOVING_RETRY_MILLIS = 10;
+    private static final long SETTLING_RETRY_MILLIS = 50;
+    private static final long QUEUE_RETRY_MILLIS = 200;
+
+    private final MonotonicClock clock;
+    private final LongSupplier epochMillis;
+    private final CallObserver observer;
+    private final ResendGuard resendGuard;
+    private final Map<ServiceName, LocalTarget> targets = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a dispatcher without targets.
+     *
+     * @param clock the clock
+     * @param epochMillis reads the time of day, milliseconds since the epoch
+     * @param observer learns of dispatches and crashes
+     */
+    public LocalDispatcher(MonotonicClock clock, LongSupplier epochMillis, CallObserver observer) {
+        this.clock = clock;
+        this.epochMillis = epochMillis;
+        this.observer = observer;
+        this.resendGuard = new ResendGuard(clock, epochMillis);
+    }
+
+    /** Puts a target in use, in place of an earlier one of its service. */
+    public void attach(LocalTarget target) {
+        LocalTarget before = targets.put(target.announcement().service(), target);
+        if (before != null) {
+            before.close();
+        }
+    }
+
+    /** Takes a target out of use. */
+    public void detach(ServiceName service) {
+        LocalTarget before = targets.remove(service);
+        if (before != null) {
+            before.close();
+        }
+    }
+
+    /** Returns the target of a service. */
+    public Optional<LocalTarget> target(ServiceName service) {
+        return Optional.ofNullable(targets.get(service));
+    }
+
+    /** Returns all targets. */
+    public Iterable<LocalTarget> targets() {
+        return targets.values();
+    }
+
+    /** Refuses calls that have waited too long for a slot and forgets old Idempotency-Keys. */
+    public void expire(TrafficState state) {
+        long nowMillis = clock.nowMillis();
+        for (LocalTarget target : targets.values()) {
+            target.slots().expire(nowMillis);
+            state.view()
+                    .documents()
+                    .get(target.announcement().service())
+                    .ifPresent(a -> target.resends()
+                            .expire(nowMillis - a.document().calls().resendWindowSeconds() * 1_000L));
+        }
+    }
+
+    /**
+     * Runs a call at the backend server beside this router, if this router may.
+     *
+     * @param call the call
+     * @param state the member's state
+     * @return what became of it; never fails
+     */
+    public Single<Reply> dispatch(Call call, TrafficState state) {
+        return Single.defer(() -> admit(call, state));
+    }
+
+    private Single<Reply> admit(Call call, TrafficState state) {
+        LocalTarget target = targets.get(call.service());
+        Optional<AcceptedDocument> accepted = state.view().documents().get(call.service());
+        if (target == null || accepted.isEmpty() || !target.isAccepting() && call.slice() == null) {
+            return refuse(Refusal.NO_TARGET, 0);
+        }
+        if (state.view().suspects().crashes(suspectPath(call)) >= SuspectList.REFUSE_AFTER_CRASHES) {
+            return refuse(Refusal.SUSPECTED_OF_CRASHES, 0);
+        }
+        Optional<Reply> notOwner = checkOwnership(call, state);
+        if (notOwner.isPresent()) {
+            return Single.succeeded(notOwner.get());
+        }
+        SliceGate gate = call.slice() == null ? null : state.gate(call.slice());
+        if (gate != null && !gate.tryEnter()) {
+            return refuse(Refusal.MOVING, MOVING_RETRY_MILLIS);
+        }
+        Admission admission = new Admission(
+                call, state, target, gate, accepted.get().document().calls());
+        return admission.start();
+    }
+
+    private Optional<Reply> checkOwnership(Call call, TrafficState state) {
+        if (!state.hasLease()) {
+            return Optional.of(Reply.notRun(Refusal.NO_LEASE, SETTLING_RETRY_MILLIS));
+        }
+        if (call.slice() == null || state.servable(call.slice()).isPresent()) {
+            return Optional.empty();
+        }
+        SliceOwner owner = state.view().ownership().owner(call.slice()).orElse(null);
+        Reply refusal = Reply.notRun(Refusal.NOT_OWNER, SETTLING_RETRY_MILLIS);
+        return Optional.of(owner == null ? refusal : refusal.withOwner(owner.member(), owner.generation()));
+    }
+
+    /** Returns the path of the row that would name a call as suspect. */
+    static RowPath suspectPath(Call call) {
+        return RowPath.suspect(call.service(), CallFingerprint.of(call));
+    }
+
+    private static Single<Reply> refuse(Refusal refusal, long retryAfterMillis) {
+        return Single.succeeded(Reply.notRun(refusal, retryAfterMillis));
+    }
+
+    /** One call on its way through the target's slots. */
+    private final class Admission implements SlotQueue.Waiter {
+        private final Call call;
+        private final TrafficState state;
+        private final LocalTarget target;
+        private final SliceGate gate;
+        private final CallRule rule;
+        private final long waitUntilMillis;
+        private final Processor<Reply, Reply> outcome = newSingleProcessor();
+
+        private Admission(Call call, TrafficState state, LocalTarget target, SliceGate gate, CallRule rule) {
+            this.call = call;
+            this.state = state;
+            this.target = target;
+            this.gate = gate;
+            this.rule = rule;
+            this.waitUntilMillis = Math.min(call.deadlineMillis(), clock.nowMillis() + rule.queueMillis());
+        }
+
+        private Single<Reply> start() {
+            if (!isGuarded()) {
+                target.slots().enter(this, clock.nowMillis());
+                return fromSource(outcome);
+            }
+            if (!resendGuard.mayBeFirst(call, state)) {
+                end(Reply.mayHaveRun(Refusal.DUPLICATE_UNKNOWN), false);
+                return fromSource(outcome);
+            }
+            Lookup<Reply> lookup = target.resends().begin(call.slice(), call.idempotencyKey(), clock.nowMillis());
+            switch (lookup.kind()) {
+                case FIRST -> target.slots().enter(this, clock.nowMillis());
+                case RUNNING -> end(Reply.mayHaveRun(Refusal.DUPLICATE_RUNNING), false);
+                case ANSWERED -> end(lookup.answer(), false);
+                default -> end(Reply.mayHaveRun(Refusal.DUPLICATE_UNKNOWN), false);
+            }
+            return fromSource(outcome);
+        }
+
+        private boolean isGuarded() {
+            return !call.idempotent() && call.idempotencyKey() != null;
+        }
+
+        @Override
+        public long waitUntilMillis() {
+            return waitUntilMillis;
+        }
+
+        @Override
+        public void onRefused(Refusal refusal) {
+            end(Reply.notRun(refusal, QUEUE_RETRY_MILLIS), isGuarded());
+        }
+
+        @Override
+        public void onAdmitted() {
+            long nowMillis = clock.nowMillis();
+            if (call.remainingMillis(nowMillis) <= 0) {
+                leaveSlot(Reply.notRun(Refusal.DEADLINE, 0));
+                return;
+            }
+            Optional<Reply> notOwner = checkOwnership(call, state);
+            if (notOwner.isPresent()) {
+                leaveSlot(notOwner.get());
+                return;
+            }
+            long generation = call.slice() == null
+                    ? 0
+                    : state.view().ownership().owner(call.slice()).orElseThrow().generation();
+            send(generation, nowMillis);
+        }
+
+        private void send(long generation, long nowMillis) {
+            long leaseEndMillis = state.leaseEndMillis();
+            state.onCallStarted();
+            observer.onDispatch(call, state, generation, leaseEndMillis, nowMillis);
+            BackendClient.Grant grant = new BackendClient.Grant(state.self(), generation, leaseEndMillis);
+            target.client()
+                    .send(call, grant, call.remainingMillis(nowMillis))
+                    .subscribe(reply -> onReply(reply, nowMillis));
+        }
+
+        private void onReply(Reply reply, long sentMillis) {
+            state.onCallEnded();
+            observer.onReply(call, target, reply);
+            Reply checked = reply;
+            if (reply.verdict() == Verdict.RAN && !call.idempotent() && !state.hasLease()) {
+                checked = Reply.mayHaveRun(Refusal.LEASE_LAPSED);
+            }
+            target.slots().leave(clock.nowMillis());
+            settleResend(checked);
+            if (gate != null) {
+                leaveGate(checked, sentMillis);
+            }
+            outcome.onSuccess(checked);
+        }
+
+        private void leaveGate(Reply reply, long sentMillis) {
+            if (reply.verdict() == Verdict.MAY_HAVE_RUN) {
+                gate.abandon(sentMillis + rule.timeoutMillis());
+            } else {
+                gate.leave();
+            }
+        }
+
+        private void settleResend(Reply reply) {
+            if (!isGuarded()) {
+                return;
+            }
+            if (reply.verdict() == Verdict.NOT_RUN) {
+                target.resends().forget(call.slice(), call.idempotencyKey());
+            } else {
+                target.resends().end(call.slice(), call.idempotencyKey(), reply.isAnswer() ? reply : null);
+            }
+        }
+
+        private void leaveSlot(Reply reply) {
+            target.slots().leave(clock.nowMillis());
+            end(reply, isGuarded());
+        }
+
+        private void end(Reply reply, boolean registered) {
+            if (registered) {
+                target.resends().forget(call.slice(), call.idempotencyKey());
+            }
+            if (gate != null) {
+                gate.leave();
+            }
+            outcome.onSuccess(reply);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/call/ResendGuard.java
@@ -0,0 +1,52 @@
+package org.siskindyke.runtime.call;
+
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+
+import org.siskindyke.kernel.call.FirstSent;
+import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
+import org.siskindyke.kernel.ownership.SliceOwner;
+import org.siskindyke.kernel.time.MonotonicClock;
+
+/**
+ * Decides whether a call with an Idempotency-Key that this owner does not remember may have run at an earlier owner.
+ *
+ * <p>It may not have where the caller says that it sends the call for the first time, where the key's time is later
+ * than
+ * this ownership, or where the ownership is older than the window in which callers resend.
+ */
+final class ResendGuard {
+    private static final long CLOCK_SKEW_MILLIS = 500;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final MonotonicClock clock;
+    private final LongSupplier epochMillis;
+
+    ResendGuard(MonotonicClock clock, LongSupplier epochMillis) {
+        this.clock = clock;
+        this.epochMillis = epochMillis;
+    }
+
+    boolean mayBeFirst(Call call, TrafficState state) {
+        if ("true".equals(Headers.first(call.headers(), Headers.FIRST_ATTEMPT))) {
+            return true;
+        }
+        SliceOwner owner = state.view().ownership().owner(call.slice()).orElse(null);
+        if (owner == null || owner.generation() <= 1) {
+            return true;
+        }
+        long ownedMillis = clock.nowMillis() - owner.usableMillis();
+        int windowSeconds = state.view()
+                .documents()
+                .get(call.service())
+                .map(AcceptedDocument::document)
+                .map(d -> d.calls().resendWindowSeconds())
+                .orElse(0);
+        if (ownedMillis > windowSeconds * MILLIS_PER_SECOND) {
+            return true;
+        }
+        OptionalLong firstSent = FirstSent.epochMillis(call.idempotencyKey());
+        long ownerSinceEpochMillis = epochMillis.getAsLong() - ownedMillis;
+        return firstSent.isPresent() && firstSent.getAsLong() > ownerSinceEpochMillis + CLOCK_SKEW_MILLIS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/http/Http.java
@@ -0,0 +1,121 @@
+package org.siskindyke.runtime.http;
+
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.time.Duration;
+
+import io.servicetalk.http.api.FilterableStreamingHttpLoadBalancedConnection;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpProtocolConfig;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpService;
+import io.servicetalk.http.netty.DefaultHttpLoadBalancerFactory;
+import io.servicetalk.http.netty.H2KeepAlivePolicies;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
+import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.loadbalancer.RoundRobinLoadBalancers;
+import io.servicetalk.transport.api.HostAndPort;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+
+/** Makes HTTP servers and clients that run on their event loops and never retry by themselves. */
+public final class Http {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final Duration PING_WHEN_IDLE = Duration.ofSeconds(1);
+    private static final Duration PING_TIMEOUT = Duration.ofSeconds(1);
+    private static final int DEFAULT_SEARCH_SPACE = 64;
+
+    private Http() {}
+
+    /** Protocols that a server or client may speak without TLS. */
+    public enum Protocol {
+        /** HTTP/1.1 with one exchange a connection at a time. */
+        HTTP_1_1,
+        /** HTTP/2 with prior knowledge. */
+        HTTP_2;
+
+        private HttpProtocolConfig config() {
+            return this == HTTP_1_1
+                    ? HttpProtocolConfigs.h1().maxPipelinedRequests(1).build()
+                    : HttpProtocolConfigs.h2()
+                            .keepAlivePolicy(H2KeepAlivePolicies.whenIdleFor(PING_WHEN_IDLE, PING_TIMEOUT))
+                            .build();
+        }
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param host address to bind, an IP number
+     * @param port TCP port; 0 for any free one
+     * @param protocol the protocol
+     * @param service answers requests without blocking
+     * @return the running server
+     * @throws SiskindykeException with code {@code ADDRESS_UNAVAILABLE} where the address cannot be bound
+     */
+    public static HttpServerContext serve(String host, int port, Protocol protocol, HttpService service) {
+        try {
+            return HttpServers.forAddress(new InetSocketAddress(host, port))
+                    .protocols(protocol.config())
+                    .socketOption(StandardSocketOptions.TCP_NODELAY, true)
+                    .executionStrategy(HttpExecutionStrategies.offloadNone())
+                    .listenAndAwait(service);
+        } catch (BindException e) {
+            throw unavailable(host, port, e);
+        } catch (Exception e) {
+            if (e.getCause() instanceof BindException) {
+                throw unavailable(host, port, e);
+            }
+            throw new SiskindykeException(ErrorCode.INTERNAL, "cannot start a server on " + host + ":" + port, e);
+        }
+    }
+
+    private static SiskindykeException unavailable(String host, int port, Exception e) {
+        return new SiskindykeException(
+                ErrorCode.ADDRESS_UNAVAILABLE,
+                "cannot listen on " + host + ":" + port + " (" + e.getMessage() + "); choose another address or port",
+                e);
+    }
+
+    /** Returns the port that a server listens on. */
+    public static int portOf(HttpServerContext server) {
+        return ((InetSocketAddress) server.listenAddress()).getPort();
+    }
+
+    /** Makes a client of one address. */
+    public static HttpClient client(String host, int port, Protocol protocol) {
+        return client(host, port, protocol, DEFAULT_SEARCH_SPACE);
+    }
+
+    /**
+     * Makes a client of one address.
+     *
+     * @param host an IP number
+     * @param port TCP port
+     * @param protocol the protocol
+     * @param searchSpace how many idle connections are tried before a new one is opened
+     * @return the client
+     */
+    public static HttpClient client(String host, int port, Protocol protocol, int searchSpace) {
+        return HttpClients.forResolvedAddress(HostAndPort.of(host, port))
+                .protocols(protocol.config())
+                .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
+                .socketOption(StandardSocketOptions.TCP_NODELAY, true)
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
+                .loadBalancerFactory(DefaultHttpLoadBalancerFactory.Builder.from(
+                                RoundRobinLoadBalancers
+                                        .<InetSocketAddress, FilterableStreamingHttpLoadBalancedConnection>builder(
+                                                "siskindyke")
+                                        .healthCheckFailedConnectionsThreshold(-1)
+                                        .linearSearchSpace(Math.max(1, searchSpace))
+                                        .build())
+                        .build())
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP servers and clients with the settings that all parts share. */
+package org.siskindyke.runtime.http;
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** The router process: threads, servers and clients around the kernel. */
+package org.siskindyke.runtime;
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/peer/HttpPeerPort.java
@@ -0,0 +1,57 @@
+package org.siskindyke.runtime.peer;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import io.servicetalk.concurrent.api.Single;
+import org.siskindyke.kernel.control.PeerPort;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.runtime.ControlThread;
+import org.siskindyke.wire.GossipResponse;
+import org.siskindyke.wire.RenewResponse;
+
+/** Sends the kernel's control messages over HTTP/2; replies arrive on the control thread. */
+public final class HttpPeerPort implements PeerPort {
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+
+    private final PeerClients peers;
+    private final ControlThread control;
+
+    /**
+     * Creates the port.
+     *
+     * @param peers reaches other routers
+     * @param control runs the reply handlers
+     */
+    public HttpPeerPort(PeerClients peers, ControlThread control) {
+        this.peers = peers;
+        this.control = control;
+    }
+
+    @Override
+    public void renew(MemberRow to, Renewal renewal, Consumer<RenewalReply> onReply) {
+        deliver(
+                peers.request(to.address(), PeerPaths.RENEW, WireMapper.toWire(renewal), TIMEOUT)
+                        .map(bytes -> WireMapper.fromWire(WireCodec.decode(bytes, new RenewResponse()))),
+                onReply);
+    }
+
+    @Override
+    public void gossip(MemberRow to, Gossip gossip, Consumer<Gossip> onReply) {
+        deliver(
+                peers.request(to.address(), PeerPaths.GOSSIP, WireMapper.toRequest(gossip), TIMEOUT)
+                        .map(bytes -> WireMapper.fromWire(to.id(), WireCodec.decode(bytes, new GossipResponse()))),
+                onReply);
+    }
+
+    @Override
+    public void release(MemberRow to, Release release) {
+        deliver(peers.request(to.address(), PeerPaths.RELEASE, WireMapper.toWire(release), TIMEOUT), ignored -> {});
+    }
+
+    private <T> void deliver(Single<T> reply, Consumer<T> onReply) {
+        reply.map(value -> (Runnable) () -> onReply.accept(value))
+                .onErrorReturn(failure -> () -> {})
+                .subscribe(control::execute);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -0,0 +1,207 @@
+package org.siskindyke.runtime.peer;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+
+import org.siskindyke.kernel.call.Refusal;
+import org.siskindyke.kernel.call.Verdict;
+import org.siskindyke.kernel.control.PeerPort;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.SliceRef;
+import org.siskindyke.kernel.membership.GrantDecision;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableChanges;
+import org.siskindyke.runtime.call.Call;
+import org.siskindyke.runtime.call.Header;
+import org.siskindyke.runtime.call.Reply;
+import org.siskindyke.wire.ForwardRequest;
+import org.siskindyke.wire.ForwardResponse;
+import org.siskindyke.wire.GossipRequest;
+import org.siskindyke.wire.GossipResponse;
+import org.siskindyke.wire.ReleaseRequest;
+import org.siskindyke.wire.RenewRequest;
+import org.siskindyke.wire.RenewResponse;
+import org.siskindyke.wire.WireDelta;
+import org.siskindyke.wire.WireHeader;
+import org.siskindyke.wire.WireRow;
+
+/** Converts between the kernel's messages and their wire form. */
+public final class WireMapper {
+    private static final int NO_SLICE = -1;
+
+    private WireMapper() {}
+
+    static RenewRequest toWire(PeerPort.Renewal renewal) {
+        RenewRequest wire = new RenewRequest();
+        wire.setMember(renewal.member().value());
+        wire.setEpoch(renewal.epoch());
+        wire.setSequence(renewal.sequence());
+        wire.setProbe(renewal.probe());
+        return wire;
+    }
+
+    static PeerPort.Renewal fromWire(RenewRequest wire) {
+        return new PeerPort.Renewal(MemberId.of(wire.getMember()), wire.getEpoch(), wire.getSequence(), wire.isProbe());
+    }
+
+    static RenewResponse toWire(PeerPort.RenewalReply reply) {
+        RenewResponse wire = new RenewResponse();
+        wire.setSequence(reply.sequence());
+        wire.setGranted(reply.decision().isGranted());
+        wire.setReason(reply.decision().name());
+        wire.setLeaseMillis(reply.leaseMillis());
+        return wire;
+    }
+
+    static PeerPort.RenewalReply fromWire(RenewResponse wire) {
+        return new PeerPort.RenewalReply(
+                wire.getSequence(), constant(GrantDecision.class, wire.getReason()), wire.getLeaseMillis());
+    }
+
+    static GossipRequest toRequest(PeerPort.Gossip gossip) {
+        GossipRequest wire = new GossipRequest();
+        wire.setMember(gossip.member().value());
+        wire.setTableVersion(gossip.tableVersion());
+        wire.setDelta(toWire(gossip.changes()));
+        return wire;
+    }
+
+    static PeerPort.Gossip fromWire(GossipRequest wire) {
+        return new PeerPort.Gossip(MemberId.of(wire.getMember()), wire.getTableVersion(), fromWire(wire.getDelta()));
+    }
+
+    static GossipResponse toResponse(PeerPort.Gossip gossip) {
+        GossipResponse wire = new GossipResponse();
+        wire.setTableVersion(gossip.tableVersion());
+        wire.setDelta(toWire(gossip.changes()));
+        return wire;
+    }
+
+    static PeerPort.Gossip fromWire(MemberId sender, GossipResponse wire) {
+        return new PeerPort.Gossip(sender, wire.getTableVersion(), fromWire(wire.getDelta()));
+    }
+
+    static ReleaseRequest toWire(PeerPort.Release release) {
+        ReleaseRequest wire = new ReleaseRequest();
+        wire.setServiceName(release.service().value());
+        wire.setSlices(release.slices());
+        wire.setToMember(release.heir().value());
+        wire.setReason(release.reason());
+        return wire;
+    }
+
+    static PeerPort.Release fromWire(ReleaseRequest wire) {
+        return new PeerPort.Release(
+                ServiceName.of(wire.getServiceName()),
+                List.copyOf(wire.getSlices()),
+                MemberId.of(wire.getToMember()),
+                wire.getReason());
+    }
+
+    /** Converts changes of the table. */
+    public static WireDelta toWire(TableChanges changes) {
+        WireDelta wire = new WireDelta();
+        wire.setUpToVersion(changes.upToVersion());
+        wire.setRows(changes.rows().stream().map(WireMapper::toWire).toList());
+        return wire;
+    }
+
+    private static WireRow toWire(Row row) {
+        return new WireRow(row.path().value(), row.revision(), row.value(), row.deleted());
+    }
+
+    /** Converts changes of the table. */
+    public static TableChanges fromWire(WireDelta wire) {
+        List<Row> rows = wire.getRows().stream()
+                .map(r -> new Row(RowPath.of(r.getPath()), r.getVersion(), r.getValue(), r.isDeleted()))
+                .toList();
+        return new TableChanges(wire.getUpToVersion(), rows);
+    }
+
+    static ForwardRequest toWire(Call call, MemberId to, int hops, long nowMillis) {
+        ForwardRequest wire = new ForwardRequest();
+        wire.setCallId(call.id());
+        wire.setServiceName(call.service().value());
+        wire.setSliceIndex(call.slice() == null ? NO_SLICE : call.slice().index());
+        wire.setKey(call.key() == null ? "" : call.key());
+        wire.setMethod(call.method());
+        wire.setTarget(call.target());
+        wire.setHeaders(toWire(call.headers()));
+        wire.setBody(call.body());
+        wire.setRemainingMillis(call.remainingMillis(nowMillis));
+        wire.setHops(hops);
+        wire.setToMember(to.value());
+        return wire;
+    }
+
+    static Call fromWire(ForwardRequest wire, boolean idempotent, long nowMillis) {
+        ServiceName service = ServiceName.of(wire.getServiceName());
+        boolean divided = wire.getSliceIndex() != NO_SLICE;
+        return new Call(
+                wire.getCallId(),
+                service,
+                divided ? wire.getKey() : null,
+                divided ? new SliceRef(service, wire.getSliceIndex()) : null,
+                wire.getMethod(),
+                wire.getTarget(),
+                fromWire(wire.getHeaders()),
+                wire.getBody(),
+                nowMillis + wire.getRemainingMillis(),
+                idempotent);
+    }
+
+    static ForwardResponse toWire(String callId, Reply reply) {
+        ForwardResponse wire = new ForwardResponse();
+        wire.setCallId(callId);
+        wire.setStatus(reply.status());
+        wire.setHeaders(toWire(reply.headers()));
+        wire.setBody(reply.body());
+        wire.setVerdict(reply.verdict().ordinal());
+        wire.setRetryAfterMillis(reply.retryAfterMillis());
+        if (reply.refusal() != null) {
+            wire.setCode(reply.refusal().name());
+        }
+        if (reply.owner() != null) {
+            wire.setOwnerHint(reply.owner().value());
+            wire.setGenerationHint(reply.generation());
+        }
+        return wire;
+    }
+
+    static Reply fromWire(ForwardResponse wire) {
+        int verdict = wire.getVerdict();
+        if (verdict < 0 || verdict >= Verdict.values().length) {
+            throw new SiskindykeException(ErrorCode.INVALID_REQUEST, "unknown verdict " + verdict);
+        }
+        return new Reply(
+                wire.getStatus(),
+                fromWire(wire.getHeaders()),
+                ByteBuffer.wrap(wire.getBody()).array(),
+                Verdict.values()[verdict],
+                wire.isSetCode() ? constant(Refusal.class, wire.getCode()) : null,
+                wire.getRetryAfterMillis(),
+                wire.isSetOwnerHint() ? MemberId.of(wire.getOwnerHint()) : null,
+                wire.getGenerationHint());
+    }
+
+    private static List<WireHeader> toWire(List<Header> headers) {
+        return headers.stream().map(h -> new WireHeader(h.name(), h.value())).toList();
+    }
+
+    private static List<Header> fromWire(List<WireHeader> headers) {
+        return headers.stream().map(h -> new Header(h.getName(), h.getValue())).toList();
+    }
+
+    private static <E extends Enum<E>> E constant(Class<E> type, String name) {
+        try {
+            return Enum.valueOf(type, name);
+        } catch (IllegalArgumentException e) {
+            throw new SiskindykeException(
+                    ErrorCode.INVALID_REQUEST, "unknown " + type.getSimpleName() + " '" + name + "'", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between routers. */
+package org.siskindyke.runtime.peer;
--- /dev/null
+++ b/src/main/java/org/siskindyke/standin/BackendStandin.java
@@ -0,0 +1,279 @@
+package org.siskindyke.standin;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.servicetalk.concurrent.api.Executors;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.HttpResponseFactory;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpService;
+import io.servicetalk.http.api.HttpServiceContext;
+import org.siskindyke.runtime.SystemMonotonicClock;
+import org.siskindyke.runtime.call.Headers;
+import org.siskindyke.runtime.http.Http;
+import org.siskindyke.runtime.http.Json;
+
+/**
+ * A stand-in for a backend server. It answers each call with the call's key, target and path, so that answers can be
+ * checked, and writes a ledger.
+ */
+public final class BackendStandin implements HttpService, AutoCloseable {
+    private static final int CRASH_STATUS = 70;
+    private static final String CRASH_MARK = "crash-mark";
+
+    private final String name;
+    private final int slots;
+    private final boolean checksGrants;
+    private final Ledger ledger;
+    private final HttpServerContext server;
+    private final Map<String, AtomicLong> grantEndMillis = new ConcurrentHashMap<>();
+    private final Map<String, Long> generations = new ConcurrentHashMap<>();
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicInteger mostRunning = new AtomicInteger();
+    private final AtomicLong executed = new AtomicLong();
+    private final AtomicLong fenced = new AtomicLong();
+    private volatile BackendFaults faults;
+
+    /**
+     * Starts the stand-in.
+     *
+     * @param name its target name
+     * @param host address to bind
+     * @param port TCP port; 0 for any free one
+     * @param slots calls it runs at a time; it sheds more
+     * @param checksGrants whether it refuses and ends calls outside the grant of their member
+     * @param faults traits and faults
+     * @param ledger receives executed calls
+     */
+    public BackendStandin(
+            String name, String host, int port, int slots, boolean checksGrants, BackendFaults faults, Ledger ledger) {
+        this.name = name;
+        this.slots = slots;
+        this.checksGrants = checksGrants;
+        this.faults = faults;
+        this.ledger = ledger;
+        this.server = Http.serve(host, port, Http.Protocol.HTTP_1_1, this);
+    }
+
+    /**
+     * Counts since the start.
+     *
+     * @param executed calls that ran
+     * @param fenced calls that were refused or ended for want of a grant
+     * @param running calls that run now
+     * @param mostRunning the most calls that ran at a time
+     */
+    public record Stats(long executed, long fenced, int running, int mostRunning) {}
+
+    /**
+     * The body of an answer.
+     *
+     * @param target the backend server
+     * @param path the request's target
+     * @param key the key it was sent with; null for an undivided service
+     * @param bodyLength length of the request's body in bytes
+     */
+    public record Answer(String target, String path, String key, int bodyLength) {}
+
+    /** Returns the port it listens on. */
+    public int port() {
+        return Http.portOf(server);
+    }
+
+    /** Returns counts. */
+    public Stats stats() {
+        return new Stats(executed.get(), fenced.get(), running.get(), mostRunning.get());
+    }
+
+    @Override
+    public Single<HttpResponse> handle(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
+        return Single.defer(() -> route(context, request, factory))
+                .onErrorReturn(failure -> Json.problem(factory, failure));
+    }
+
+    private Single<HttpResponse> route(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
+        return switch (request.path()) {
+            case "/siskindyke/grant" -> {
+                renew(request);
+                yield Single.succeeded(factory.noContent());
+            }
+            case "/faults" -> {
+                faults = Json.read(request.payloadBody(), BackendFaults.class);
+                yield Single.succeeded(Json.respond(factory, HttpResponseStatus.OK, faults));
+            }
+            case "/stats" -> Single.succeeded(Json.respond(factory, HttpResponseStatus.OK, stats()));
+            default -> call(context, request, factory);
+        };
+    }
+
+    private void renew(HttpRequest request) {
+        String member = header(request, Headers.MEMBER);
+        String end = header(request, Headers.GRANT_END);
+        if (member != null && end != null) {
+            grantEndMillis
+                    .computeIfAbsent(member, m -> new AtomicLong(Long.MIN_VALUE))
+                    .accumulateAndGet(Long.parseLong(end), Math::max);
+        }
+    }
+
+    private Single<HttpResponse> call(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
+        BackendFaults present = faults;
+        if (present.crashOnMark() && request.requestTarget().contains(CRASH_MARK)) {
+            Runtime.getRuntime().halt(CRASH_STATUS);
+        }
+        renew(request);
+        if (present.refuse() || !isGranted(request)) {
+            fenced.incrementAndGet();
+            return Single.succeeded(refuse(factory));
+        }
+        int now = running.incrementAndGet();
+        if (now > slots) {
+            running.decrementAndGet();
+            return Single.succeeded(refuse(factory));
+        }
+        mostRunning.accumulateAndGet(now, Math::max);
+        Execution execution = new Execution(request);
+        return execution.run(present).map(completed -> respond(context, request, factory, present, completed));
+    }
+
+    private static HttpResponse refuse(HttpResponseFactory factory) {
+        HttpResponse response = factory.newResponse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        response.headers().set(Headers.NOT_RUN, "true");
+        return response;
+    }
+
+    private HttpResponse respond(
+            HttpServiceContext context,
+            HttpRequest request,
+            HttpResponseFactory factory,
+            BackendFaults present,
+            boolean completed) {
+        if (!completed) {
+            return refuse(factory);
+        }
+        if (present.cutAnswers()) {
+            context.closeAsync().subscribe();
+        }
+        HttpResponse response = Json.respond(
+                factory,
+                HttpResponseStatus.OK,
+                new Answer(
+                        name,
+                        request.requestTarget(),
+                        header(request, Headers.KEY),
+                        request.payloadBody().readableBytes()));
+        String callId = header(request, Headers.CALL_ID);
+        if (callId != null) {
+            response.headers().set(Headers.CALL_ID, present.wrongCallIds() ? callId + "x" : callId);
+        }
+        return response;
+    }
+
+    /** Tells whether the member's grant has not ended and its generation is not older than one seen for the key. */
+    private boolean isGranted(HttpRequest request) {
+        if (!checksGrants) {
+            return true;
+        }
+        String member = header(request, Headers.MEMBER);
+        if (member == null || !isInGrant(member)) {
+            return false;
+        }
+        String key = header(request, Headers.KEY);
+        if (key == null) {
+            return true;
+        }
+        long generation = Long.parseLong(header(request, Headers.GENERATION));
+        return generations.merge(key, generation, Math::max) == generation;
+    }
+
+    private boolean isInGrant(String member) {
+        AtomicLong end = grantEndMillis.get(member);
+        return end != null && SystemMonotonicClock.INSTANCE.nowMillis() < end.get();
+    }
+
+    private static String header(HttpRequest request, String name) {
+        CharSequence value = request.headers().get(name);
+        return value == null ? null : value.toString();
+    }
+
+    @Override
+    public void close() {
+        server.closeAsync().subscribe();
+        ledger.close();
+    }
+
+    /** One call while it runs. A checking server ends it without effect when its grant ends. */
+    private final class Execution {
+        private static final long CHECK_INTERVAL_MILLIS = 20;
+
+        private final String member;
+        private final String callId;
+        private final String idempotencyKey;
+        private final String method;
+        private final String key;
+        private final long generation;
+        private final long beginNanos = System.nanoTime();
+        private final AtomicBoolean ended = new AtomicBoolean();
+
+        private Execution(HttpRequest request) {
+            this.member = header(request, Headers.MEMBER);
+            this.callId = header(request, Headers.CALL_ID);
+            this.idempotencyKey = header(request, Headers.IDEMPOTENCY_KEY);
+            this.method = request.method().name();
+            this.key = header(request, Headers.KEY);
+            String text = header(request, Headers.GENERATION);
+            this.generation = text == null ? 0 : Long.parseLong(text);
+        }
+
+        private Single<Boolean> run(BackendFaults present) {
+            if (present.workMillis() == 0) {
+                return Single.succeeded(end(true));
+            }
+            return step(beginNanos + Duration.ofMillis(present.workMillis()).toNanos())
+                    .beforeCancel(() -> end(false));
+        }
+
+        private Single<Boolean> step(long untilNanos) {
+            return Single.defer(() -> {
+                long leftNanos = untilNanos - System.nanoTime();
+                if (checksGrants && !isInGrant(member)) {
+                    return Single.succeeded(end(false));
+                }
+                if (leftNanos <= 0) {
+                    return Single.succeeded(end(true));
+                }
+                long stepNanos = Math.min(
+                        leftNanos, Duration.ofMillis(CHECK_INTERVAL_MILLIS).toNanos());
+                return Executors.global().timer(Duration.ofNanos(stepNanos)).concat(step(untilNanos));
+            });
+        }
+
+        private boolean end(boolean completed) {
+            if (!ended.compareAndSet(false, true)) {
+                return false;
+            }
+            running.decrementAndGet();
+            executed.incrementAndGet();
+            ledger.append(new Ledger.Entry(
+                    name,
+                    callId,
+                    idempotencyKey,
+                    method,
+                    key,
+                    member,
+                    generation,
+                    beginNanos,
+                    System.nanoTime(),
+                    completed));
+            return completed;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/thrift/peer.thrift
@@ -0,0 +1,101 @@
+namespace java org.siskindyke.wire
+
+/** One table row as routers pass it on. An empty value with deleted set is a tombstone. */
+struct WireRow {
+  1: string path,
+  2: i64 version,
+  3: string value,
+  4: bool deleted,
+}
+
+/** Changes of the table after the asker's version, complete up to upToVersion. */
+struct WireDelta {
+  1: i64 upToVersion,
+  2: list<WireRow> rows,
+}
+
+/** A lease renewal from a member to its recorded grantor. */
+struct RenewRequest {
+  1: string member,
+  2: i64 epoch,
+  3: i64 sequence,
+  4: i64 tableVersion,
+  5: bool probe,
+}
+
+/** The grantor's answer; granted only under a lease of its own. */
+struct RenewResponse {
+  1: i64 sequence,
+  2: bool granted,
+  3: i64 leaseMillis,
+  4: string reason,
+  5: WireDelta delta,
+}
+
+/** Pulls what the asker does not know yet and offers what it knows. */
+struct GossipRequest {
+  1: string member,
+  2: i64 tableVersion,
+  3: WireDelta delta,
+}
+
+struct GossipResponse {
+  1: i64 tableVersion,
+  2: WireDelta delta,
+}
+
+struct WireHeader {
+  1: string name,
+  2: string value,
+}
+
+/** A call passed to the router beside the backend server that must run it. */
+struct ForwardRequest {
+  1: string callId,
+  2: string serviceName,
+  3: i32 sliceIndex,
+  4: i64 generation,
+  5: string method,
+  6: string target,
+  7: list<WireHeader> headers,
+  8: binary body,
+  9: i64 remainingMillis,
+  10: i32 hops,
+  11: string key,
+  12: string toMember,
+}
+
+struct ForwardResponse {
+  1: string callId,
+  2: i32 status,
+  3: list<WireHeader> headers,
+  4: binary body,
+  5: i32 verdict,
+  6: string code,
+  7: string detail,
+  8: string ownerHint,
+  9: i64 generationHint,
+  10: i64 retryAfterMillis,
+}
+
+/** Asks an owner to hand slices of a service to another member. */
+struct ReleaseRequest {
+  1: string serviceName,
+  2: list<i32> slices,
+  3: string toMember,
+  4: string reason,
+}
+
+struct ReleaseResponse {
+  1: bool accepted,
+  2: string reason,
+}
+
+/** What one instance reports of itself. */
+struct StatusRequest {
+  1: string member,
+}
+
+struct StatusResponse {
+  1: string json,
+}
