--- a/src/main/java/org/siskindyke/kernel/control/ControlNode.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlNode.java
@@ -8,6 +8,7 @@
 import org.siskindyke.kernel.balance.SliceBalancePolicy;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.HolderLease;
+import org.siskindyke.kernel.membership.LeaseGrantor;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.table.Row;
@@ -28,6 +29,7 @@
     private final HolderDuty holder;
     private final GrantorDuty grantor;
     private final DeathDuty deaths;
+    private final SilenceDuty silence;
     private final ReleaseDuty releases;
     private final PlannerDuty planner;
     private final HandoverDuty handover;
@@ -42,12 +44,31 @@
      * @param policy proposes moves of slices
      */
     public ControlNode(ControlContext context, MemberRow template, SliceTraffic traffic, SliceBalancePolicy policy) {
+        this(
+                context,
+                template,
+                traffic,
+                policy,
+                new HolderLease(),
+                new LeaseGrantor(context.settings().lease()));
+    }
+
+    /** Creates a member with its own implementations of the two sides of a lease. */
+    ControlNode(
+            ControlContext context,
+            MemberRow template,
+            SliceTraffic traffic,
+            SliceBalancePolicy policy,
+            HolderLease lease,
+            LeaseGrantor leaseGrantor) {
         this.context = context;
         this.writer = new TableWriter(context);
         this.sync = new TableSync(context, template.failureDomain(), this::onRows);
-        this.holder = new HolderDuty(context, sync, writer, template);
+        this.holder = new HolderDuty(context, sync, writer, template, lease);
         this.deaths = new DeathDuty(context, sync, writer);
-        this.grantor = new GrantorDuty(context, sync, holder, deaths);
+        this.grantor = new GrantorDuty(context, sync, holder, deaths, leaseGrantor);
+        this.silence = new SilenceDuty(context, deaths);
+        sync.observeGossip(silence::onGossipSent, silence::onGossipAnswered);
         this.releases = new ReleaseDuty(context, sync, writer, traffic);
         this.planner = new PlannerDuty(context, sync, writer, releases, policy);
         this.handover = new HandoverDuty(context, holder, releases);
@@ -120,6 +141,7 @@
         grantor.tick(nowMillis);
         if (holder.isJoined()) {
             deaths.tick(nowMillis);
+            silence.tick(nowMillis);
             handover.tick(nowMillis);
             if (!leave.isActive()) {
                 planner.tick(nowMillis);
@@ -198,6 +220,7 @@
         } else {
             grantor.onMemberRow(member, nowMillis);
             deaths.onMemberRow(member, nowMillis);
+            silence.onMemberRow(member);
         }
     }
 }
--- a/src/main/java/org/siskindyke/kernel/control/DeathDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/DeathDuty.java
@@ -78,7 +78,14 @@
         declare(id, reason, Transaction.builder());
     }
 
-    private void declare(MemberId id, String reason, Transaction.Builder extra) {
+    /**
+     * Declares a member dead on further conditions.
+     *
+     * @param id the member
+     * @param reason why, for the log
+     * @param extra what else must hold in the table
+     */
+    void declare(MemberId id, String reason, Transaction.Builder extra) {
         long nowMillis = context.nowMillis();
         Optional<MemberRow> found = context.view().members().serving(id);
         boolean due = found.isPresent()
--- a/src/main/java/org/siskindyke/kernel/control/GrantorDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/GrantorDuty.java
@@ -18,12 +18,12 @@
     private final LeaseGrantor grantor;
     private long lastTickMillis = Long.MIN_VALUE;
 
-    GrantorDuty(ControlContext context, TableSync sync, HolderDuty holder, DeathDuty deaths) {
+    GrantorDuty(ControlContext context, TableSync sync, HolderDuty holder, DeathDuty deaths, LeaseGrantor grantor) {
         this.context = context;
         this.sync = sync;
         this.holder = holder;
         this.deaths = deaths;
-        this.grantor = new LeaseGrantor(context.settings().lease());
+        this.grantor = grantor;
     }
 
     int chargeCount() {
--- a/src/main/java/org/siskindyke/kernel/control/GrantorSearch.java
+++ b/src/main/java/org/siskindyke/kernel/control/GrantorSearch.java
@@ -1,6 +1,8 @@
 package org.siskindyke.kernel.control;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 import org.siskindyke.kernel.id.FailureDomain;
@@ -8,7 +10,11 @@
 import org.siskindyke.kernel.membership.GrantDecision;
 import org.siskindyke.kernel.membership.MemberRow;
 
-/** Looks for a member that is willing to be grantor; the table stands in where none answers in time. */
+/**
+ * Looks for the best member that is willing to be grantor; the table stands in where none answers in time.
+ *
+ * <p>All candidates are asked at once. The search ends early when every better candidate has refused.
+ */
 final class GrantorSearch {
     private static final int MAX_CANDIDATES = 5;
     private static final long PROBE_MILLIS = 200;
@@ -18,10 +24,12 @@
     private final MemberId excluded;
     private final Consumer<MemberId> onFound;
     private final long deadlineMillis;
+    private final Map<MemberId, Boolean> answers = new HashMap<>();
+    private List<MemberRow> candidates = List.of();
     private boolean finished;
 
     /**
-     * Starts a search.
+     * Prepares a search.
      *
      * @param context shared parts
      * @param domain the searcher's failure domain, in which grantors are the last choice
@@ -37,17 +45,11 @@
     }
 
     void start() {
-        List<MemberRow> candidates = context.view().members().ring().successors(context.self(), domain, MAX_CANDIDATES);
-        boolean asked = false;
-        for (MemberRow candidate : candidates) {
-            if (!candidate.id().equals(excluded)) {
-                asked = true;
-                probe(candidate);
-            }
-        }
-        if (!asked) {
-            finish(MemberId.TABLE);
-        }
+        candidates = context.view().members().ring().candidates(context.self(), domain, MAX_CANDIDATES).stream()
+                .filter(c -> !c.id().equals(excluded))
+                .toList();
+        candidates.forEach(this::probe);
+        finishWhenDecided();
     }
 
     boolean isFinished() {
@@ -56,17 +58,34 @@
 
     void tick(long nowMillis) {
         if (nowMillis >= deadlineMillis) {
-            finish(MemberId.TABLE);
+            finish(candidates.stream()
+                    .map(MemberRow::id)
+                    .filter(id -> answers.getOrDefault(id, false))
+                    .findFirst()
+                    .orElse(MemberId.TABLE));
         }
     }
 
     private void probe(MemberRow candidate) {
         PeerPort.Renewal probe = new PeerPort.Renewal(context.self(), 0, 0, true);
         context.peers().renew(candidate, probe, reply -> {
-            if (reply.decision() == GrantDecision.WILLING) {
+            answers.put(candidate.id(), reply.decision() == GrantDecision.WILLING);
+            finishWhenDecided();
+        });
+    }
+
+    private void finishWhenDecided() {
+        for (MemberRow candidate : candidates) {
+            Boolean willing = answers.get(candidate.id());
+            if (willing == null) {
+                return;
+            }
+            if (willing) {
                 finish(candidate.id());
+                return;
             }
-        });
+        }
+        finish(MemberId.TABLE);
     }
 
     private void finish(MemberId found) {
--- a/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
@@ -18,13 +18,15 @@
 /** Keeps this member's own row and lease: joins, renews, replaces its grantor and learns of its end. */
 final class HolderDuty {
     private static final long TABLE_GRANTOR_REVIEW_MILLIS = 1_000;
+    private static final long GRANTOR_REVIEW_MILLIS = 5_000;
+    private static final int TOUCHES_PER_BOUND = 8;
     private static final long RETRY_RENEWAL_MILLIS = 60;
     private static final long RETRY_WRITE_MILLIS = 100;
 
     private final ControlContext context;
     private final TableSync sync;
     private final TableWriter writer;
-    private final HolderLease lease = new HolderLease();
+    private final HolderLease lease;
     private MemberRow row;
     private long revision;
     private Predecessor predecessor = Predecessor.NONE;
@@ -36,9 +38,11 @@
     private long nextRenewalMillis;
     private long nextReviewMillis;
     private long nextWriteMillis;
+    private long nextTouchMillis;
     private long touchCount;
 
-    HolderDuty(ControlContext context, TableSync sync, TableWriter writer, MemberRow template) {
+    HolderDuty(ControlContext context, TableSync sync, TableWriter writer, MemberRow template, HolderLease lease) {
+        this.lease = lease;
         this.context = context;
         this.sync = sync;
         this.writer = writer;
@@ -100,6 +104,7 @@
             return;
         }
         renewWhenDue(nowMillis);
+        touchWhenDue(nowMillis);
         updateRowWhenNeeded(nowMillis);
         reviewGrantor(nowMillis);
     }
@@ -147,7 +152,11 @@
         Optional<TakeoverPlan> takeover = gone.map(g -> TakeoverPlan.declareDead(context.view(), g, row.id(), joining));
         takeover.ifPresent(plan -> transaction.addAll(plan.transaction().build()));
         writing = true;
-        writer.submit(transaction.build(), context.nowMillis(), outcome -> {
+        long sentMillis = context.nowMillis();
+        writer.submit(transaction.build(), sentMillis, outcome -> {
+            if (outcome.committed()) {
+                extendBound(sentMillis);
+            }
             onRowWritten(joining, outcome);
             takeover.ifPresent(plan -> reportReturn(gone.get(), plan, outcome));
         });
@@ -173,12 +182,24 @@
         }
         nextRenewalMillis = nowMillis + leaseSettings().heartbeatMillis();
         if (lease.grantor().equals(MemberId.TABLE)) {
-            touch(nowMillis);
+            nextTouchMillis = nowMillis;
         } else {
             context.view().members().serving(lease.grantor()).ifPresent(grantor -> renew(grantor, nowMillis));
         }
     }
 
+    private void touchWhenDue(long nowMillis) {
+        if (nowMillis >= nextTouchMillis) {
+            long intervalMillis = context.settings().outageBoundMillis() / TOUCHES_PER_BOUND;
+            nextTouchMillis = nowMillis + intervalMillis / 2 + context.random().nextLong(intervalMillis / 2);
+            touch(nowMillis);
+        }
+    }
+
+    private void extendBound(long reachedMillis) {
+        lease.extendBound(reachedMillis + context.settings().outageBoundMillis());
+    }
+
     private void renew(MemberRow grantor, long nowMillis) {
         long epoch = lease.epoch();
         PeerPort.Renewal renewal = new PeerPort.Renewal(row.id(), epoch, lease.beginRenewal(nowMillis), false);
@@ -216,17 +237,24 @@
                 .put(RowPath.touch(row.id()), RowCodec.encode(new TouchRow(++touchCount)))
                 .build();
         context.settle(context.table().commit(touch), (result, failure) -> {
-            if (failure != null || ended) {
-                return;
-            }
-            if (!result.committed()) {
-                sync.fetch(RowPath.member(row.id()));
-            } else if (lease.onGranted(sequence, epoch, leaseSettings().leaseMillis(), context.nowMillis())) {
-                context.listener().onLease(lease.leaseEndMillis());
+            if (failure == null && !ended) {
+                onTouched(result.committed(), epoch, sequence, nowMillis);
             }
         });
     }
 
+    private void onTouched(boolean committed, long epoch, long sequence, long sentMillis) {
+        if (!committed) {
+            sync.fetch(RowPath.member(row.id()));
+            return;
+        }
+        extendBound(sentMillis);
+        if (lease.grantor().equals(MemberId.TABLE)) {
+            lease.onGranted(sequence, epoch, leaseSettings().leaseMillis(), context.nowMillis());
+        }
+        context.listener().onLease(lease.leaseEndMillis());
+    }
+
     private record TouchRow(long count) {}
 
     // Changing the own row
@@ -239,6 +267,18 @@
             }
         } else if (nowMillis - lease.lastGrantMillis() > leaseSettings().replaceAfterMillis()) {
             replaceGrantor(lease.grantor());
+        } else if (nowMillis >= nextReviewMillis) {
+            nextReviewMillis =
+                    nowMillis + GRANTOR_REVIEW_MILLIS + context.random().nextLong(GRANTOR_REVIEW_MILLIS);
+            replaceByBetterGrantor();
+        }
+    }
+
+    /** Moves to the member that should grant this one since others have joined or ended. */
+    private void replaceByBetterGrantor() {
+        List<MemberRow> best = context.view().members().ring().candidates(row.id(), row.failureDomain(), 1);
+        if (!best.isEmpty() && !best.get(0).id().equals(lease.grantor())) {
+            replaceGrantor(null);
         }
     }
 
@@ -251,7 +291,11 @@
     }
 
     private void onReplacementFound(MemberId grantor) {
-        if (!grantor.equals(lease.grantor()) && !writing) {
+        boolean toTableForNothing = grantor.equals(MemberId.TABLE)
+                && lease.isValid(context.nowMillis())
+                && context.nowMillis() - lease.lastGrantMillis()
+                        <= leaseSettings().replaceAfterMillis();
+        if (!grantor.equals(lease.grantor()) && !writing && !toTableForNothing) {
             replaceRow(row.withGrantor(grantor));
         }
     }
--- a/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
@@ -83,7 +83,7 @@
         ServiceName service = release.service();
         HoldingRow mine = context.view().holding(service, context.self());
         List<HeldSlice> moving = held(mine, release.slices());
-        if (moving.size() != slices.size()) {
+        if (moving.size() != slices.size() || !canTake(release)) {
             finish(release, slices, false);
             return;
         }
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/SilenceDuty.java
@@ -0,0 +1,98 @@
+package org.siskindyke.kernel.control;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+
+/**
+ * Declares members dead that have not touched their row for longer than any member serves without reaching the table.
+ *
+ * <p>This is the last resort where members that granted each other in a circle were all lost: nobody else may declare
+ * them dead. A member watches a few of those that do not answer its exchanges of changes.
+ */
+final class SilenceDuty {
+    private static final int MAX_WATCHES = 3;
+    private static final int READS_PER_BOUND = 10;
+    private static final int MARGIN_SHARE = 8;
+    private static final long SUSPECT_AFTER_MILLIS = 5_000;
+
+    private final ControlContext context;
+    private final DeathDuty deaths;
+    private final Map<MemberId, Long> unansweredSinceMillis = new HashMap<>();
+    private final Map<MemberId, Watch> watches = new HashMap<>();
+
+    SilenceDuty(ControlContext context, DeathDuty deaths) {
+        this.context = context;
+        this.deaths = deaths;
+    }
+
+    /** What was last seen of a member's touch row and member row. */
+    private static final class Watch {
+        private long touchRevision = -1;
+        private long memberRevision = -1;
+        private long sinceMillis;
+        private long nextReadMillis;
+    }
+
+    void onGossipSent(MemberId member) {
+        unansweredSinceMillis.putIfAbsent(member, context.nowMillis());
+    }
+
+    void onGossipAnswered(MemberId member) {
+        unansweredSinceMillis.remove(member);
+        watches.remove(member);
+    }
+
+    void onMemberRow(MemberRow member) {
+        if (!member.mayServe()) {
+            unansweredSinceMillis.remove(member.id());
+            watches.remove(member.id());
+        }
+    }
+
+    void tick(long nowMillis) {
+        if (watches.size() < MAX_WATCHES) {
+            unansweredSinceMillis.forEach((member, sinceMillis) -> {
+                if (nowMillis - sinceMillis > SUSPECT_AFTER_MILLIS && watches.size() < MAX_WATCHES) {
+                    watches.computeIfAbsent(member, m -> new Watch());
+                }
+            });
+        }
+        Map.copyOf(watches).forEach((member, watch) -> readWhenDue(member, watch, nowMillis));
+    }
+
+    private void readWhenDue(MemberId member, Watch watch, long nowMillis) {
+        if (nowMillis < watch.nextReadMillis) {
+            return;
+        }
+        watch.nextReadMillis = nowMillis + context.settings().outageBoundMillis() / READS_PER_BOUND;
+        context.settle(context.table().read(RowPath.touch(member)), (row, failure) -> {
+            if (failure == null && watches.get(member) == watch) {
+                onTouchRead(member, watch, row);
+            }
+        });
+    }
+
+    private void onTouchRead(MemberId member, Watch watch, Row touch) {
+        long nowMillis = context.nowMillis();
+        long memberRevision = context.view().members().revision(member);
+        if (touch.revision() != watch.touchRevision || memberRevision != watch.memberRevision) {
+            watch.touchRevision = touch.revision();
+            watch.memberRevision = memberRevision;
+            watch.sinceMillis = nowMillis;
+            return;
+        }
+        long boundMillis = context.settings().outageBoundMillis();
+        if (nowMillis - watch.sinceMillis >= boundMillis + boundMillis / MARGIN_SHARE) {
+            deaths.declare(
+                    member,
+                    "row not touched for the outage bound and margin",
+                    Transaction.builder().require(RowPath.touch(member), watch.touchRevision));
+        }
+    }
+}
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -1,6 +1,5 @@
 package org.siskindyke.kernel.control;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -28,6 +27,8 @@
     private final ControlContext context;
     private final FailureDomain domain;
     private final Consumer<List<Row>> onRows;
+    private Consumer<MemberId> onSent = member -> {};
+    private Consumer<MemberId> onAnswered = member -> {};
     private boolean synced;
     private boolean polling;
     private boolean pollAgain;
@@ -52,6 +53,12 @@
         return lastTableAnswerMillis;
     }
 
+    /** Lets others follow to whom exchanges were sent and who answered. */
+    void observeGossip(Consumer<MemberId> sent, Consumer<MemberId> answered) {
+        onSent = sent;
+        onAnswered = answered;
+    }
+
     void tick(long nowMillis) {
         if (nowMillis >= nextPollMillis && (!synced || isReader() || isStale(nowMillis))) {
             poll();
@@ -98,10 +105,12 @@
     /** Exchanges changes with a member at once. */
     void gossipWith(MemberRow member) {
         PeerPort.Gossip mine = new PeerPort.Gossip(context.self(), version(), TableChanges.none(0));
+        onSent.accept(member.id());
         context.peers().gossip(member, mine, this::onGossipReply);
     }
 
     private void onGossipReply(PeerPort.Gossip reply) {
+        onAnswered.accept(reply.member());
         accept(reply);
         if (reply.tableVersion() >= version()) {
             return;
@@ -189,11 +198,4 @@
     private long jittered(long millis) {
         return millis - millis / 4 + context.random().nextLong(millis / 2 + 1);
     }
-
-    /** Returns the members that a change should reach first. */
-    static List<MemberRow> rows(ClusterView view, List<MemberId> ids) {
-        List<MemberRow> rows = new ArrayList<>();
-        ids.forEach(id -> view.members().serving(id).ifPresent(rows::add));
-        return rows;
-    }
 }
--- a/src/main/java/org/siskindyke/kernel/membership/GrantorRing.java
+++ b/src/main/java/org/siskindyke/kernel/membership/GrantorRing.java
@@ -7,24 +7,24 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 
 import com.google.common.hash.Hashing;
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.MemberId;
 
 /**
- * An order of the members in which failure domains alternate, so that the loss of one domain takes no neighbours.
+ * An order of the members by hash, in which each looks for its grantor among those that follow.
  *
- * <p>Immutable. Members of a domain are spread evenly over the ring in the order of their hash.
+ * <p>Immutable. A member prefers the nearest that follows it in another failure domain, so that the loss of one domain
+ * takes no member together with its grantor. Since all look in one direction, members that grant each other in a circle
+ * span the whole ring, unless almost none are left.
  */
 public final class GrantorRing {
     private final List<MemberRow> order;
-    private final Map<MemberId, Integer> positions;
+    private final Map<MemberId, Integer> positions = new HashMap<>();
 
     private GrantorRing(List<MemberRow> order) {
         this.order = order;
-        this.positions = new HashMap<>();
         for (int i = 0; i < order.size(); i++) {
             positions.put(order.get(i).id(), i);
         }
@@ -37,20 +37,9 @@
      * @return the ring
      */
     public static GrantorRing of(Collection<MemberRow> members) {
-        Map<FailureDomain, List<MemberRow>> domains = new TreeMap<>();
-        for (MemberRow member : members) {
-            domains.computeIfAbsent(member.failureDomain(), d -> new ArrayList<>())
-                    .add(member);
-        }
-        List<Placed> placed = new ArrayList<>(members.size());
-        for (List<MemberRow> domain : domains.values()) {
-            domain.sort(Comparator.comparingLong((MemberRow m) -> hash(m.id())).thenComparing(MemberRow::id));
-            for (int i = 0; i < domain.size(); i++) {
-                placed.add(new Placed((i + 0.5) / domain.size(), domain.get(i)));
-            }
-        }
-        placed.sort(Comparator.comparingDouble(Placed::position));
-        return new GrantorRing(placed.stream().map(Placed::member).toList());
+        List<MemberRow> order = new ArrayList<>(members);
+        order.sort(Comparator.comparingLong((MemberRow m) -> hash(m.id())).thenComparing(MemberRow::id));
+        return new GrantorRing(order);
     }
 
     /** Returns the members in ring order. */
@@ -59,25 +48,30 @@
     }
 
     /**
-     * Returns the members that follow a member.
+     * Returns who should be a member's grantor, best first: the nearest of another failure domain, then the nearest of
+     * its own, and last those whose own grantor the member is.
      *
      * @param member a member on the ring, or one that is about to join it
      * @param domain the member's failure domain
      * @param count at most this many
-     * @return successors; those of other failure domains first, in ring order
+     * @return candidates
      */
-    public List<MemberRow> successors(MemberId member, FailureDomain domain, int count) {
+    public List<MemberRow> candidates(MemberId member, FailureDomain domain, int count) {
         List<MemberRow> others = new ArrayList<>();
         List<MemberRow> neighbours = new ArrayList<>();
-        int start = positions.getOrDefault(member, startFor(member));
-        for (int i = 1; i <= order.size() && others.size() < count; i++) {
+        List<MemberRow> mutual = new ArrayList<>();
+        int start = positionOf(member);
+        for (int i = 0; i < order.size() && others.size() < count; i++) {
             MemberRow candidate = order.get((start + i) % order.size());
             if (candidate.id().equals(member)) {
                 continue;
             }
-            (candidate.failureDomain().equals(domain) ? neighbours : others).add(candidate);
+            boolean grantsBack = candidate.grantor().equals(member);
+            boolean sameDomain = candidate.failureDomain().equals(domain);
+            (grantsBack ? mutual : sameDomain ? neighbours : others).add(candidate);
         }
         others.addAll(neighbours);
+        others.addAll(mutual);
         return others.subList(0, Math.min(count, others.size()));
     }
 
@@ -93,12 +87,29 @@
         if (end == null) {
             return order.size();
         }
-        int start = positions.getOrDefault(from, startFor(from));
-        return Math.floorMod(end - start - 1, order.size());
+        int start = positionOf(from);
+        int first = positions.containsKey(from) ? start + 1 : start;
+        return Math.floorMod(end - first, order.size());
     }
 
-    private int startFor(MemberId absent) {
-        return order.isEmpty() ? 0 : (int) Math.floorMod(hash(absent), (long) order.size());
+    /** Returns the position of a member, or of the first that follows it where it is not on the ring. */
+    private int positionOf(MemberId member) {
+        Integer known = positions.get(member);
+        if (known != null) {
+            return known;
+        }
+        long hash = hash(member);
+        int low = 0;
+        int high = order.size();
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (hash(order.get(middle).id()) < hash) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low;
     }
 
     private static long hash(MemberId member) {
@@ -106,6 +117,4 @@
                 .hashString(member.value(), StandardCharsets.UTF_8)
                 .asLong();
     }
-
-    private record Placed(double position, MemberRow member) {}
 }
--- a/src/main/java/org/siskindyke/kernel/membership/HolderLease.java
+++ b/src/main/java/org/siskindyke/kernel/membership/HolderLease.java
@@ -10,7 +10,7 @@
  * <p>While the member replaces its grantor it accepts no renewals, because the new grantor only waits out what was
  * granted before its appointment.
  */
-public final class HolderLease {
+public class HolderLease {
     private static final int MAX_PENDING_RENEWALS = 64;
 
     private final TreeMap<Long, Long> sentMillisBySequence = new TreeMap<>();
@@ -20,6 +20,7 @@
     private boolean ended;
     private long nextSequence = 1;
     private long leaseEndMillis = Long.MIN_VALUE;
+    private long boundEndMillis = Long.MIN_VALUE;
     private long lastGrantMillis = Long.MIN_VALUE;
 
     /** Returns the recorded grantor; null before the member has joined. */
@@ -34,7 +35,7 @@
 
     /** Returns the end of the lease by the member's own clock, in milliseconds. */
     public long leaseEndMillis() {
-        return ended ? Long.MIN_VALUE : leaseEndMillis;
+        return ended ? Long.MIN_VALUE : Math.min(leaseEndMillis, boundEndMillis);
     }
 
     /** Returns when the last renewal was accepted, in milliseconds. */
@@ -49,7 +50,7 @@
 
     /** Tells whether the member may serve. */
     public boolean isValid(long nowMillis) {
-        return !ended && nowMillis < leaseEndMillis;
+        return nowMillis < leaseEndMillis();
     }
 
     /**
@@ -67,6 +68,15 @@
         sentMillisBySequence.clear();
     }
 
+    /**
+     * Lets the member serve without reaching the table for longer.
+     *
+     * @param endMillis when the member stops unless the table was reached again
+     */
+    public void extendBound(long endMillis) {
+        boundEndMillis = Math.max(boundEndMillis, endMillis);
+    }
+
     /** Stops accepting renewals; called before a replacement of the grantor is written. */
     public void suspend() {
         accepting = false;
--- a/src/main/java/org/siskindyke/kernel/membership/LeaseGrantor.java
+++ b/src/main/java/org/siskindyke/kernel/membership/LeaseGrantor.java
@@ -14,7 +14,7 @@
  * declared
  * dead.
  */
-public final class LeaseGrantor {
+public class LeaseGrantor {
     private final LeaseSettings settings;
     private final Map<MemberId, Charge> charges = new HashMap<>();
     private boolean closed;
--- a/src/main/java/org/siskindyke/kernel/membership/LeaseSettings.java
+++ b/src/main/java/org/siskindyke/kernel/membership/LeaseSettings.java
@@ -24,7 +24,8 @@
         if (!ordered) {
             throw new SiskindykeException(
                     ErrorCode.INVALID_SETTING,
-                    "lease durations must satisfy 0 < heartbeat < replace-after < lease and margin > 0, in milliseconds");
+                    "lease durations must satisfy 0 < heartbeat < replace-after < lease and margin > 0, in "
+                            + "milliseconds");
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -0,0 +1,313 @@
+package org.siskindyke.kernel.control;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.siskindyke.kernel.balance.SliceBalancePolicy;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.SliceRef;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.kernel.membership.GrantDecision;
+import org.siskindyke.kernel.membership.LeaseSettings;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+
+/** A member with a drifting clock that can be paused, lost and asked to leave. It rejoins after being declared dead. */
+final class FakeMember implements PeerPort, SliceTraffic, ControlListener {
+    private static final long REJOIN_MILLIS = 200;
+    private static final long OUTAGE_BOUND_MILLIS = 100_000;
+    private static final ControlSettings SETTINGS =
+            new ControlSettings(LeaseSettings.DEFAULT, 250, 200, 500, OUTAGE_BOUND_MILLIS);
+
+    private final FakeWorld world;
+    private final String instance;
+    private final String domain;
+    private final SliceBalancePolicy policy;
+    private final double clockRate;
+    private final long clockOffsetMillis;
+    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private final Set<SliceRef> held = new HashSet<>();
+    private final Map<SliceRef, Long> busyUntilMillis = new HashMap<>();
+    private ControlNode node;
+    private boolean paused;
+    private boolean lost;
+    private boolean left;
+    private int generationOfNode;
+
+    FakeMember(FakeWorld world, String instance, String domain, SliceBalancePolicy policy) {
+        this.world = world;
+        this.instance = instance;
+        this.domain = domain;
+        this.policy = policy;
+        this.clockRate = 0.97 + 0.06 * world.random.nextDouble();
+        this.clockOffsetMillis = world.random.nextInt(1_000_000);
+    }
+
+    void start() {
+        MemberId self = MemberId.of(InstanceName.of(instance), world.nextIncarnation());
+        generationOfNode++;
+        held.clear();
+        ControlContext context = new ControlContext(
+                self,
+                SETTINGS,
+                this::clockMillis,
+                new Random(world.random.nextLong()),
+                new FakeTable(world, this),
+                this,
+                this,
+                new ClusterView());
+        MemberRow template = new MemberRow(
+                self,
+                InstanceName.of(instance),
+                FailureDomain.of(domain),
+                new MemberAddress("127.0.0.1", 1, 2, 3),
+                MemberState.ALIVE,
+                0,
+                MemberId.TABLE,
+                List.of(new TargetAnnouncement(
+                        FakeWorld.SERVICE, TargetName.of("t"), "127.0.0.1", 4, true, world.checksGrants)),
+                null,
+                null);
+        node = new ControlNode(
+                context, template, this, policy, world.parts.holder(), world.parts.grantor(LeaseSettings.DEFAULT));
+        tickLater(generationOfNode);
+    }
+
+    private void tickLater(int generation) {
+        world.schedule(FakeWorld.TICK_MILLIS, () -> {
+            if (generation == generationOfNode && !isGone()) {
+                run(node::tick);
+                tickLater(generation);
+            }
+        });
+    }
+
+    ControlNode node() {
+        return node;
+    }
+
+    String instance() {
+        return instance;
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    boolean isGone() {
+        return lost || left;
+    }
+
+    void pause() {
+        paused = true;
+    }
+
+    void resume() {
+        paused = false;
+        while (!deferred.isEmpty() && !paused) {
+            deferred.remove().run();
+        }
+    }
+
+    void lose() {
+        lost = true;
+        deferred.clear();
+    }
+
+    void leave() {
+        run(() -> {
+            node.leave();
+            node.onTrafficIdle();
+        });
+    }
+
+    boolean canServe(SliceRef slice) {
+        long now = clockMillis();
+        return !isGone()
+                && !held.contains(slice)
+                && node.isJoined()
+                && node.lease().isValid(now)
+                && node.view()
+                        .ownership()
+                        .owner(slice)
+                        .filter(o -> o.isUsableBy(node.row().id(), now))
+                        .isPresent();
+    }
+
+    long trueLeaseEndMillis() {
+        return world.nowMillis() + (long) Math.floor((node.lease().leaseEndMillis() - clockMillis()) / clockRate);
+    }
+
+    void onRun(SliceRef slice, long endMillis) {
+        busyUntilMillis.merge(slice, endMillis, Math::max);
+    }
+
+    private long clockMillis() {
+        return clockOffsetMillis + (long) (world.nowMillis() * clockRate);
+    }
+
+    /** Runs an action of this member now, or once it is no longer paused. */
+    void run(Runnable action) {
+        if (isGone()) {
+            return;
+        }
+        if (paused) {
+            deferred.add(action);
+            return;
+        }
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            world.report(e);
+        }
+    }
+
+    // Messages
+
+    private void send(MemberRow to, Consumer<FakeMember> delivery) {
+        int copies = world.happens(world.network.duplicatePercent) ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (!world.happens(world.network.lossPercent)) {
+                world.schedule(world.delayUpTo(world.network.maxDelayMillis), () -> deliver(to, delivery));
+            }
+        }
+    }
+
+    private void deliver(MemberRow to, Consumer<FakeMember> delivery) {
+        for (FakeMember member : world.members) {
+            boolean addressed =
+                    !member.isGone() && member.instance.equals(to.instance().value());
+            if (addressed && !world.network.isCut(instance, member.instance)) {
+                member.run(() -> delivery.accept(member));
+            }
+        }
+    }
+
+    private void reply(FakeMember asker, Runnable action) {
+        if (!world.happens(world.network.lossPercent) && !world.network.isCut(instance, asker.instance)) {
+            world.schedule(world.delayUpTo(world.network.maxDelayMillis), () -> asker.run(action));
+        }
+    }
+
+    @Override
+    public void renew(MemberRow to, Renewal renewal, Consumer<RenewalReply> onReply) {
+        int sender = generationOfNode;
+        send(to, peer -> {
+            RenewalReply answer = peer.answer(renewal);
+            peer.reply(this, () -> ifSame(sender, () -> onReply.accept(answer)));
+        });
+    }
+
+    private RenewalReply answer(Renewal renewal) {
+        RenewalReply answer = node.onRenewal(renewal);
+        boolean broken = world.parts.grantsWithoutLease()
+                && answer.decision() == GrantDecision.NO_LEASE
+                && node.isJoined()
+                && !renewal.probe();
+        return broken ? new RenewalReply(answer.sequence(), GrantDecision.GRANTED, answer.leaseMillis()) : answer;
+    }
+
+    @Override
+    public void gossip(MemberRow to, Gossip gossip, Consumer<Gossip> onReply) {
+        int sender = generationOfNode;
+        send(to, peer -> {
+            Gossip answer = peer.node.onGossip(gossip);
+            peer.reply(this, () -> ifSame(sender, () -> onReply.accept(answer)));
+        });
+    }
+
+    @Override
+    public void release(MemberRow to, Release release) {
+        send(to, peer -> peer.node.onRelease(release));
+    }
+
+    private void ifSame(int generation, Runnable action) {
+        if (generation == generationOfNode) {
+            action.run();
+        }
+    }
+
+    // Traffic
+
+    @Override
+    public void hold(Collection<SliceRef> slices, Runnable whenIdle) {
+        held.addAll(slices);
+        long idleMillis = world.nowMillis();
+        for (SliceRef slice : slices) {
+            idleMillis = Math.max(idleMillis, busyUntilMillis.getOrDefault(slice, 0L));
+        }
+        int sender = generationOfNode;
+        world.schedule(idleMillis - world.nowMillis(), () -> run(() -> ifSame(sender, whenIdle)));
+    }
+
+    @Override
+    public void resume(Collection<SliceRef> slices) {
+        held.removeAll(slices);
+    }
+
+    // What the member learns of itself
+
+    @Override
+    public void onLease(long leaseEndMillis) {
+        // The lease is read from the node.
+    }
+
+    @Override
+    public void onJoined(MemberId grantor) {
+        // Tests look at the node.
+    }
+
+    @Override
+    public void onDeclaredDead(MemberId declaredBy) {
+        world.schedule(REJOIN_MILLIS, () -> run(this::start));
+    }
+
+    @Override
+    public void onLeft() {
+        left = true;
+    }
+
+    @Override
+    public void onGrantorReplaced(MemberId before, MemberId after) {
+        // Tests look at the node.
+    }
+
+    @Override
+    public void onRenewalRefused(MemberId grantor, GrantDecision decision) {
+        // Expected under faults.
+    }
+
+    @Override
+    public void onPlacement(PlacementDecision decision) {
+        // Tests look at the view.
+    }
+
+    @Override
+    public void onDefect(RuntimeException defect) {
+        world.report(defect);
+    }
+
+    String describe() {
+        return instance + " joined=" + node.isJoined() + " ended=" + node.isEnded() + " paused=" + paused + " row="
+                + node.row() + " lease=" + node.lease().isValid(clockMillis()) + " charges=" + node.chargeCount()
+                + " writes=" + node.pendingWrites() + " releasing=" + node.releasingSlices() + " held=" + held.size()
+                + " version=" + node.view().replica().version() + " table=" + node.lastTableAnswerMillis();
+    }
+
+    @Override
+    public String toString() {
+        return instance;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/control/FakeTable.java
@@ -0,0 +1,70 @@
+package org.siskindyke.kernel.control;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.table.CommitResult;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableChanges;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.kernel.table.Transaction;
+
+/** One member's way to the shared table, with delays, outages and lost answers. */
+final class FakeTable implements TableService {
+    private static final long TIMEOUT_MILLIS = 800;
+
+    private final FakeWorld world;
+    private final FakeMember member;
+
+    FakeTable(FakeWorld world, FakeMember member) {
+        this.world = world;
+        this.member = member;
+    }
+
+    @Override
+    public CompletionStage<TableChanges> changesSince(long version, int limitRows) {
+        return call(() -> world.table.changesSince(version, limitRows));
+    }
+
+    @Override
+    public CompletionStage<Row> read(RowPath path) {
+        return call(() -> world.table.read(path));
+    }
+
+    @Override
+    public CompletionStage<List<Row>> list(String prefix, int limitRows) {
+        return call(() -> world.table.list(prefix, limitRows));
+    }
+
+    @Override
+    public CompletionStage<CommitResult> commit(Transaction transaction) {
+        return call(() -> world.table.commit(transaction));
+    }
+
+    private <T> CompletionStage<T> call(Supplier<CompletionStage<T>> operation) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        FakeWorld.FakeTableFaults faults = world.tableFaults;
+        world.schedule(world.delayUpTo(faults.maxDelayMillis), () -> {
+            if (!faults.down && !world.happens(faults.loseRequestPercent)) {
+                operation.get().thenAccept(value -> deliver(answer, value));
+            }
+        });
+        world.schedule(
+                TIMEOUT_MILLIS,
+                () -> member.run(() -> answer.completeExceptionally(
+                        new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "no answer"))));
+        return answer;
+    }
+
+    private <T> void deliver(CompletableFuture<T> answer, T value) {
+        FakeWorld.FakeTableFaults faults = world.tableFaults;
+        if (!faults.down && !world.happens(faults.loseAnswerPercent)) {
+            world.schedule(world.delayUpTo(faults.maxDelayMillis), () -> member.run(() -> answer.complete(value)));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
@@ -0,0 +1,192 @@
+package org.siskindyke.kernel.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import org.siskindyke.kernel.balance.SliceCountPolicy;
+import org.siskindyke.kernel.document.DocumentRow;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.SliceRef;
+import org.siskindyke.kernel.membership.HolderLease;
+import org.siskindyke.kernel.membership.LeaseGrantor;
+import org.siskindyke.kernel.membership.LeaseSettings;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+import org.siskindyke.plugin.table.EmbeddedTable;
+
+/** Members with fake clocks, fake links and a fake table, all on one thread and one queue of events. */
+final class FakeWorld {
+    static final ServiceName SERVICE = ServiceName.of("haat");
+    static final long TICK_MILLIS = 25;
+
+    final Random random;
+    final EmbeddedTable table = new EmbeddedTable();
+    final List<FakeMember> members = new ArrayList<>();
+    final FakeLedger ledger;
+    final FakeNetwork network = new FakeNetwork();
+    final FakeTableFaults tableFaults = new FakeTableFaults();
+    final LeaseParts parts;
+    final int slices;
+    final boolean checksGrants;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<RuntimeException> defects = new ArrayList<>();
+    private long nowMillis;
+    private long nextEvent;
+    private int nextIncarnation = 1;
+
+    /** Makes the two sides of a lease; tests pass broken ones to show that checks notice. */
+    interface LeaseParts {
+        LeaseParts REAL = new LeaseParts() {};
+
+        default HolderLease holder() {
+            return new HolderLease();
+        }
+
+        default LeaseGrantor grantor(LeaseSettings settings) {
+            return new LeaseGrantor(settings);
+        }
+
+        default boolean grantsWithoutLease() {
+            return false;
+        }
+    }
+
+    static final class FakeNetwork {
+        int lossPercent;
+        int duplicatePercent;
+        long maxDelayMillis = 5;
+        final java.util.Set<String> cut = new java.util.HashSet<>();
+
+        boolean isCut(String from, String to) {
+            return cut.contains(from + ">" + to);
+        }
+    }
+
+    static final class FakeTableFaults {
+        boolean down;
+        int loseRequestPercent;
+        int loseAnswerPercent;
+        long maxDelayMillis = 10;
+    }
+
+    private record Event(long atMillis, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    FakeWorld(long seed, int slices, boolean checksGrants, LeaseParts parts) {
+        this.random = new Random(seed);
+        this.slices = slices;
+        this.checksGrants = checksGrants;
+        this.parts = parts;
+        this.ledger = new FakeLedger(this);
+        putDocument();
+    }
+
+    private void putDocument() {
+        ServiceDocument document = Documents.divided(SERVICE, slices, FakeLedger.LONGEST_CALL_MILLIS);
+        List<HeldSlice> all = new ArrayList<>();
+        for (int i = 0; i < slices; i++) {
+            all.add(new HeldSlice(i, 0, 0));
+        }
+        table.commit(Transaction.builder()
+                .put(RowPath.document(SERVICE), RowCodec.encode(new DocumentRow(document, 1, "test", 0)))
+                .put(RowPath.unassigned(SERVICE), RowCodec.encode(new HoldingRow(SERVICE, null, all)))
+                .build());
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    int nextIncarnation() {
+        return nextIncarnation++;
+    }
+
+    FakeMember start(String instance, String domain) {
+        FakeMember member = new FakeMember(this, instance, domain, new SliceCountPolicy());
+        members.add(member);
+        member.start();
+        return member;
+    }
+
+    void schedule(long delayMillis, Runnable action) {
+        events.add(new Event(nowMillis + delayMillis, nextEvent++, action));
+    }
+
+    void report(RuntimeException defect) {
+        defects.add(defect);
+    }
+
+    long delayUpTo(long maxMillis) {
+        return maxMillis == 0 ? 0 : random.nextLong(maxMillis + 1);
+    }
+
+    boolean happens(int percent) {
+        return percent > 0 && random.nextInt(100) < percent;
+    }
+
+    /** Runs events until a moment, and fails on the first defect that a member reports. */
+    void runFor(long millis) {
+        long endMillis = nowMillis + millis;
+        while (!events.isEmpty() && events.peek().atMillis() <= endMillis) {
+            Event event = events.remove();
+            nowMillis = event.atMillis();
+            event.action().run();
+            if (!defects.isEmpty()) {
+                throw new AssertionError("a member reported a defect at " + nowMillis + " ms", defects.get(0));
+            }
+        }
+        nowMillis = endMillis;
+    }
+
+    /** Runs until each slice can be served by exactly one member; returns how long that took, or -1. */
+    long runUntilServed(long limitMillis) {
+        long startMillis = nowMillis;
+        while (nowMillis - startMillis <= limitMillis) {
+            if (unservedSlices() == 0) {
+                return nowMillis - startMillis;
+            }
+            runFor(TICK_MILLIS);
+        }
+        return -1;
+    }
+
+    int unservedSlices() {
+        int unserved = 0;
+        for (int i = 0; i < slices; i++) {
+            SliceRef slice = new SliceRef(SERVICE, i);
+            unserved += members.stream().anyMatch(m -> m.canServe(slice)) ? 0 : 1;
+        }
+        return unserved;
+    }
+
+    /** Describes each member, for failure messages. */
+    String describe() {
+        StringBuilder text = new StringBuilder("at " + nowMillis + " ms");
+        members.stream()
+                .filter(m -> !m.isGone())
+                .forEach(m -> text.append(System.lineSeparator()).append("  ").append(m.describe()));
+        table.list("members/", 100).toCompletableFuture().join().stream()
+                .forEach(r ->
+                        text.append(System.lineSeparator()).append("  row ").append(r));
+        table.list("holdings/", 100).toCompletableFuture().join().stream()
+                .filter(r -> !r.value().contains("[]"))
+                .forEach(r ->
+                        text.append(System.lineSeparator()).append("  row ").append(r));
+        return text.toString();
+    }
+
+    long servingMembers(SliceRef slice) {
+        return members.stream().filter(m -> m.canServe(slice)).count();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/control/OwnershipUnderFaultsTest.java
@@ -0,0 +1,112 @@
+package org.siskindyke.kernel.control;
+
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.siskindyke.kernel.control.FakeWorld.LeaseParts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class OwnershipUnderFaultsTest {
+    private static final long RECOVERY_BOUND_MILLIS = 4_000;
+    private static final long SETTLE_MILLIS = 20_000;
+    private static final List<String> DOMAINS = List.of("kalna", "katwa", "memari", "guskara");
+
+    private static FakeWorld cluster(long seed, int members, boolean checksGrants) {
+        FakeWorld world = new FakeWorld(seed, 16, checksGrants, LeaseParts.REAL);
+        for (int i = 0; i < members; i++) {
+            world.start("m" + i, DOMAINS.get(i % DOMAINS.size()));
+        }
+        assertTrue(world.runUntilServed(SETTLE_MILLIS) >= 0, "slices never got owners");
+        world.runFor(5_000);
+        return world;
+    }
+
+    @Example
+    void eachSliceGetsExactlyOneOwnerAndMembersGrantEachOther() {
+        FakeWorld world = cluster(1, 4, true);
+        assertEquals(0, world.unservedSlices());
+        assertTrue(world.members.stream().allMatch(m -> m.node().isJoined()));
+    }
+
+    @Property(tries = 40, seed = "11", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void aLostMembersSlicesAreServedAgainWithinTheBound(@ForAll long seed) {
+        FakeWorld world = cluster(seed, 8, true);
+        world.members.get((int) Math.floorMod(seed, 8L)).lose();
+        long tookMillis = world.runUntilServed(RECOVERY_BOUND_MILLIS);
+        assertTrue(tookMillis >= 0, "not served within the bound");
+    }
+
+    @Property(tries = 40, seed = "12", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void aMemberAndItsGrantorLostTogetherAreReplacedWithinTheBound(@ForAll long seed) {
+        FakeWorld world = cluster(seed, 8, true);
+        FakeMember member = world.members.get((int) Math.floorMod(seed, 8L));
+        String grantor = member.node().row().grantor().value();
+        world.members.stream()
+                .filter(m -> m.node().row().id().value().equals(grantor))
+                .forEach(FakeMember::lose);
+        member.lose();
+        assertTrue(world.runUntilServed(RECOVERY_BOUND_MILLIS) >= 0, "not served within the bound");
+    }
+
+    @Property(tries = 30, seed = "13", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void aLostFailureDomainIsReplacedWithinTheBound(@ForAll long seed) {
+        FakeWorld world = cluster(seed, 12, true);
+        String domain = DOMAINS.get((int) Math.floorMod(seed, 4L));
+        world.members.stream()
+                .filter(m -> m.node().row().failureDomain().value().equals(domain))
+                .forEach(FakeMember::lose);
+        assertTrue(world.runUntilServed(RECOVERY_BOUND_MILLIS) >= 0, "not served within the bound");
+    }
+
+    @Property(tries = 20, seed = "14", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void anOutageOfTheTableStopsNobodyWhoseGrantorLives(@ForAll long seed) {
+        FakeWorld world = cluster(seed, 8, true);
+        world.runFor(5_000);
+        world.tableFaults.down = true;
+        for (int i = 0; i < 2_400; i++) {
+            world.runFor(FakeWorld.TICK_MILLIS);
+            assertEquals(0, world.unservedSlices(), "a slice was not served during the outage");
+        }
+    }
+
+    @Property(tries = 30, seed = "15", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void aGracefulLeaveNeverLeavesASliceUnserved(@ForAll long seed) {
+        FakeWorld world = cluster(seed, 6, true);
+        FakeMember leaving = world.members.get((int) Math.floorMod(seed, 6L));
+        leaving.leave();
+        for (int i = 0; i < 400 && !leaving.isGone(); i++) {
+            world.runFor(FakeWorld.TICK_MILLIS);
+        }
+        assertTrue(leaving.isGone(), "never left");
+        assertTrue(world.runUntilServed(RECOVERY_BOUND_MILLIS) >= 0, "a slice was not handed over");
+    }
+
+    @Property(tries = 60, seed = "16", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void noSliceRunsAtTwoMembersUnderRandomFaultsWhereGrantsAreChecked(@ForAll long seed) {
+        new RandomFaults(seed, true, LeaseParts.REAL).run(2_000);
+    }
+
+    @Property(tries = 60, seed = "17", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void noSliceRunsAtTwoMembersUnderRandomFaultsWhereGrantsAreNotChecked(@ForAll long seed) {
+        new RandomFaults(seed, false, LeaseParts.REAL).run(2_000);
+    }
+
+    /** Runs long randomised histories; set -Dsoak.seed and -Dsoak.runs to search further. */
+    @Example
+    void soakRunsAnySeed() {
+        long seed = Long.getLong("soak.seed", 42);
+        Random seeds = new Random(seed);
+        for (int i = 0; i < Integer.getInteger("soak.runs", 5); i++) {
+            long each = seeds.nextLong();
+            int calls = new RandomFaults(each, i % 2 == 0, LeaseParts.REAL).run(2_000);
+            assertTrue(calls > 0, "no call ran, seed " + each);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/control/RandomFaults.java
@@ -0,0 +1,137 @@
+package org.siskindyke.kernel.control;
+
+import java.util.List;
+import java.util.Random;
+
+import org.siskindyke.kernel.control.FakeWorld.LeaseParts;
+
+/** Runs a small cluster through random faults while calls run, then heals it and waits for full service. */
+final class RandomFaults {
+    private static final List<String> DOMAINS = List.of("kalna", "katwa", "memari");
+    private static final long STEP_MILLIS = 50;
+    private static final long HEAL_LIMIT_MILLIS = 300_000;
+
+    private final long seed;
+    private final FakeWorld world;
+    private final Random random;
+    private final int size;
+    private int started;
+
+    RandomFaults(long seed, boolean checksGrants, LeaseParts parts) {
+        this.seed = seed;
+        this.world = new FakeWorld(seed, 6, checksGrants, parts);
+        this.random = new Random(~seed);
+        this.size = 2 + random.nextInt(3);
+        for (int i = 0; i < size; i++) {
+            startMember();
+        }
+    }
+
+    private void startMember() {
+        world.start("m" + started, DOMAINS.get(started % DOMAINS.size()));
+        started++;
+    }
+
+    /** Returns the number of calls that ran. */
+    int run(int steps) {
+        try {
+            for (int i = 0; i < steps; i++) {
+                fault();
+                for (int c = 0; c < 5; c++) {
+                    world.runFor(STEP_MILLIS / 5);
+                    world.ledger.tryCall();
+                }
+            }
+            heal();
+        } catch (AssertionError e) {
+            throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+        }
+        return world.ledger.count();
+    }
+
+    private void fault() {
+        switch (random.nextInt(40)) {
+            case 0 -> pauseOne(random.nextInt(4_000));
+            case 1 -> pauseOne(1_000 + random.nextInt(600));
+            case 2 -> loseOne();
+            case 3 -> cutOne(random.nextInt(5_000));
+            case 4 -> tableDown(random.nextInt(6_000));
+            case 5 -> world.tableFaults.loseAnswerPercent = random.nextInt(3) * 25;
+            case 6 -> world.tableFaults.loseRequestPercent = random.nextInt(3) * 20;
+            case 7 -> world.tableFaults.maxDelayMillis = random.nextInt(4) * 150;
+            case 8 -> world.network.lossPercent = random.nextInt(3) * 20;
+            case 9 -> world.network.maxDelayMillis = 5 + random.nextInt(4) * 200;
+            case 10 -> world.network.duplicatePercent = random.nextInt(2) * 20;
+            case 11 -> leaveOne();
+            default -> {
+                // Most steps pass without a new fault.
+            }
+        }
+    }
+
+    private FakeMember any() {
+        return world.members.get(random.nextInt(world.members.size()));
+    }
+
+    private void pauseOne(long millis) {
+        FakeMember member = any();
+        if (!member.isGone() && !member.isPaused()) {
+            member.pause();
+            world.schedule(millis, member::resume);
+        }
+    }
+
+    private void loseOne() {
+        FakeMember member = any();
+        if (!member.isGone()) {
+            member.lose();
+            replaceLater();
+        }
+    }
+
+    private void leaveOne() {
+        FakeMember member = any();
+        if (!member.isGone()) {
+            member.leave();
+            replaceLater();
+        }
+    }
+
+    private void replaceLater() {
+        world.schedule(random.nextInt(3_000), this::startMember);
+    }
+
+    private void cutOne(long millis) {
+        String from = any().instance();
+        String to = any().instance();
+        world.network.cut.add(from + ">" + to);
+        if (random.nextBoolean()) {
+            world.network.cut.add(to + ">" + from);
+        }
+        world.schedule(millis, () -> {
+            world.network.cut.remove(from + ">" + to);
+            world.network.cut.remove(to + ">" + from);
+        });
+    }
+
+    private void tableDown(long millis) {
+        world.tableFaults.down = true;
+        world.schedule(millis, () -> world.tableFaults.down = false);
+    }
+
+    private void heal() {
+        world.network.cut.clear();
+        world.network.lossPercent = 0;
+        world.network.duplicatePercent = 0;
+        world.network.maxDelayMillis = 5;
+        world.tableFaults.loseAnswerPercent = 0;
+        world.tableFaults.loseRequestPercent = 0;
+        world.tableFaults.maxDelayMillis = 10;
+        world.runFor(6_000);
+        world.tableFaults.down = false;
+        if (world.runUntilServed(HEAL_LIMIT_MILLIS) < 0) {
+            throw new AssertionError(
+                    "slices are not served " + HEAL_LIMIT_MILLIS + " ms after the last fault, " + world.describe());
+        }
+    }
+}
