--- a/src/main/java/org/siskindyke/kernel/membership/HolderLease.java
+++ b/src/main/java/org/siskindyke/kernel/membership/HolderLease.java
@@ -126,4 +126,10 @@
         lastGrantMillis = nowMillis;
         return true;
     }
+
+    @Override
+    public String toString() {
+        return "grantor=" + grantor + " epoch=" + epoch + " accepting=" + accepting + " ended=" + ended + " leaseEnd="
+                + leaseEndMillis + " boundEnd=" + boundEndMillis + " sent=" + sentMillisBySequence;
+    }
 }
--- a/src/main/java/org/siskindyke/kernel/membership/LeaseGrantor.java
+++ b/src/main/java/org/siskindyke/kernel/membership/LeaseGrantor.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.siskindyke.kernel.id.MemberId;
 
@@ -105,6 +106,11 @@
         return expired;
     }
 
+    @Override
+    public String toString() {
+        return "closed=" + closed + " charges=" + new TreeMap<>(charges);
+    }
+
     private static final class Charge {
         private final long epoch;
         private long expiryMillis;
@@ -114,5 +120,10 @@
             this.epoch = epoch;
             this.expiryMillis = expiryMillis;
         }
+
+        @Override
+        public String toString() {
+            return "epoch=" + epoch + " expiry=" + expiryMillis + " givenUp=" + givenUp;
+        }
     }
 }
--- a/src/main/java/org/siskindyke/standin/BackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/BackendStandin.java
@@ -141,7 +141,7 @@
         }
         mostRunning.accumulateAndGet(now, Math::max);
         Execution execution = new Execution(request);
-        return execution.run(present).map(completed -> respond(context, request, factory, present, completed));
+        return execution.run(present).flatMap(completed -> respond(context, request, factory, present, completed));
     }
 
     private static HttpResponse refuse(HttpResponseFactory factory) {
@@ -150,17 +150,15 @@
         return response;
     }
 
-    private HttpResponse respond(
+    private Single<HttpResponse> respond(
             HttpServiceContext context,
             HttpRequest request,
             HttpResponseFactory factory,
             BackendFaults present,
             boolean completed) {
-        if (!completed) {
-            return refuse(factory);
-        }
-        if (present.cutAnswers()) {
+        if (!completed || present.cutAnswers()) {
             context.closeAsync().subscribe();
+            return Single.never();
         }
         HttpResponse response = Json.respond(
                 factory,
@@ -174,7 +172,7 @@
         if (callId != null) {
             response.headers().set(Headers.CALL_ID, present.wrongCallIds() ? callId + "x" : callId);
         }
-        return response;
+        return Single.succeeded(response);
     }
 
     /** Tells whether the member's grant has not ended and its generation is not older than one seen for the key. */
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/membership/BrokenLeases.java
@@ -0,0 +1,108 @@
+package org.siskindyke.kernel.membership;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import org.siskindyke.kernel.id.MemberId;
+
+/** Lease parts that each break one rule of the protocol, to show that the checks notice. */
+public enum BrokenLeases {
+    /** Breaks nothing. */
+    NONE(HolderLease::new, LeaseGrantor::new),
+    /** The holder counts its lease from the answer instead of from the sending. */
+    LEASE_COUNTED_FROM_ANSWER(CountsFromAnswer::new, LeaseGrantor::new),
+    /** The holder accepts renewals while it replaces its grantor. */
+    ACCEPTS_WHILE_REPLACING(NeverSuspends::new, LeaseGrantor::new),
+    /** A grantor grants while it holds no lease itself. */
+    GRANTS_WITHOUT_LEASE(HolderLease::new, LeaseGrantor::new),
+    /** A new grantor does not wait out what its predecessor granted. */
+    NEW_GRANTOR_DOES_NOT_WAIT(HolderLease::new, DoesNotWait::new),
+    /** A grantor gives a silent charge up before its lease has ended. */
+    GIVES_UP_EARLY(HolderLease::new, GivesUpEarly::new),
+    /** A grantor renews a charge that it has given up. */
+    RENEWS_AFTER_GIVING_UP(HolderLease::new, RenewsAfterGivingUp::new),
+    /** A member whose grantor is dead is declared dead at once. */
+    ORPHANS_DECLARED_AT_ONCE(HolderLease::new, LeaseGrantor::new);
+
+    private final Supplier<HolderLease> holder;
+    private final Function<LeaseSettings, LeaseGrantor> grantor;
+
+    BrokenLeases(Supplier<HolderLease> holder, Function<LeaseSettings, LeaseGrantor> grantor) {
+        this.holder = holder;
+        this.grantor = grantor;
+    }
+
+    public HolderLease holder() {
+        return holder.get();
+    }
+
+    public LeaseGrantor grantor(LeaseSettings settings) {
+        return grantor.apply(settings);
+    }
+
+    private static final class CountsFromAnswer extends HolderLease {
+        private final Map<Long, Long> sentMillis = new HashMap<>();
+
+        @Override
+        public long beginRenewal(long nowMillis) {
+            long sequence = super.beginRenewal(nowMillis);
+            sentMillis.put(sequence, nowMillis);
+            return sequence;
+        }
+
+        @Override
+        public boolean onGranted(long sequence, long grantEpoch, long leaseMillis, long nowMillis) {
+            long late = nowMillis - sentMillis.getOrDefault(sequence, nowMillis);
+            return super.onGranted(sequence, grantEpoch, leaseMillis + late, nowMillis);
+        }
+    }
+
+    private static final class NeverSuspends extends HolderLease {
+        @Override
+        public void suspend() {
+            // Broken on purpose.
+        }
+    }
+
+    private static final class DoesNotWait extends LeaseGrantor {
+        private final LeaseSettings settings;
+
+        private DoesNotWait(LeaseSettings settings) {
+            super(settings);
+            this.settings = settings;
+        }
+
+        @Override
+        public void appoint(MemberId member, long epoch, long nowMillis) {
+            super.appoint(member, epoch, nowMillis - settings.expiryMillis());
+        }
+    }
+
+    private static final class GivesUpEarly extends LeaseGrantor {
+        private final LeaseSettings settings;
+
+        private GivesUpEarly(LeaseSettings settings) {
+            super(settings);
+            this.settings = settings;
+        }
+
+        @Override
+        public java.util.List<MemberId> expired(long nowMillis) {
+            return super.expired(nowMillis + settings.marginMillis() + settings.leaseMillis() / 2);
+        }
+    }
+
+    private static final class RenewsAfterGivingUp extends LeaseGrantor {
+        private RenewsAfterGivingUp(LeaseSettings settings) {
+            super(settings);
+        }
+
+        @Override
+        public GrantDecision onRenewal(MemberId member, long epoch, long nowMillis) {
+            GrantDecision decision = super.onRenewal(member, epoch, nowMillis);
+            return decision == GrantDecision.GIVEN_UP ? GrantDecision.GRANTED : decision;
+        }
+    }
+}
