Add trials: real processes under faults, judged by ledgers

Cause: nothing showed the promises with real processes, signals and sockets. Change: 'siskindyke trial' and scripts/trial start eight routers, eight backend stand-ins and the table stand-in, run a load and a prober, cause a scenario's faults and judge ledgers and callers' records; two modes to compare with (fixed hashing, leases renewed in the table).

--- a/src/main/java/org/siskindyke/command/Flags.java
+++ b/src/main/java/org/siskindyke/command/Flags.java
@@ -209,6 +209,15 @@
             throw invalid("--" + name + " is " + value + "; give a number from " + low + " to " + high);
         }
 
+        /** Returns a value that is one of a few words. */
+        public String choice(String name, List<String> words) {
+            String value = values.get(name);
+            if (!words.contains(value)) {
+                throw invalid("--" + name + " is '" + value + "'; use one of " + String.join(", ", words));
+            }
+            return value;
+        }
+
         /** Returns a TCP port, where 0 stands for any free one. */
         public int port(String name) {
             return (int) number(name, 0, 65_535);
--- a/src/main/java/org/siskindyke/command/RouterCommand.java
+++ b/src/main/java/org/siskindyke/command/RouterCommand.java
@@ -1,6 +1,7 @@
 package org.siskindyke.command;
 
 import java.io.PrintStream;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -43,6 +44,7 @@
                 .optional("admin-port", "8082", "TCP port for operators and the backend server; 0 for any free one")
                 .optional(
                         "target-policy", RouterSettings.DEFAULT_TARGET_POLICY, "chooses targets of undivided services")
+                .optional("grantors", "peers", "who renews leases: peers, or table for a cluster of very few")
                 .optional("slice-policy", RouterSettings.DEFAULT_SLICE_POLICY, "proposes moves of slices")
                 .optional("lease-millis", Long.toString(LEASE.leaseMillis()), "duration of leases")
                 .optional("margin-millis", Long.toString(LEASE.marginMillis()), "wait of grantors beyond the lease")
@@ -103,7 +105,8 @@
                         defaults.pollMillis(),
                         defaults.gossipMillis(),
                         defaults.planMillis(),
-                        defaults.outageBoundMillis()),
+                        defaults.outageBoundMillis(),
+                        settings.choice("grantors", List.of("peers", "table")).equals("peers")),
                 settings.isOn("fault-injection"));
     }
 }
--- a/src/main/java/org/siskindyke/command/StandinBackendCommand.java
+++ b/src/main/java/org/siskindyke/command/StandinBackendCommand.java
@@ -70,6 +70,7 @@
                 admin.port(),
                 service,
                 new AdminServer.Announcement(target, settings.text("host"), backend.port(), checksGrants));
+        backend.setOnDrain(announcer::withdraw);
         announcer.start();
         out.println("{\"port\":" + backend.port() + "}");
         out.flush();
--- a/src/main/java/org/siskindyke/kernel/control/ControlSettings.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlSettings.java
@@ -10,9 +10,15 @@
  * @param gossipMillis interval at which a router exchanges changes with another
  * @param planMillis interval at which the planner of a service looks for better placement
  * @param outageBoundMillis how long a member serves without reaching the table
+ * @param peerGrantors whether other members renew leases; otherwise each member renews its own at the table
  */
 public record ControlSettings(
-        LeaseSettings lease, long pollMillis, long gossipMillis, long planMillis, long outageBoundMillis) {
+        LeaseSettings lease,
+        long pollMillis,
+        long gossipMillis,
+        long planMillis,
+        long outageBoundMillis,
+        boolean peerGrantors) {
     private static final long DEFAULT_POLL_MILLIS = 250;
     private static final long DEFAULT_GOSSIP_MILLIS = 200;
     private static final long DEFAULT_PLAN_MILLIS = 500;
@@ -24,5 +30,6 @@
             DEFAULT_POLL_MILLIS,
             DEFAULT_GOSSIP_MILLIS,
             DEFAULT_PLAN_MILLIS,
-            DEFAULT_OUTAGE_BOUND_MILLIS);
+            DEFAULT_OUTAGE_BOUND_MILLIS,
+            true);
 }
--- a/src/main/java/org/siskindyke/kernel/control/GrantorSearch.java
+++ b/src/main/java/org/siskindyke/kernel/control/GrantorSearch.java
@@ -45,6 +45,10 @@
     }
 
     void start() {
+        if (!context.settings().peerGrantors()) {
+            finish(MemberId.TABLE);
+            return;
+        }
         candidates = context.view().members().ring().candidates(context.self(), domain, MAX_CANDIDATES).stream()
                 .filter(c -> !c.id().equals(excluded))
                 .toList();
--- /dev/null
+++ b/src/main/java/org/siskindyke/load/CallerClient.java
@@ -0,0 +1,135 @@
+package org.siskindyke.load;
+
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.transport.api.RetryableException;
+import org.siskindyke.kernel.call.Verdict;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.runtime.call.Headers;
+import org.siskindyke.runtime.http.Http;
+import org.siskindyke.runtime.http.Json;
+import org.siskindyke.standin.BackendStandin;
+
+import static io.servicetalk.buffer.netty.BufferAllocators.DEFAULT_ALLOCATOR;
+
+/** Sends single calls to routers, as a caller does, and checks their answers. */
+public final class CallerClient implements CallSender {
+    private static final long TIMEOUT_MILLIS = 10_000;
+    private static final int OK = 200;
+    private static final int MOST_ROUTERS_TRIED = 4;
+
+    private final List<HttpClient> routers;
+
+    /**
+     * Creates a client.
+     *
+     * @param host address of all routers
+     * @param callerPorts their ports for callers
+     */
+    public CallerClient(String host, List<Integer> callerPorts) {
+        this.routers = callerPorts.stream()
+                .map(port -> Http.client(host, port, Http.Protocol.HTTP_1_1))
+                .toList();
+    }
+
+    @Override
+    public int routerCount() {
+        return routers.size();
+    }
+
+    @Override
+    public Single<CallRecord> send(Outgoing call, int router, long dueNanos) {
+        return trySend(call, router, dueNanos, 1);
+    }
+
+    private Single<CallRecord> trySend(Outgoing call, int router, long dueNanos, int tried) {
+        HttpClient client = routers.get(Math.floorMod(router, routers.size()));
+        return client.request(request(client, call))
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .map(response -> record(call, response, dueNanos))
+                .onErrorResume(failure -> {
+                    boolean refused = failure instanceof ConnectException || failure instanceof RetryableException;
+                    if (refused && tried < Math.min(MOST_ROUTERS_TRIED, routers.size())) {
+                        return trySend(call, router + 1, dueNanos, tried + 1);
+                    }
+                    return Single.succeeded(noAnswer(call, dueNanos, refused));
+                });
+    }
+
+    static HttpRequest request(HttpClient client, Outgoing call) {
+        HttpRequest request = call.method().equals("POST") ? client.post(call.path()) : client.get(call.path());
+        if (call.idempotencyKey() != null) {
+            request.headers().set(Headers.IDEMPOTENCY_KEY, call.idempotencyKey());
+        }
+        call.headers().forEach(h -> request.headers().set(h.name(), h.value()));
+        if (call.body().length > 0) {
+            request.payloadBody(DEFAULT_ALLOCATOR.wrap(call.body()));
+        }
+        return request;
+    }
+
+    static CallRecord record(Outgoing call, HttpResponse response, long dueNanos) {
+        int status = response.status().code();
+        boolean right = status == OK && isRight(call, response);
+        return new CallRecord(
+                header(response, Headers.CALL_ID),
+                call.service(),
+                call.key(),
+                call.method(),
+                call.idempotencyKey(),
+                call.attempt(),
+                dueNanos,
+                System.nanoTime(),
+                status,
+                header(response, Headers.VERDICT),
+                header(response, Headers.CODE),
+                right,
+                call.probe());
+    }
+
+    static CallRecord noAnswer(Outgoing call, long dueNanos, boolean refused) {
+        return new CallRecord(
+                null,
+                call.service(),
+                call.key(),
+                call.method(),
+                call.idempotencyKey(),
+                call.attempt(),
+                dueNanos,
+                System.nanoTime(),
+                0,
+                refused ? Verdict.NOT_RUN.name() : null,
+                null,
+                false,
+                call.probe());
+    }
+
+    private static boolean isRight(Outgoing call, HttpResponse response) {
+        try {
+            BackendStandin.Answer answer =
+                    Json.read(response.payloadBody().toString(StandardCharsets.UTF_8), BackendStandin.Answer.class);
+            return call.path().equals(answer.path())
+                    && (call.key() == null || call.key().equals(answer.key()))
+                    && answer.bodyLength() == call.body().length;
+        } catch (SiskindykeException e) {
+            return false;
+        }
+    }
+
+    private static String header(HttpResponse response, String name) {
+        CharSequence value = response.headers().get(name);
+        return value == null ? null : value.toString();
+    }
+
+    @Override
+    public void close() {
+        routers.forEach(r -> r.closeAsync().subscribe());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/load/HashingClient.java
@@ -0,0 +1,116 @@
+package org.siskindyke.load;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.common.hash.Hashing;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpClient;
+import org.siskindyke.runtime.http.Http;
+
+/**
+ * A baseline without routers: callers hash each key over the backend servers that answer a health check.
+ *
+ * <p>Nothing keeps two backend servers from running a key at once while callers differ about who answers.
+ */
+public final class HashingClient implements CallSender {
+    private static final long CHECK_MILLIS = 500;
+    private static final long CHECK_TIMEOUT_MILLIS = 400;
+    private static final long CALL_TIMEOUT_MILLIS = 1_000;
+    private static final int VIEWS = 4;
+
+    private final Supplier<List<Integer>> ports;
+    private final List<View> views = new ArrayList<>();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, task -> {
+        Thread thread = new Thread(task, "health-check");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /** What one caller believes of the backend servers. */
+    private static final class View {
+        private volatile List<HttpClient> healthy = List.of();
+        private List<Integer> known = List.of();
+        private List<HttpClient> clients = List.of();
+    }
+
+    /**
+     * Creates a baseline of several callers that check health on their own.
+     *
+     * @param ports gives the present ports of the backend servers, in a fixed order
+     */
+    public HashingClient(Supplier<List<Integer>> ports) {
+        this.ports = ports;
+        for (int i = 0; i < VIEWS; i++) {
+            View view = new View();
+            views.add(view);
+            check(view);
+            timer.scheduleWithFixedDelay(
+                    () -> check(view), CHECK_MILLIS * i / VIEWS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void check(View view) {
+        List<Integer> present = ports.get();
+        if (!present.equals(view.known)) {
+            view.clients.forEach(c -> c.closeAsync().subscribe());
+            view.clients = present.stream()
+                    .map(port -> Http.client("127.0.0.1", port, Http.Protocol.HTTP_1_1))
+                    .toList();
+            view.known = present;
+        }
+        List<HttpClient> healthy = new ArrayList<>();
+        for (HttpClient client : view.clients) {
+            if (answers(client)) {
+                healthy.add(client);
+            }
+        }
+        view.healthy = healthy;
+    }
+
+    private static boolean answers(HttpClient client) {
+        try {
+            client.request(client.get("/stats")).toFuture().get(CHECK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } catch (Exception e) {
+            return false;
+        }
+    }
+
+    @Override
+    public int routerCount() {
+        return VIEWS;
+    }
+
+    @Override
+    public Single<CallRecord> send(Outgoing call, int router, long dueNanos) {
+        List<HttpClient> healthy = views.get(Math.floorMod(router, VIEWS)).healthy;
+        if (healthy.isEmpty()) {
+            return Single.succeeded(CallerClient.noAnswer(call, dueNanos, true));
+        }
+        long hash = Hashing.murmur3_128()
+                .hashString(call.key(), StandardCharsets.UTF_8)
+                .asLong();
+        HttpClient client = healthy.get((int) Math.floorMod(hash, (long) healthy.size()));
+        var request = CallerClient.request(client, call);
+        request.headers().set("siskindyke-key", call.key());
+        return client.request(request)
+                .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .map(response -> CallerClient.record(call, response, dueNanos))
+                .onErrorReturn(failure -> CallerClient.noAnswer(call, dueNanos, false));
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        views.forEach(v -> v.clients.forEach(c -> c.closeAsync().subscribe()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load with answer checks. */
+package org.siskindyke.load;
--- a/src/main/java/org/siskindyke/runtime/Logging.java
+++ b/src/main/java/org/siskindyke/runtime/Logging.java
@@ -53,6 +53,8 @@
         root.setLevel(level(level));
         root.addAppender(queue);
         context.getLogger("io.servicetalk").setLevel(Level.ERROR);
+        context.getLogger("io.servicetalk.http.api.HttpExceptionMapperServiceFilter")
+                .setLevel(Level.OFF);
         context.getLogger("io.netty").setLevel(Level.ERROR);
     }
 
--- a/src/main/java/org/siskindyke/runtime/peer/PeerClients.java
+++ b/src/main/java/org/siskindyke/runtime/peer/PeerClients.java
@@ -19,7 +19,9 @@
 /**
  * Sends messages to other routers, over one connection to each.
  *
- * <p>A connection on which several requests in a row had no answer is replaced by a new one.
+ * <p>A connection on which several requests in a row had no answer is replaced by a new one; requests that still wait
+ * on it
+ * keep their own deadlines.
  */
 public final class PeerClients implements AutoCloseable {
     private static final int MOST_UNANSWERED = 2;
@@ -98,7 +100,7 @@
 
     private static void close(Peer peer) {
         if (peer != null) {
-            peer.client.closeAsync().subscribe();
+            peer.client.closeAsyncGracefully().subscribe();
         }
     }
 }
--- a/src/main/java/org/siskindyke/standin/BackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/BackendStandin.java
@@ -41,6 +41,7 @@
     private final AtomicLong executed = new AtomicLong();
     private final AtomicLong fenced = new AtomicLong();
     private volatile BackendFaults faults;
+    private volatile Runnable onDrain = () -> {};
 
     /**
      * Starts the stand-in.
@@ -83,6 +84,11 @@
      */
     public record Answer(String target, String path, String key, int bodyLength) {}
 
+    /** Sets what to do when asked to drain. */
+    public void setOnDrain(Runnable action) {
+        onDrain = action;
+    }
+
     /** Returns the port it listens on. */
     public int port() {
         return Http.portOf(server);
@@ -109,6 +115,10 @@
                 faults = Json.read(request.payloadBody(), BackendFaults.class);
                 yield Single.succeeded(Json.respond(factory, HttpResponseStatus.OK, faults));
             }
+            case "/drain" -> {
+                onDrain.run();
+                yield Single.succeeded(factory.noContent());
+            }
             case "/stats" -> Single.succeeded(Json.respond(factory, HttpResponseStatus.OK, stats()));
             default -> call(context, request, factory);
         };
--- a/src/main/java/org/siskindyke/standin/RateMeter.java
+++ b/src/main/java/org/siskindyke/standin/RateMeter.java
@@ -27,6 +27,12 @@
         mostInSecond = Math.max(mostInSecond, inSecond);
     }
 
+    synchronized void reset() {
+        total = 0;
+        inSecond = 0;
+        mostInSecond = 0;
+    }
+
     synchronized long total() {
         return total;
     }
--- a/src/main/java/org/siskindyke/standin/TableStandin.java
+++ b/src/main/java/org/siskindyke/standin/TableStandin.java
@@ -46,7 +46,7 @@
     }
 
     /**
-     * Counts since the start.
+     * Counts since the start or the last reset.
      *
      * @param reads reads in all
      * @param writes transactions in all
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/Trial.java
@@ -0,0 +1,372 @@
+package org.siskindyke.trial;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.function.BooleanSupplier;
+
+import io.servicetalk.http.api.HttpClient;
+import org.siskindyke.kernel.document.BalanceRule;
+import org.siskindyke.kernel.document.CallRule;
+import org.siskindyke.kernel.document.KeyRule;
+import org.siskindyke.kernel.document.MatchRule;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.document.TargetSpec;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.kernel.id.TeamName;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.plugin.table.TableProtocol;
+import org.siskindyke.runtime.admin.AdminClient;
+import org.siskindyke.runtime.http.Http;
+import org.siskindyke.runtime.http.Json;
+import org.siskindyke.standin.BackendFaults;
+import org.siskindyke.standin.TableFaults;
+import org.siskindyke.standin.TableStandin;
+
+import static io.servicetalk.buffer.netty.BufferAllocators.DEFAULT_ALLOCATOR;
+
+/** The processes of one trial, with the switches that scenarios use. */
+public final class Trial implements AutoCloseable {
+    /** The divided service of trials. */
+    public static final String DIVIDED = "haat";
+
+    /** The undivided service of trials. */
+    public static final String UNDIVIDED = "bayna";
+
+    private static final List<String> DOMAINS = List.of("kalna", "katwa", "memari", "guskara");
+    private static final int INSTANCES = 8;
+    private static final int SLICES = 64;
+    private static final int SLOTS = 12;
+    private static final int CONNECTIONS = 120;
+    private static final long WORK_MILLIS = 4;
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final int RESEND_WINDOW_SECONDS = 60;
+    private static final long START_LIMIT_MILLIS = 60_000;
+    private static final long STEP_MILLIS = 50;
+
+    private final String binary;
+    private final File directory;
+    private final Random random;
+    private final TrialMode mode;
+    private final TrialTraits traits;
+    private final List<TrialInstance> instances = new ArrayList<>();
+    private ManagedProcess table;
+    private int tablePort;
+    private HttpClient tableClient;
+    private long faultNanos;
+    private String drainedTarget;
+    private long drainedNanos;
+
+    /**
+     * Prepares a trial.
+     *
+     * @param binary the program's executable file
+     * @param directory receives ledgers, logs and results
+     * @param seed of the scenario's choices
+     * @param mode what is measured
+     * @param traits the scenario's wishes
+     */
+    public Trial(String binary, File directory, long seed, TrialMode mode, TrialTraits traits) {
+        this.binary = binary;
+        this.directory = directory;
+        this.random = new Random(seed);
+        this.mode = mode;
+        this.traits = traits;
+    }
+
+    private record Port(int port) {}
+
+    /** Starts all processes, puts the documents and waits until every slice has a level owner. */
+    public void start() {
+        table = new ManagedProcess(
+                binary, List.of("standin", "table", "--port", "0"), new File(directory, "table.log"));
+        tablePort = Json.read(table.start(), Port.class).port();
+        tableClient = Http.client("127.0.0.1", tablePort, Http.Protocol.HTTP_1_1);
+        for (int i = 0; i < INSTANCES; i++) {
+            instances.add(newInstance(i));
+        }
+        instances.parallelStream().forEach(TrialInstance::start);
+        try (AdminClient admin = instances.get(0).admin()) {
+            await("a router to join", () -> admin.instance().state().equals("ALIVE"));
+            admin.put(document(DIVIDED, true), 0, "trial");
+            admin.put(document(UNDIVIDED, false), 0, "trial");
+        }
+        awaitLevel();
+    }
+
+    private TrialInstance newInstance(int index) {
+        String domain = DOMAINS.get(index % DOMAINS.size());
+        TrialInstance instance = new TrialInstance("i" + (index + 1), domain, binary, directory, tablePort, mode);
+        instance.add(new TrialInstance.BackendSpec(
+                DIVIDED, target(DIVIDED, index), SLOTS, traits.workMillis(index, WORK_MILLIS), traits.checksGrants()));
+        if (traits.runsUndivided()) {
+            instance.add(new TrialInstance.BackendSpec(
+                    UNDIVIDED,
+                    target(UNDIVIDED, index),
+                    SLOTS,
+                    traits.workMillis(index, WORK_MILLIS),
+                    traits.checksGrants()));
+        }
+        return instance;
+    }
+
+    private static String target(String service, int index) {
+        return service + "-" + (index + 1);
+    }
+
+    private ServiceDocument document(String service, boolean divided) {
+        List<TargetSpec> targets = new ArrayList<>();
+        for (int i = 0; i < INSTANCES; i++) {
+            targets.add(new TargetSpec(
+                    TargetName.of(target(service, i)),
+                    FailureDomain.of(DOMAINS.get(i % DOMAINS.size())),
+                    SLOTS,
+                    CONNECTIONS));
+        }
+        return new ServiceDocument(
+                ServiceName.of(service),
+                TeamName.of("trial"),
+                new MatchRule(List.of(), "/" + service),
+                divided
+                        ? new KeyRule(true, KeyRule.KeySource.PATH_SEGMENT, null, 1, SLICES)
+                        : new KeyRule(false, null, null, 0, 0),
+                targets,
+                new CallRule(TIMEOUT_MILLIS, null, null, null, null, null, RESEND_WINDOW_SECONDS),
+                new BalanceRule(1, 0));
+    }
+
+    /** Waits until every running router with a target owns about as many slices as any other. */
+    public void awaitLevel() {
+        List<AdminClient> admins = instances.stream()
+                .filter(TrialInstance::isUp)
+                .map(TrialInstance::admin)
+                .toList();
+        try {
+            await("slices to be owned evenly", () -> isLevel(admins));
+        } finally {
+            admins.forEach(AdminClient::close);
+        }
+    }
+
+    private static boolean isLevel(List<AdminClient> admins) {
+        int total = 0;
+        int most = 0;
+        int least = Integer.MAX_VALUE;
+        for (AdminClient admin : admins) {
+            int slices = admin.instance().slices().getOrDefault(DIVIDED, 0);
+            total += slices;
+            most = Math.max(most, slices);
+            least = Math.min(least, slices);
+        }
+        return total == SLICES && most - least <= 1;
+    }
+
+    private static void await(String what, BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + START_LIMIT_MILLIS * 1_000_000;
+        while (!holds(condition)) {
+            if (System.nanoTime() > deadlineNanos) {
+                throw new SiskindykeException(ErrorCode.INTERNAL, "gave up waiting for " + what);
+            }
+            pause(STEP_MILLIS);
+        }
+    }
+
+    private static boolean holds(BooleanSupplier condition) {
+        try {
+            return condition.getAsBoolean();
+        } catch (SiskindykeException e) {
+            return false;
+        }
+    }
+
+    /** Lets time pass. */
+    public static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new SiskindykeException(ErrorCode.INTERNAL, "interrupted", e);
+        }
+    }
+
+    /** Returns what is measured. */
+    public TrialMode mode() {
+        return mode;
+    }
+
+    /** Returns the scenario's source of random choices. */
+    public Random random() {
+        return random;
+    }
+
+    /** Returns the instances. */
+    public List<TrialInstance> instances() {
+        return instances;
+    }
+
+    /** Returns a random running instance. */
+    public TrialInstance anyInstance() {
+        List<TrialInstance> up = instances.stream().filter(TrialInstance::isUp).toList();
+        return up.get(random.nextInt(up.size()));
+    }
+
+    /** Returns the instance whose router renews another's lease, if a router does. */
+    public Optional<TrialInstance> grantorOf(TrialInstance instance) {
+        try (AdminClient admin = instance.admin()) {
+            String grantor = admin.instance().grantor();
+            return instances.stream()
+                    .filter(i -> grantor.startsWith(i.name() + ":"))
+                    .findFirst();
+        }
+    }
+
+    /** Returns the routers' ports for callers. */
+    public List<Integer> callerPorts() {
+        return instances.stream().map(i -> i.address().callerPort()).toList();
+    }
+
+    /** Marks the moment of the fault, for timelines. */
+    public void markFault() {
+        if (faultNanos == 0) {
+            faultNanos = System.nanoTime();
+        }
+    }
+
+    /** Returns the moment of the first fault, by the host's monotonic clock; 0 for none. */
+    public long faultNanos() {
+        return faultNanos;
+    }
+
+    /** Switches the table's faults. */
+    public void setTableFaults(TableFaults faults) {
+        send("/faults", Json.write(faults), tableClient);
+    }
+
+    /** Starts the table's counts anew. */
+    public void resetTableStats() {
+        send("/reset", "", tableClient);
+    }
+
+    /** Returns the table's counts. */
+    public TableStandin.Stats tableStats() {
+        return Json.read(get(tableClient, "/stats"), TableStandin.Stats.class);
+    }
+
+    /**
+     * Returns the sum of all slices' generations of the divided service, which grows by one with each change of
+     * owner.
+     */
+    public long generationSum() {
+        String path = TableProtocol.ROWS + "?prefix=holdings/" + DIVIDED + "/&limit=1000";
+        TableProtocol.Rows rows = Json.read(get(tableClient, path), TableProtocol.Rows.class);
+        long sum = 0;
+        for (Row row : rows.rows()) {
+            HoldingRow holding = RowCodec.decode(row, HoldingRow.class);
+            sum += holding.slices().stream().mapToLong(HeldSlice::generation).sum();
+        }
+        return sum;
+    }
+
+    /** Switches the faults of an instance's backend servers. */
+    public void setBackendFaults(TrialInstance instance, BackendFaults faults) {
+        for (int port : instance.backendPorts()) {
+            HttpClient client = Http.client("127.0.0.1", port, Http.Protocol.HTTP_1_1);
+            send("/faults", Json.write(faults), client);
+            client.closeAsync().subscribe();
+        }
+    }
+
+    /** Lets an instance's backend servers withdraw. */
+    public void drainBackends(TrialInstance instance) {
+        drainedTarget = target(DIVIDED, instances.indexOf(instance));
+        drainedNanos = System.nanoTime();
+        for (int port : instance.backendPorts()) {
+            HttpClient client = Http.client("127.0.0.1", port, Http.Protocol.HTTP_1_1);
+            send("/drain", "", client);
+            client.closeAsync().subscribe();
+        }
+    }
+
+    /** Returns how long a backend server got work after it withdrew; -1 where none withdrew. */
+    long workAfterDrainMillis(LedgerJudge judge) {
+        return drainedTarget == null ? -1 : Math.max(0, judge.lastWorkAfterMillis(drainedTarget, drainedNanos));
+    }
+
+    /** Cuts messages from one instance's router to others. */
+    public void cutLinks(TrialInstance from, List<TrialInstance> to) {
+        try (AdminClient admin = from.admin()) {
+            admin.cutLinks(to.stream().map(i -> i.address().peerPort()).toList());
+        }
+    }
+
+    private static void send(String path, String body, HttpClient client) {
+        try {
+            client.request(client.put(path).payloadBody(DEFAULT_ALLOCATOR.fromUtf8(body)))
+                    .toFuture()
+                    .get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            throw new SiskindykeException(ErrorCode.PEER_UNAVAILABLE, "stand-in did not answer", e);
+        }
+    }
+
+    private static String get(HttpClient client, String path) {
+        try {
+            return client.request(client.get(path))
+                    .toFuture()
+                    .get()
+                    .payloadBody()
+                    .toString(StandardCharsets.UTF_8);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new SiskindykeException(ErrorCode.INTERNAL, "interrupted", e);
+        } catch (ExecutionException e) {
+            throw new SiskindykeException(ErrorCode.PEER_UNAVAILABLE, "stand-in did not answer", e);
+        }
+    }
+
+    /** Returns the directory of the trial's files. */
+    public File directory() {
+        return directory;
+    }
+
+    /** Makes a directory for a trial's files, empty of earlier ledgers. */
+    public static File prepare(File directory) {
+        try {
+            Files.createDirectories(directory.toPath());
+            File[] old = directory.listFiles((d, name) -> name.endsWith(".jsonl") || name.endsWith(".log"));
+            for (File file : old == null ? new File[0] : old) {
+                Files.delete(file.toPath());
+            }
+            return directory;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        for (TrialInstance instance : instances) {
+            instance.thawRouterIfAny();
+        }
+        instances.forEach(TrialInstance::killAll);
+        if (table != null) {
+            table.kill();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/package-info.java
@@ -0,0 +1,2 @@
+/** Trials: real processes under faults, judged by their ledgers. */
+package org.siskindyke.trial;
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/BackendFreeze.java
@@ -0,0 +1,25 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** A backend server that checks grants freezes and returns. */
+@AutoService(Scenario.class)
+@ScenarioInfo(
+        name = "backend-freeze",
+        summary = "A backend server that checks grants freezes and returns.",
+        durationMillis = 20_000)
+public final class BackendFreeze implements Scenario {
+
+    @Override
+    public void run(Trial trial) {
+        TrialInstance frozen = trial.anyInstance();
+        trial.markFault();
+        frozen.freezeBackends();
+        Trial.pause(9_000);
+        frozen.thawBackends();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/DomainLoss.java
@@ -0,0 +1,27 @@
+package org.siskindyke.trial.scenario;
+
+import java.util.List;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** A whole failure domain is lost at once and returns later. */
+@AutoService(Scenario.class)
+@ScenarioInfo(name = "domain-loss", summary = "A whole failure domain is lost at once and returns later.")
+public final class DomainLoss implements Scenario {
+
+    @Override
+    public void run(Trial trial) {
+        String domain = trial.anyInstance().domain();
+        List<TrialInstance> lost = trial.instances().stream()
+                .filter(i -> i.domain().equals(domain))
+                .toList();
+        trial.markFault();
+        lost.parallelStream().forEach(TrialInstance::kill);
+        Trial.pause(6_000);
+        lost.parallelStream().forEach(TrialInstance::start);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/Drain.java
@@ -0,0 +1,21 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** A backend server withdraws while its router stays. */
+@AutoService(Scenario.class)
+@ScenarioInfo(name = "drain", summary = "A backend server withdraws while its router stays.")
+public final class Drain implements Scenario {
+
+    @Override
+    public void run(Trial trial) {
+        TrialInstance drained = trial.anyInstance();
+        trial.markFault();
+        trial.drainBackends(drained);
+        Trial.pause(5_000);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/OneWay.java
@@ -0,0 +1,26 @@
+package org.siskindyke.trial.scenario;
+
+import java.util.List;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** A router reaches no other for six seconds but is reached by all. */
+@AutoService(Scenario.class)
+@ScenarioInfo(name = "one-way", summary = "A router reaches no other for six seconds but is reached by all.")
+public final class OneWay implements Scenario {
+
+    @Override
+    public void run(Trial trial) {
+        TrialInstance cut = trial.anyInstance();
+        List<TrialInstance> others =
+                trial.instances().stream().filter(i -> i != cut).toList();
+        trial.markFault();
+        trial.cutLinks(cut, others);
+        Trial.pause(6_000);
+        trial.cutLinks(cut, List.of());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/PairLoss.java
@@ -0,0 +1,27 @@
+package org.siskindyke.trial.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** A member and the grantor of its lease are lost at once. */
+@AutoService(Scenario.class)
+@ScenarioInfo(name = "pair-loss", summary = "A member and the grantor of its lease are lost at once.")
+public final class PairLoss implements Scenario {
+
+    @Override
+    public void run(Trial trial) {
+        List<TrialInstance> lost = new ArrayList<>();
+        lost.add(trial.anyInstance());
+        trial.grantorOf(lost.get(0)).ifPresent(lost::add);
+        trial.markFault();
+        lost.parallelStream().forEach(TrialInstance::kill);
+        Trial.pause(6_000);
+        lost.parallelStream().forEach(TrialInstance::start);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/Pause.java
@@ -0,0 +1,22 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** A router freezes for longer than its lease and returns. */
+@AutoService(Scenario.class)
+@ScenarioInfo(name = "pause", summary = "A router freezes for longer than its lease and returns.")
+public final class Pause implements Scenario {
+
+    @Override
+    public void run(Trial trial) {
+        TrialInstance frozen = trial.anyInstance();
+        trial.markFault();
+        frozen.freezeRouter();
+        Trial.pause(5_000);
+        frozen.thawRouter();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/Rolling.java
@@ -0,0 +1,26 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** Every instance is stopped gracefully and started again in turn. */
+@AutoService(Scenario.class)
+@ScenarioInfo(
+        name = "rolling",
+        summary = "Every instance is stopped gracefully and started again in turn.",
+        durationMillis = 45_000)
+public final class Rolling implements Scenario {
+
+    @Override
+    public void run(Trial trial) {
+        trial.markFault();
+        for (TrialInstance instance : trial.instances()) {
+            instance.stopGracefully();
+            instance.start();
+            Trial.pause(1_000);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/UncheckedCrash.java
@@ -0,0 +1,26 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** An instance is lost where backend servers do not check grants. */
+@AutoService(Scenario.class)
+@ScenarioInfo(name = "unchecked-crash", summary = "An instance is lost where backend servers do not check grants.")
+public final class UncheckedCrash implements Scenario {
+    @Override
+    public boolean checksGrants() {
+        return false;
+    }
+
+    @Override
+    public void run(Trial trial) {
+        TrialInstance lost = trial.anyInstance();
+        trial.markFault();
+        lost.killRouter();
+        Trial.pause(6_000);
+        lost.startRouter();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/UncheckedPause.java
@@ -0,0 +1,28 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** A router freezes and returns where backend servers do not check grants. */
+@AutoService(Scenario.class)
+@ScenarioInfo(
+        name = "unchecked-pause",
+        summary = "A router freezes and returns where backend servers do not check grants.")
+public final class UncheckedPause implements Scenario {
+    @Override
+    public boolean checksGrants() {
+        return false;
+    }
+
+    @Override
+    public void run(Trial trial) {
+        TrialInstance frozen = trial.anyInstance();
+        trial.markFault();
+        frozen.freezeRouter();
+        Trial.pause(5_000);
+        frozen.thawRouter();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Scenarios: one small class for each fault. */
+package org.siskindyke.trial.scenario;
--- a/src/test/java/org/siskindyke/kernel/control/FakeMember.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -29,7 +29,7 @@
     private static final long REJOIN_MILLIS = 200;
     private static final long OUTAGE_BOUND_MILLIS = 100_000;
     private static final ControlSettings SETTINGS =
-            new ControlSettings(LeaseSettings.DEFAULT, 250, 200, 500, OUTAGE_BOUND_MILLIS);
+            new ControlSettings(LeaseSettings.DEFAULT, 250, 200, 500, OUTAGE_BOUND_MILLIS, true);
 
     private final FakeWorld world;
     private final String instance;
