Give up keys when cut off from all peers; settle lost answers early; add load and measure

Change: a member among others falls back to the table only after its old grantor would have declared it dead; the writer row is read when an answer is late; unanswered grants count as silence; a misspelt document field is named before what it leaves missing.

--- a/src/main/java/org/siskindyke/kernel/control/ControlNode.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlNode.java
@@ -70,7 +70,7 @@
         this.silence = new SilenceDuty(context, deaths);
         sync.observeGossip(silence::onGossipSent, silence::onGossipAnswered);
         this.releases = new ReleaseDuty(context, sync, writer, traffic);
-        this.planner = new PlannerDuty(context, sync, writer, releases, policy);
+        this.planner = new PlannerDuty(context, sync, writer, holder, releases, policy);
         this.handover = new HandoverDuty(context, holder, releases);
         this.leave = new LeaveDuty(context, holder, grantor, handover, writer);
     }
--- a/src/main/java/org/siskindyke/kernel/control/GrantorDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/GrantorDuty.java
@@ -52,6 +52,7 @@
     private GrantDecision decide(PeerPort.Renewal renewal) {
         long nowMillis = context.nowMillis();
         if (!holder.isJoined() || !holder.lease().isValid(nowMillis)) {
+            grantor.onHeard(renewal.member(), nowMillis);
             return GrantDecision.NO_LEASE;
         }
         if (renewal.probe()) {
@@ -72,8 +73,10 @@
         boolean paused = lastTickMillis != Long.MIN_VALUE
                 && nowMillis - lastTickMillis > context.settings().lease().leaseMillis() / 2;
         lastTickMillis = nowMillis;
-        if (paused || !holder.lease().isValid(nowMillis)) {
+        if (paused) {
             grantor.extendAll(nowMillis);
+        }
+        if (paused || !holder.lease().isValid(nowMillis)) {
             return;
         }
         for (MemberId silent : grantor.expired(nowMillis)) {
--- a/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
@@ -20,6 +20,7 @@
     private static final long TABLE_GRANTOR_REVIEW_MILLIS = 1_000;
     private static final long GRANTOR_REVIEW_MILLIS = 5_000;
     private static final int TOUCHES_PER_BOUND = 8;
+    private static final long FALLBACK_MARGIN_MILLIS = 600;
     private static final long RETRY_RENEWAL_MILLIS = 60;
     private static final long RETRY_WRITE_MILLIS = 100;
 
@@ -291,15 +292,24 @@
     }
 
     private void onReplacementFound(MemberId grantor) {
-        boolean toTableForNothing = grantor.equals(MemberId.TABLE)
-                && lease.isValid(context.nowMillis())
-                && context.nowMillis() - lease.lastGrantMillis()
-                        <= leaseSettings().replaceAfterMillis();
-        if (!grantor.equals(lease.grantor()) && !writing && !toTableForNothing) {
+        boolean allowed = !grantor.equals(MemberId.TABLE) || mayFallBackToTable(context.nowMillis());
+        if (!grantor.equals(lease.grantor()) && !writing && allowed) {
             replaceRow(row.withGrantor(grantor));
         }
     }
 
+    /**
+     * Tells whether this member may renew at the table because no member answers. Where others exist it waits until its
+     * old grantor would have declared it dead: if they live, it is cut off from them and its keys belong with them.
+     */
+    private boolean mayFallBackToTable(long nowMillis) {
+        long silentMillis = nowMillis - lease.lastGrantMillis();
+        int others = context.view().members().ring().order().size() - 1;
+        return others > 1
+                ? silentMillis > leaseSettings().expiryMillis() + FALLBACK_MARGIN_MILLIS
+                : silentMillis > leaseSettings().replaceAfterMillis();
+    }
+
     private void updateRowWhenNeeded(long nowMillis) {
         if (writing || nowMillis < nextWriteMillis) {
             return;
--- a/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
@@ -16,6 +16,7 @@
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.ownership.HeldSlice;
 import org.siskindyke.kernel.ownership.HoldingRow;
 import org.siskindyke.kernel.table.RowCodec;
@@ -35,6 +36,7 @@
     private final ControlContext context;
     private final TableSync sync;
     private final TableWriter writer;
+    private final HolderDuty holder;
     private final ReleaseDuty releases;
     private final SliceBalancePolicy policy;
     private final Set<ServiceName> assigning = new HashSet<>();
@@ -45,11 +47,13 @@
             ControlContext context,
             TableSync sync,
             TableWriter writer,
+            HolderDuty holder,
             ReleaseDuty releases,
             SliceBalancePolicy policy) {
         this.context = context;
         this.sync = sync;
         this.writer = writer;
+        this.holder = holder;
         this.releases = releases;
         this.policy = policy;
     }
@@ -59,10 +63,13 @@
             return;
         }
         nextPlanMillis = nowMillis + context.settings().planMillis();
-        for (AcceptedDocument accepted : context.view().documents().all()) {
-            if (accepted.document().keys().divided()) {
-                plan(accepted.document(), nowMillis);
-            }
+        for (TargetAnnouncement target : holder.row().targets()) {
+            context.view()
+                    .documents()
+                    .get(target.service())
+                    .map(AcceptedDocument::document)
+                    .filter(document -> document.keys().divided())
+                    .ifPresent(document -> plan(document, nowMillis));
         }
     }
 
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -29,6 +29,8 @@
     private final Consumer<List<Row>> onRows;
     private Consumer<MemberId> onSent = member -> {};
     private Consumer<MemberId> onAnswered = member -> {};
+    private long readerAsOfChanges = -1;
+    private boolean reader;
     private boolean synced;
     private boolean polling;
     private boolean pollAgain;
@@ -174,6 +176,15 @@
     }
 
     private boolean isReader() {
+        long changes = context.view().members().changes();
+        if (changes != readerAsOfChanges) {
+            readerAsOfChanges = changes;
+            reader = computeReader();
+        }
+        return reader;
+    }
+
+    private boolean computeReader() {
         int before = 0;
         for (MemberRow member : context.view().members().serving()) {
             boolean precedes = member.failureDomain().equals(domain)
--- a/src/main/java/org/siskindyke/kernel/control/TableWriter.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableWriter.java
@@ -15,11 +15,12 @@
  *
  * <p>Each transaction also replaces this member's writer row by its own number. A transaction whose answer was lost is
  * sent again unchanged; when that meets a conflict, the number in the writer row tells whether the first try took
- * effect.
+ * effect. An answer that is late is not waited for: the writer row is read meanwhile.
  */
 public final class TableWriter {
     private static final long FIRST_RETRY_MILLIS = 50;
     private static final long LAST_RETRY_MILLIS = 1_000;
+    private static final long READ_AFTER_MILLIS = 250;
 
     private final ControlContext context;
     private final RowPath writerPath;
@@ -47,6 +48,8 @@
         private final long number;
         private final Consumer<CommitOutcome> onOutcome;
         private boolean ambiguous;
+        private boolean settled;
+        private long readAtMillis;
 
         private Pending(Transaction transaction, long number, Consumer<CommitOutcome> onOutcome) {
             this.transaction = transaction;
@@ -75,10 +78,15 @@
     /** Sends the next transaction, or the present one again, when it is due. */
     public void tick(long nowMillis) {
         Pending head = queue.peek();
+        if (head != null && inFlight && nowMillis >= head.readAtMillis) {
+            head.readAtMillis = nowMillis + READ_AFTER_MILLIS;
+            readEarly(head, nowMillis);
+        }
         if (head == null || inFlight || nowMillis < retryAtMillis) {
             return;
         }
         inFlight = true;
+        head.readAtMillis = nowMillis + READ_AFTER_MILLIS;
         Transaction numbered = Transaction.builder()
                 .addAll(head.transaction)
                 .replace(writerPath, writerRevision, RowCodec.encode(new WriterRow(head.number)))
@@ -87,7 +95,23 @@
                 context.table().commit(numbered), (result, failure) -> onAnswer(head, result, failure, nowMillis));
     }
 
+    /** Learns from the writer row that a transaction took effect whose answer is late. */
+    private void readEarly(Pending head, long nowMillis) {
+        context.settle(context.table().read(writerPath), (row, failure) -> {
+            if (failure == null && proves(row, head)) {
+                settle(head, new CommitOutcome(true, row.revision()), nowMillis);
+            }
+        });
+    }
+
+    private static boolean proves(Row writer, Pending head) {
+        return !writer.deleted() && RowCodec.decode(writer, WriterRow.class).number() == head.number;
+    }
+
     private void onAnswer(Pending head, CommitResult result, Throwable failure, long sentMillis) {
+        if (head.settled) {
+            return;
+        }
         if (failure != null) {
             head.ambiguous = true;
             retryLater(sentMillis);
@@ -103,9 +127,12 @@
     }
 
     private void onProof(Pending head, Row writer, Throwable failure, long sentMillis) {
+        if (head.settled) {
+            return;
+        }
         if (failure != null) {
             retryLater(sentMillis);
-        } else if (!writer.deleted() && RowCodec.decode(writer, WriterRow.class).number() == head.number) {
+        } else if (proves(writer, head)) {
             settle(head, new CommitOutcome(true, writer.revision()), sentMillis);
         } else {
             settle(head, CommitOutcome.CONFLICT, sentMillis);
@@ -113,6 +140,10 @@
     }
 
     private void settle(Pending head, CommitOutcome outcome, long sentMillis) {
+        if (head.settled) {
+            return;
+        }
+        head.settled = true;
         queue.remove(head);
         inFlight = false;
         retryDelayMillis = FIRST_RETRY_MILLIS;
--- a/src/main/java/org/siskindyke/kernel/document/DocumentCatalog.java
+++ b/src/main/java/org/siskindyke/kernel/document/DocumentCatalog.java
@@ -1,6 +1,8 @@
 package org.siskindyke.kernel.document;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -14,6 +16,8 @@
 /** The documents in force on this router. Written by the control thread; may be read by any thread. */
 public final class DocumentCatalog {
     private final Map<ServiceName, AcceptedDocument> documents = new ConcurrentHashMap<>();
+    private final Map<String, ServiceName> servicesByHost = new ConcurrentHashMap<>();
+    private final Map<String, List<ServiceName>> servicesByFirstSegment = new ConcurrentHashMap<>();
 
     /**
      * A document with its position in the table.
@@ -33,22 +37,57 @@
      */
     public Optional<AcceptedDocument> apply(Row row) {
         ServiceName service = ServiceName.of(row.path().lastSegment());
+        AcceptedDocument known = documents.get(service);
         if (row.deleted()) {
             documents.remove(service);
+            removeFromIndex(known);
             return Optional.empty();
         }
         DocumentRow read = RowCodec.decode(row, DocumentRow.class);
-        AcceptedDocument known = documents.get(service);
         if (known != null && (known.number() > read.number() || known.revision() > row.revision())) {
             throw new SiskindykeException(
                     ErrorCode.INVARIANT_VIOLATED,
                     "document " + service + " would fall from revision " + known.number() + " to " + read.number());
         }
         AcceptedDocument accepted = new AcceptedDocument(read.document(), read.number(), row.revision());
+        removeFromIndex(known);
         documents.put(service, accepted);
+        addToIndex(accepted.document());
         return Optional.of(accepted);
     }
 
+    private void addToIndex(ServiceDocument document) {
+        MatchRule match = document.match();
+        match.hosts().forEach(host -> servicesByHost.put(host, document.service()));
+        if (match.pathPrefix() != null) {
+            servicesByFirstSegment.compute(firstSegment(match.pathPrefix()), (segment, services) -> {
+                List<ServiceName> more = new ArrayList<>(services == null ? List.of() : services);
+                more.add(document.service());
+                return List.copyOf(more);
+            });
+        }
+    }
+
+    private void removeFromIndex(AcceptedDocument known) {
+        if (known == null) {
+            return;
+        }
+        MatchRule match = known.document().match();
+        ServiceName service = known.document().service();
+        match.hosts().forEach(host -> servicesByHost.remove(host, service));
+        if (match.pathPrefix() != null) {
+            servicesByFirstSegment.computeIfPresent(
+                    firstSegment(match.pathPrefix()),
+                    (segment, services) ->
+                            services.stream().filter(s -> !s.equals(service)).toList());
+        }
+    }
+
+    private static String firstSegment(String path) {
+        int end = path.indexOf('/', 1);
+        return end < 0 ? path : path.substring(0, end);
+    }
+
     /** Returns the document of a service. */
     public Optional<AcceptedDocument> get(ServiceName service) {
         return Optional.ofNullable(documents.get(service));
@@ -59,10 +98,20 @@
         return documents.values();
     }
 
-    /** Returns the document whose service a call is for. */
+    /**
+     * Returns the document whose service a call is for. A host goes before a path prefix.
+     *
+     * @param host the call's Host header without port; may be null
+     * @param path the call's path
+     */
     public Optional<AcceptedDocument> match(String host, String path) {
-        for (AcceptedDocument accepted : documents.values()) {
-            if (accepted.document().match().accepts(host, path)) {
+        ServiceName byHost = host == null ? null : servicesByHost.get(host);
+        if (byHost != null) {
+            return get(byHost);
+        }
+        for (ServiceName service : servicesByFirstSegment.getOrDefault(firstSegment(path), List.of())) {
+            AcceptedDocument accepted = documents.get(service);
+            if (accepted != null && accepted.document().match().accepts(host, path)) {
                 return Optional.of(accepted);
             }
         }
--- a/src/main/java/org/siskindyke/kernel/document/DocumentReader.java
+++ b/src/main/java/org/siskindyke/kernel/document/DocumentReader.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -13,10 +12,10 @@
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.exc.MismatchedInputException;
-import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
@@ -82,18 +81,17 @@
 
     private static ServiceDocument parse(String text) {
         try {
+            JsonNode tree = YAML.readTree(text);
+            List<DocumentProblem> unknown = UnknownFields.find(tree, ServiceDocument.class);
+            if (!unknown.isEmpty()) {
+                throw new InvalidDocumentException(withLines(unknown, linesByPath(text)));
+            }
             ServiceDocument document = YAML.readValue(text, ServiceDocument.class);
             if (document == null) {
                 throw new InvalidDocumentException(
                         List.of(new DocumentProblem("document", 1, "is empty", "declare a service")));
             }
             return document;
-        } catch (UnrecognizedPropertyException e) {
-            String known = e.getKnownPropertyIds().stream()
-                    .map(Object::toString)
-                    .sorted()
-                    .collect(Collectors.joining(", "));
-            throw problem(e, path(e), "unknown field", "use one of: " + known);
         } catch (MismatchedInputException e) {
             throw problem(e, path(e), firstLine(e), "give " + expected(e));
         } catch (JsonMappingException e) {
--- a/src/main/java/org/siskindyke/kernel/membership/LeaseGrantor.java
+++ b/src/main/java/org/siskindyke/kernel/membership/LeaseGrantor.java
@@ -82,7 +82,15 @@
         return GrantDecision.GRANTED;
     }
 
-    /** Restarts all waits after this grantor was itself unable to answer. */
+    /** Restarts the wait for a member that asked while this grantor could not grant. */
+    public void onHeard(MemberId member, long nowMillis) {
+        Charge charge = charges.get(member);
+        if (charge != null) {
+            charge.expiryMillis = Math.max(charge.expiryMillis, nowMillis + settings.expiryMillis());
+        }
+    }
+
+    /** Restarts all waits after this process was not running. */
     public void extendAll(long nowMillis) {
         for (Charge charge : charges.values()) {
             charge.expiryMillis = Math.max(charge.expiryMillis, nowMillis + settings.expiryMillis());
--- a/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
+++ b/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
@@ -26,6 +26,7 @@
     private final Map<ServiceName, List<MemberRow>> takersByService = new ConcurrentHashMap<>();
     private final Map<MemberId, Set<MemberId>> chargesByGrantor = new HashMap<>();
     private GrantorRing ring;
+    private long changes;
 
     /**
      * Takes over a member row.
@@ -36,6 +37,7 @@
     public Optional<MemberRow> apply(Row row) {
         MemberId id = MemberId.of(row.path().lastSegment());
         ring = null;
+        changes++;
         revisions.put(id, row.revision());
         MemberRow before = serving.get(id);
         if (before != null) {
@@ -115,6 +117,11 @@
         return Set.copyOf(chargesByGrantor.getOrDefault(grantor, Set.of()));
     }
 
+    /** Returns a number that grows with each row taken over; for the control thread only. */
+    public long changes() {
+        return changes;
+    }
+
     /** Returns the ring of members that take charges; for the control thread only. */
     public GrantorRing ring() {
         if (ring == null) {
--- a/src/main/java/org/siskindyke/load/CallerClient.java
+++ b/src/main/java/org/siskindyke/load/CallerClient.java
@@ -21,11 +21,12 @@
 
 /** Sends single calls to routers, as a caller does, and checks their answers. */
 public final class CallerClient implements CallSender {
-    private static final long TIMEOUT_MILLIS = 10_000;
+    private static final long DEFAULT_TIMEOUT_MILLIS = 10_000;
     private static final int OK = 200;
     private static final int MOST_ROUTERS_TRIED = 4;
 
     private final List<HttpClient> routers;
+    private final long timeoutMillis;
 
     /**
      * Creates a client.
@@ -34,6 +35,18 @@
      * @param callerPorts their ports for callers
      */
     public CallerClient(String host, List<Integer> callerPorts) {
+        this(host, callerPorts, DEFAULT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Creates a client that waits for answers no longer than a time.
+     *
+     * @param host address of all routers
+     * @param callerPorts their ports for callers
+     * @param timeoutMillis longest wait for an answer
+     */
+    public CallerClient(String host, List<Integer> callerPorts, long timeoutMillis) {
+        this.timeoutMillis = timeoutMillis;
         this.routers = callerPorts.stream()
                 .map(port -> Http.client(host, port, Http.Protocol.HTTP_1_1))
                 .toList();
@@ -52,7 +65,7 @@
     private Single<CallRecord> trySend(Outgoing call, int router, long dueNanos, int tried) {
         HttpClient client = routers.get(Math.floorMod(router, routers.size()));
         return client.request(request(client, call))
-                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .map(response -> record(call, response, dueNanos))
                 .onErrorResume(failure -> {
                     boolean refused = failure instanceof ConnectException || failure instanceof RetryableException;
@@ -68,6 +81,9 @@
         if (call.idempotencyKey() != null) {
             request.headers().set(Headers.IDEMPOTENCY_KEY, call.idempotencyKey());
         }
+        if (call.key() != null) {
+            request.headers().set(Headers.KEY, call.key());
+        }
         call.headers().forEach(h -> request.headers().set(h.name(), h.value()));
         if (call.body().length > 0) {
             request.payloadBody(DEFAULT_ALLOCATOR.wrap(call.body()));
--- a/src/main/java/org/siskindyke/load/HashingClient.java
+++ b/src/main/java/org/siskindyke/load/HashingClient.java
@@ -100,9 +100,7 @@
                 .hashString(call.key(), StandardCharsets.UTF_8)
                 .asLong();
         HttpClient client = healthy.get((int) Math.floorMod(hash, (long) healthy.size()));
-        var request = CallerClient.request(client, call);
-        request.headers().set("siskindyke-key", call.key());
-        return client.request(request)
+        return client.request(CallerClient.request(client, call))
                 .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .map(response -> CallerClient.record(call, response, dueNanos))
                 .onErrorReturn(failure -> CallerClient.noAnswer(call, dueNanos, false));
--- /dev/null
+++ b/src/main/java/org/siskindyke/measure/IdleTraffic.java
@@ -0,0 +1,19 @@
+package org.siskindyke.measure;
+
+import java.util.Collection;
+
+import org.siskindyke.kernel.control.SliceTraffic;
+import org.siskindyke.kernel.id.SliceRef;
+
+/** Stands for traffic that has no calls in progress. */
+final class IdleTraffic implements SliceTraffic {
+    @Override
+    public void hold(Collection<SliceRef> slices, Runnable whenIdle) {
+        whenIdle.run();
+    }
+
+    @Override
+    public void resume(Collection<SliceRef> slices) {
+        // No call waits.
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/measure/Measurements.java
@@ -0,0 +1,319 @@
+package org.siskindyke.measure;
+
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.stream.IntStream;
+
+import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.document.BalanceRule;
+import org.siskindyke.kernel.document.CallRule;
+import org.siskindyke.kernel.document.DocumentRow;
+import org.siskindyke.kernel.document.KeyRule;
+import org.siskindyke.kernel.document.MatchRule;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.document.TargetSpec;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.kernel.id.TeamName;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.ownership.HoldingRow;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableChanges;
+import org.siskindyke.kernel.table.Transaction;
+import org.siskindyke.plugin.table.EmbeddedTable;
+import org.siskindyke.runtime.peer.WireCodec;
+import org.siskindyke.runtime.peer.WireMapper;
+import org.siskindyke.wire.WireDelta;
+
+/** Measures the cost of control at growing sizes and prints a line for each measurement and slope. */
+public final class Measurements {
+    private static final int TARGET_MEMBERS = 3_100;
+    private static final long STEADY_MILLIS = 20_000;
+    private static final long SETTLE_MILLIS = 15_000;
+    private static final long SPREAD_LIMIT_MILLIS = 20_000;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final int LOSS_PERCENT = 30;
+    private static final int READ_LIMIT_ROWS = 2_000;
+
+    private final PrintStream out;
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+
+    /** Creates measurements that print to a stream. */
+    public Measurements(PrintStream out) {
+        this.out = out;
+    }
+
+    /** Measures processor time, messages and bytes of control per member and second. */
+    public void steady(List<Integer> memberCounts) {
+        List<Slope.Point> cpu = new ArrayList<>();
+        List<Slope.Point> bytes = new ArrayList<>();
+        cluster(memberCounts.get(0), 0).runFor(STEADY_MILLIS);
+        for (int members : memberCounts) {
+            VirtualCluster cluster = cluster(members, 0);
+            cluster.resetCounts();
+            long startNanos = threads.getCurrentThreadCpuTime();
+            cluster.runFor(STEADY_MILLIS);
+            double seconds = STEADY_MILLIS / MILLIS_PER_SECOND;
+            double cpuMillis = (threads.getCurrentThreadCpuTime() - startNanos) / NANOS_PER_MILLI / members / seconds;
+            double bytesPerSecond = cluster.bytes() / (double) members / seconds;
+            cpu.add(new Slope.Point(members, cpuMillis));
+            bytes.add(new Slope.Point(members, bytesPerSecond));
+            out.printf(
+                    "steady members=%d cpuMillisPerSecond=%.3f messagesPerSecond=%.1f bytesPerSecond=%.0f "
+                            + "tableReadsPerSecond=%.1f tableWritesPerSecond=%.2f%n",
+                    members,
+                    cpuMillis,
+                    cluster.messages() / (double) members / seconds,
+                    bytesPerSecond,
+                    cluster.table().reads() / seconds,
+                    cluster.table().writes() / seconds);
+        }
+        slope("steady cpuMillisPerSecond", cpu, TARGET_MEMBERS);
+        slope("steady bytesPerSecond", bytes, TARGET_MEMBERS);
+    }
+
+    /** Measures how long a change takes to be known everywhere. */
+    public void spread(List<Integer> memberCounts, int lossPercent) {
+        List<Slope.Point> points = new ArrayList<>();
+        for (int members : memberCounts) {
+            VirtualCluster cluster = cluster(members, lossPercent);
+            long tookMillis = timeToEverywhere(cluster);
+            points.add(new Slope.Point(Math.log(members), tookMillis));
+            out.printf("spread members=%d lossPercent=%d millisToEverywhere=%d%n", members, lossPercent, tookMillis);
+        }
+        Slope slope = Slope.fit(points);
+        out.printf(
+                "slope spread lossPercent=%d millis=%.0f+%.0f*ln(members) at %d members: %.0f%n",
+                lossPercent, slope.intercept(), slope.perUnit(), TARGET_MEMBERS, slope.at(Math.log(TARGET_MEMBERS)));
+    }
+
+    /** Measures how a failure domain that was cut off catches up. */
+    public void domainCut(int members) {
+        VirtualCluster cluster = cluster(members, 0);
+        cluster.cutDomain(0);
+        cluster.runFor(STEADY_MILLIS);
+        long changed = change(cluster);
+        cluster.runFor(SETTLE_MILLIS);
+        long others = cluster.nodes().stream()
+                .filter(n -> cluster.domainOf(n) != 0 && VirtualCluster.knows(n, changed))
+                .count();
+        cluster.cutDomain(-1);
+        long startMillis = cluster.nowMillis();
+        cluster.resetCounts();
+        long tookMillis = runUntilKnown(cluster, changed, startMillis);
+        out.printf(
+                "cut members=%d knownOutside=%d millisToCatchUpOnReturn=%d tableReadsOnReturn=%d%n",
+                members, others, tookMillis, cluster.table().reads());
+    }
+
+    /** Measures the memory of the replicated state at growing numbers of slices and members. */
+    public void memory(List<Integer> sliceCounts) {
+        List<Slope.Point> points = new ArrayList<>();
+        for (int slices : sliceCounts) {
+            long before = usedBytes();
+            ClusterView view = fullView(TARGET_MEMBERS, slices);
+            long stateBytes = usedBytes() - before;
+            points.add(new Slope.Point(slices, stateBytes));
+            out.printf(
+                    "memory members=%d slices=%d rows=%d stateBytes=%d%n",
+                    TARGET_MEMBERS, slices, view.replica().size(), stateBytes);
+        }
+        slope("memory stateBytes by slices", points, sliceCounts.get(sliceCounts.size() - 1));
+    }
+
+    /** Measures applying one change and sending it on, at growing numbers of slices. */
+    public void applyChange(List<Integer> sliceCounts) {
+        for (int slices : sliceCounts) {
+            EmbeddedTable table = filledTable(TARGET_MEMBERS, slices);
+            ClusterView view = viewOf(table);
+            ServiceName service = ServiceName.of("s0");
+            MemberId owner = member(0);
+            HoldingRow holding = view.holding(service, owner);
+            long startNanos = threads.getCurrentThreadCpuTime();
+            int rounds = 200;
+            int changeBytes = 0;
+            for (int i = 0; i < rounds; i++) {
+                HoldingRow next = new HoldingRow(
+                        service,
+                        owner,
+                        holding.slices().stream().map(s -> s.passedOn(0)).toList());
+                holding = next;
+                table.commit(Transaction.builder()
+                        .put(next.path(), RowCodec.encode(next))
+                        .build());
+                TableChanges changes = join(table.changesSince(view.replica().version(), READ_LIMIT_ROWS));
+                changeBytes = VirtualCluster.bytesOf(changes);
+                view.apply(changes, i);
+            }
+            double micros = (threads.getCurrentThreadCpuTime() - startNanos) / MILLIS_PER_SECOND / rounds;
+            out.printf(
+                    "change members=%d slices=%d slicesInRow=%d cpuMicros=%.1f bytes=%d%n",
+                    TARGET_MEMBERS, slices, holding.slices().size(), micros, changeBytes);
+        }
+    }
+
+    private VirtualCluster cluster(int members, int lossPercent) {
+        VirtualCluster cluster = new VirtualCluster(members, lossPercent);
+        for (int i = 0; i < members; i++) {
+            cluster.add(i);
+        }
+        cluster.runFor(SETTLE_MILLIS);
+        return cluster;
+    }
+
+    private static long change(VirtualCluster cluster) {
+        return join(cluster.table()
+                        .direct()
+                        .commit(Transaction.builder()
+                                .put(RowPath.document(ServiceName.of("changed")), document("changed", 1))
+                                .build()))
+                .version();
+    }
+
+    private static long timeToEverywhere(VirtualCluster cluster) {
+        long startMillis = cluster.nowMillis();
+        return runUntilKnown(cluster, change(cluster), startMillis);
+    }
+
+    private static long runUntilKnown(VirtualCluster cluster, long version, long startMillis) {
+        while (!allKnow(cluster.nodes(), version)) {
+            if (cluster.nowMillis() - startMillis > SPREAD_LIMIT_MILLIS) {
+                return -1;
+            }
+            cluster.step();
+        }
+        return cluster.nowMillis() - startMillis;
+    }
+
+    private static boolean allKnow(List<ControlNode> nodes, long version) {
+        return nodes.stream().allMatch(n -> VirtualCluster.knows(n, version));
+    }
+
+    private static ClusterView fullView(int members, int slices) {
+        return viewOf(filledTable(members, slices));
+    }
+
+    private static ClusterView viewOf(EmbeddedTable table) {
+        ClusterView view = new ClusterView();
+        TableChanges changes;
+        do {
+            changes = join(table.changesSince(view.replica().version(), READ_LIMIT_ROWS));
+            view.apply(copy(changes), 0);
+        } while (changes.rows().size() >= READ_LIMIT_ROWS);
+        return view;
+    }
+
+    /** Copies rows through the codec, so that a view shares no memory with the table. */
+    private static TableChanges copy(TableChanges changes) {
+        return WireMapper.fromWire(WireCodec.decode(WireCodec.encode(WireMapper.toWire(changes)), new WireDelta()));
+    }
+
+    private static EmbeddedTable filledTable(int members, int slices) {
+        EmbeddedTable table = new EmbeddedTable();
+        int services = Math.max(1, slices / KeyRule.MAX_SLICES + 1);
+        int slicesPerService = slices / services;
+        for (int s = 0; s < services; s++) {
+            String service = "s" + s;
+            join(table.commit(Transaction.builder()
+                    .put(RowPath.document(ServiceName.of(service)), document(service, slicesPerService))
+                    .build()));
+        }
+        for (int m = 0; m < members; m++) {
+            putMember(table, m, services, slicesPerService, members);
+        }
+        return table;
+    }
+
+    private static void putMember(EmbeddedTable table, int index, int services, int slicesPerService, int members) {
+        ServiceName service = ServiceName.of("s" + index % services);
+        MemberId id = member(index);
+        MemberRow row = new MemberRow(
+                id,
+                InstanceName.of("i" + index),
+                FailureDomain.of("d" + index % VirtualCluster.DOMAINS),
+                new MemberAddress("10.0.0.1", 8081, 8080, 8082),
+                MemberState.ALIVE,
+                1,
+                member((index + 1) % members),
+                List.of(new TargetAnnouncement(
+                        service, TargetName.of(service + "-" + index), "10.0.0.1", 9000, true, true)),
+                null,
+                null);
+        int owners = Math.max(1, members / services);
+        int position = index / services;
+        List<HeldSlice> held = IntStream.range(0, slicesPerService)
+                .filter(i -> i % owners == position)
+                .mapToObj(i -> new HeldSlice(i, 1, 0))
+                .toList();
+        join(table.commit(Transaction.builder()
+                .put(RowPath.member(id), RowCodec.encode(row))
+                .put(RowPath.holding(service, id), RowCodec.encode(new HoldingRow(service, id, held)))
+                .build()));
+    }
+
+    private static MemberId member(int index) {
+        return MemberId.of(InstanceName.of("i" + index), 1);
+    }
+
+    private static String document(String service, int slices) {
+        ServiceDocument document = new ServiceDocument(
+                ServiceName.of(service),
+                TeamName.of("team"),
+                new MatchRule(List.of(), "/" + service),
+                new KeyRule(true, KeyRule.KeySource.PATH_SEGMENT, null, 1, slices),
+                List.of(new TargetSpec(TargetName.of("t"), FailureDomain.of("d0"), 12, 120)),
+                new CallRule(1_000, null, null, null, null, null, null),
+                BalanceRule.EVEN);
+        return RowCodec.encode(new DocumentRow(document, 1, "measure", 0));
+    }
+
+    private static <T> T join(CompletionStage<T> stage) {
+        return stage.toCompletableFuture().join();
+    }
+
+    private static long usedBytes() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    private void slope(String what, List<Slope.Point> points, double target) {
+        Slope slope = Slope.fit(points);
+        Slope.Point largest = points.get(points.size() - 1);
+        out.printf(
+                "slope %s = %.4f + %.6f * size; at %.0f: %.3f; at size %.0f: fitted %.3f, measured %.3f%n",
+                what,
+                slope.intercept(),
+                slope.perUnit(),
+                target,
+                slope.at(target),
+                largest.size(),
+                slope.at(largest.size()),
+                largest.value());
+    }
+
+    /** Runs all measurements. */
+    public void all() {
+        steady(List.of(36, 100, 300, 1_000));
+        spread(List.of(36, 100, 300, 1_000), 0);
+        spread(List.of(36, 100, 300, 1_000), LOSS_PERCENT);
+        domainCut(300);
+        memory(List.of(1_000, 10_000, 100_000));
+        applyChange(List.of(1_000, 10_000, 100_000));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/measure/VirtualCluster.java
@@ -0,0 +1,198 @@
+package org.siskindyke.measure;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+
+import org.siskindyke.kernel.balance.SliceCountPolicy;
+import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.control.ControlContext;
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.control.ControlSettings;
+import org.siskindyke.kernel.control.PeerPort;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.table.TableChanges;
+import org.siskindyke.plugin.table.EmbeddedTable;
+import org.siskindyke.runtime.peer.WireCodec;
+import org.siskindyke.runtime.peer.WireMapper;
+
+/**
+ * Many real control state machines in one process, on a virtual clock. Links deliver at once or lose the message; each
+ * message passes through the real codec.
+ */
+final class VirtualCluster {
+    static final int DOMAINS = 18;
+    static final long TICK_MILLIS = 25;
+
+    private final EmbeddedTable table = new EmbeddedTable();
+    private final Map<MemberId, ControlNode> nodes = new HashMap<>();
+    private final Map<MemberId, Integer> domainOf = new HashMap<>();
+    private final List<ControlNode> order = new ArrayList<>();
+    private final CountingTable counted = new CountingTable(table);
+    private final Random random;
+    private final int lossPercent;
+    private int cutDomain = -1;
+    private long nowMillis;
+    private long messages;
+    private long bytes;
+
+    VirtualCluster(long seed, int lossPercent) {
+        this.random = new Random(seed);
+        this.lossPercent = lossPercent;
+    }
+
+    CountingTable table() {
+        return counted;
+    }
+
+    List<ControlNode> nodes() {
+        return order;
+    }
+
+    long messages() {
+        return messages;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    void resetCounts() {
+        messages = 0;
+        bytes = 0;
+        counted.reset();
+    }
+
+    /** Cuts a failure domain off from the others; -1 heals. The table stays reachable for all but that domain. */
+    void cutDomain(int domain) {
+        cutDomain = domain;
+    }
+
+    int domainOf(ControlNode node) {
+        return domainOf.get(node.row().id());
+    }
+
+    void add(int index) {
+        int domain = index % DOMAINS;
+        InstanceName instance = InstanceName.of("i" + index);
+        MemberId self = MemberId.of(instance, 1);
+        ControlContext context = new ControlContext(
+                self,
+                ControlSettings.DEFAULT,
+                () -> nowMillis,
+                new Random(random.nextLong()),
+                counted.reachableWhen(() -> domain != cutDomain),
+                new Link(self, domain),
+                new SilentListener(),
+                new ClusterView());
+        MemberRow template = new MemberRow(
+                self,
+                instance,
+                FailureDomain.of("d" + domain),
+                new MemberAddress("10.0.0.1", 8081, 8080, 8082),
+                MemberState.ALIVE,
+                0,
+                MemberId.TABLE,
+                List.of(),
+                null,
+                null);
+        ControlNode node = new ControlNode(context, template, new IdleTraffic(), new SliceCountPolicy());
+        nodes.put(self, node);
+        domainOf.put(self, domain);
+        order.add(node);
+    }
+
+    void runFor(long millis) {
+        long endMillis = nowMillis + millis;
+        while (nowMillis < endMillis) {
+            step();
+        }
+    }
+
+    void step() {
+        nowMillis += TICK_MILLIS;
+        order.forEach(ControlNode::tick);
+    }
+
+    private void count(byte[] encoded) {
+        messages++;
+        bytes += encoded.length;
+    }
+
+    /** The links of one member. */
+    private final class Link implements PeerPort {
+        private final MemberId self;
+        private final int domain;
+
+        private Link(MemberId self, int domain) {
+            this.self = self;
+            this.domain = domain;
+        }
+
+        private ControlNode reach(MemberRow to) {
+            boolean lost = lossPercent > 0 && random.nextInt(100) < lossPercent;
+            int otherDomain = domainOf.getOrDefault(to.id(), -1);
+            boolean cut = cutDomain >= 0 && domain != otherDomain && (domain == cutDomain || otherDomain == cutDomain);
+            return lost || cut ? null : nodes.get(to.id());
+        }
+
+        @Override
+        public void renew(MemberRow to, Renewal renewal, Consumer<RenewalReply> onReply) {
+            byte[] request = WireMapper.encode(renewal);
+            count(request);
+            ControlNode peer = reach(to);
+            if (peer != null) {
+                byte[] reply = WireMapper.encode(peer.onRenewal(WireMapper.decodeRenewal(request)));
+                count(reply);
+                onReply.accept(WireMapper.decodeRenewalReply(reply));
+            }
+        }
+
+        @Override
+        public void gossip(MemberRow to, Gossip gossip, Consumer<Gossip> onReply) {
+            byte[] request = WireMapper.encodeRequest(gossip);
+            count(request);
+            ControlNode peer = reach(to);
+            if (peer != null) {
+                byte[] reply = WireMapper.encodeResponse(peer.onGossip(WireMapper.decodeGossip(request)));
+                count(reply);
+                onReply.accept(WireMapper.decodeGossip(to.id(), reply));
+            }
+        }
+
+        @Override
+        public void release(MemberRow to, Release release) {
+            ControlNode peer = reach(to);
+            if (peer != null) {
+                peer.onRelease(release);
+            }
+        }
+
+        @Override
+        public String toString() {
+            return self.value();
+        }
+    }
+
+    /** Tells whether a node knows all changes up to a version. */
+    static boolean knows(ControlNode node, long version) {
+        return node.view().replica().version() >= version;
+    }
+
+    /** Returns the size of the messages that carry changes, in bytes. */
+    static int bytesOf(TableChanges changes) {
+        return WireCodec.encode(WireMapper.toWire(changes)).length;
+    }
+}
--- a/src/main/java/org/siskindyke/runtime/LocalTargets.java
+++ b/src/main/java/org/siskindyke/runtime/LocalTargets.java
@@ -26,14 +26,20 @@
  */
 final class LocalTargets {
     private static final System.Logger LOGGER = System.getLogger(LocalTargets.class.getName());
-    private static final long SILENT_AFTER_MILLIS = 4_000;
+    private static final long SILENT_AFTER_MILLIS = 1_500;
+
+    /** A gap between ticks that shows that this process itself was not running. */
+    private static final long PAUSE_MILLIS = 500;
 
     private final MonotonicClock clock;
+    private final ControlThread control;
     private final LocalDispatcher dispatcher;
     private final Map<ServiceName, Entry> entries = new HashMap<>();
+    private long lastTickMillis;
 
-    LocalTargets(MonotonicClock clock, LocalDispatcher dispatcher) {
+    LocalTargets(MonotonicClock clock, ControlThread control, LocalDispatcher dispatcher) {
         this.clock = clock;
+        this.control = control;
         this.dispatcher = dispatcher;
     }
 
@@ -91,9 +97,13 @@
 
     void tick(ControlNode node, TrafficState traffic) {
         long nowMillis = clock.nowMillis();
+        if (nowMillis - lastTickMillis > PAUSE_MILLIS) {
+            entries.values().forEach(entry -> entry.heardMillis = nowMillis);
+        }
+        lastTickMillis = nowMillis;
         for (Entry entry : List.copyOf(entries.values())) {
             followDocument(entry, node, nowMillis);
-            if (nowMillis - entry.heardMillis > SILENT_AFTER_MILLIS && entry.announcement.checksGrants()) {
+            if (isSilent(entry) && entry.announcement.checksGrants()) {
                 stopWork(entry, "silent", node);
             }
             if (!entry.announcement.accepting()) {
@@ -106,23 +116,31 @@
     void renewGrants(TrafficState traffic) {
         long endMillis = traffic.leaseEndMillis();
         for (Entry entry : entries.values()) {
-            boolean silent = clock.nowMillis() - entry.heardMillis > SILENT_AFTER_MILLIS;
-            if (entry.announcement.checksGrants() && !silent && endMillis > entry.grantEndMillis) {
+            if (entry.announcement.checksGrants() && !isSilent(entry) && endMillis > entry.grantEndMillis) {
                 entry.grantEndMillis = endMillis;
-                dispatcher
-                        .target(entry.announcement.service())
-                        .ifPresent(target -> target.client()
-                                .renewGrant(new BackendClient.Grant(traffic.self(), 0, endMillis))
-                                .subscribe());
+                renewGrant(entry, new BackendClient.Grant(traffic.self(), 0, endMillis));
             }
         }
     }
 
+    private void renewGrant(Entry entry, BackendClient.Grant grant) {
+        dispatcher
+                .target(entry.announcement.service())
+                .ifPresent(target -> target.client()
+                        .renewGrant(grant)
+                        .whenOnComplete(() -> control.execute(() -> entry.heardMillis = clock.nowMillis()))
+                        .onErrorComplete()
+                        .subscribe());
+    }
+
+    private boolean isSilent(Entry entry) {
+        return clock.nowMillis() - entry.heardMillis > SILENT_AFTER_MILLIS;
+    }
+
     /** Returns the moment until which a frozen backend server of a service might still run calls. */
     long frozenUntilMillis(ServiceName service) {
         Entry entry = entries.get(service);
-        boolean silent = entry != null && clock.nowMillis() - entry.heardMillis > SILENT_AFTER_MILLIS;
-        return silent ? entry.grantEndMillis : Long.MIN_VALUE;
+        return entry != null && isSilent(entry) ? entry.grantEndMillis : Long.MIN_VALUE;
     }
 
     private void stopWork(Entry entry, String reason, ControlNode node) {
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -83,7 +83,7 @@
         this.crashes = new CrashDetector(clock, control, this::onTargetUnreachable, () -> incarnation.node());
         this.invariants = new InvariantMonitor(crashes);
         this.dispatcher = new LocalDispatcher(clock, System::currentTimeMillis, invariants);
-        this.targets = new LocalTargets(clock, dispatcher);
+        this.targets = new LocalTargets(clock, control, dispatcher);
     }
 
     /** Starts the servers and joins; returns before the member has joined. */
--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -88,12 +88,13 @@
      * Tells a backend server that checks grants until when it may run calls of a member.
      *
      * @param grant the grant
+     * @return completes when the backend server has answered; fails where it does not answer soon
      */
     public Completable renewGrant(Grant grant) {
         HttpRequest request = client.put("/siskindyke/grant");
         request.headers().set(Headers.MEMBER, grant.member().value());
         request.headers().set(Headers.GRANT_END, Long.toString(grant.endMillis()));
-        return client.request(request).timeout(GRANT_TIMEOUT).toCompletable().onErrorComplete();
+        return client.request(request).timeout(GRANT_TIMEOUT).toCompletable();
     }
 
     @Override
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -204,4 +204,44 @@
                     ErrorCode.INVALID_REQUEST, "unknown " + type.getSimpleName() + " '" + name + "'", e);
         }
     }
+
+    /** Encodes a renewal. */
+    public static byte[] encode(PeerPort.Renewal renewal) {
+        return WireCodec.encode(toWire(renewal));
+    }
+
+    /** Decodes a renewal. */
+    public static PeerPort.Renewal decodeRenewal(byte[] bytes) {
+        return fromWire(WireCodec.decode(bytes, new RenewRequest()));
+    }
+
+    /** Encodes the answer to a renewal. */
+    public static byte[] encode(PeerPort.RenewalReply reply) {
+        return WireCodec.encode(toWire(reply));
+    }
+
+    /** Decodes the answer to a renewal. */
+    public static PeerPort.RenewalReply decodeRenewalReply(byte[] bytes) {
+        return fromWire(WireCodec.decode(bytes, new RenewResponse()));
+    }
+
+    /** Encodes the asking side of an exchange of changes. */
+    public static byte[] encodeRequest(PeerPort.Gossip gossip) {
+        return WireCodec.encode(toRequest(gossip));
+    }
+
+    /** Decodes the asking side of an exchange of changes. */
+    public static PeerPort.Gossip decodeGossip(byte[] bytes) {
+        return fromWire(WireCodec.decode(bytes, new GossipRequest()));
+    }
+
+    /** Encodes the answering side of an exchange of changes. */
+    public static byte[] encodeResponse(PeerPort.Gossip gossip) {
+        return WireCodec.encode(toResponse(gossip));
+    }
+
+    /** Decodes the answering side of an exchange of changes. */
+    public static PeerPort.Gossip decodeGossip(MemberId sender, byte[] bytes) {
+        return fromWire(sender, WireCodec.decode(bytes, new GossipResponse()));
+    }
 }
--- a/src/main/java/org/siskindyke/standin/TableStandin.java
+++ b/src/main/java/org/siskindyke/standin/TableStandin.java
@@ -76,6 +76,11 @@
                 faults = Json.read(request.payloadBody(), TableFaults.class);
                 yield Single.succeeded(Json.respond(factory, HttpResponseStatus.OK, faults));
             }
+            case "/reset" -> {
+                reads.reset();
+                writes.reset();
+                yield Single.succeeded(factory.noContent());
+            }
             case "/stats" ->
                 Single.succeeded(Json.respond(
                         factory,
--- a/src/main/java/org/siskindyke/trial/Trial.java
+++ b/src/main/java/org/siskindyke/trial/Trial.java
@@ -57,6 +57,7 @@
     private static final int RESEND_WINDOW_SECONDS = 60;
     private static final long START_LIMIT_MILLIS = 60_000;
     private static final long STEP_MILLIS = 50;
+    private static final int FIRST_ERROR_STATUS = 400;
 
     private final String binary;
     private final File directory;
@@ -315,9 +316,14 @@
 
     private static void send(String path, String body, HttpClient client) {
         try {
-            client.request(client.put(path).payloadBody(DEFAULT_ALLOCATOR.fromUtf8(body)))
+            int status = client.request(client.put(path).payloadBody(DEFAULT_ALLOCATOR.fromUtf8(body)))
                     .toFuture()
-                    .get();
+                    .get()
+                    .status()
+                    .code();
+            if (status >= FIRST_ERROR_STATUS) {
+                throw new SiskindykeException(ErrorCode.INVALID_REQUEST, "stand-in answered " + status + " to " + path);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException e) {
--- a/src/main/java/org/siskindyke/trial/TrialRunner.java
+++ b/src/main/java/org/siskindyke/trial/TrialRunner.java
@@ -31,6 +31,10 @@
     private static final long BEFORE_FAULT_MILLIS = 1_000;
     private static final long AFTER_FAULT_MILLIS = 4_000;
     private static final int RESEND_PERCENT = 50;
+
+    /** A little longer than the documents' timeout, so that routers answer first unless they are frozen. */
+    private static final long CALLER_TIMEOUT_MILLIS = 1_300;
+
     private static final long NANOS_PER_MICRO = 1_000;
     private static final double MICROS_PER_MILLI = 1_000;
     private static final double MEDIAN = 50;
@@ -81,7 +85,7 @@
                     .flatMap(i -> i.backendPorts().stream())
                     .toList());
         }
-        return new CallerClient("127.0.0.1", trial.callerPorts());
+        return new CallerClient("127.0.0.1", trial.callerPorts(), CALLER_TIMEOUT_MILLIS);
     }
 
     private void underLoad(Trial trial, CallSender client) {
