--- a/src/main/java/org/siskindyke/command/DemoCommand.java
+++ b/src/main/java/org/siskindyke/command/DemoCommand.java
@@ -31,6 +31,7 @@
 import org.siskindyke.standin.BackendFaults;
 import org.siskindyke.standin.BackendStandin;
 import org.siskindyke.standin.Ledger;
+import org.siskindyke.trial.SliceCounts;
 
 /** Shows the whole path in one process: four routers, backend stand-ins, a planned leave and a loss. */
 @AutoService(Command.class)
@@ -164,16 +165,10 @@
     }
 
     private boolean isLevel() {
-        int total = 0;
-        int most = 0;
-        int least = Integer.MAX_VALUE;
-        for (Instance instance : instances) {
-            int slices = instance.admin().instance().slices().getOrDefault("haat", 0);
-            total += slices;
-            most = Math.max(most, slices);
-            least = Math.min(least, slices);
-        }
-        return total == KEYS && most - least <= 1;
+        List<Integer> counts = instances.stream()
+                .map(i -> i.admin().instance().slices().getOrDefault("haat", 0))
+                .toList();
+        return SliceCounts.areLevel(counts, KEYS);
     }
 
     private void printOwners(PrintStream out) {
--- a/src/main/java/org/siskindyke/kernel/balance/SliceBalancePolicy.java
+++ b/src/main/java/org/siskindyke/kernel/balance/SliceBalancePolicy.java
@@ -1,31 +1,22 @@
 package org.siskindyke.kernel.balance;
 
 import java.util.List;
-import java.util.Optional;
 
 import org.siskindyke.kernel.document.ServiceDocument;
-import org.siskindyke.kernel.id.MemberId;
-import org.siskindyke.kernel.ownership.HeldSlice;
 
-/** Decides which slices of a divided service should move. */
+/** Decides which slices an owner hands to another owner of the same service. */
 public interface SliceBalancePolicy {
-    /**
-     * What a policy knows of a member.
-     *
-     * @param member the member
-     * @param slices the slices it owns
-     */
-    record MemberLoad(MemberId member, List<HeldSlice> slices) {}
-
     /** Returns the name by which settings choose the policy. */
     String name();
 
     /**
-     * Proposes one move.
+     * Chooses slices to hand over.
      *
      * @param document the service's document
-     * @param members the members that can own its slices
-     * @return the move, empty where none is worth its churn
+     * @param mine how busy the owner's target is
+     * @param slices the owner's slices
+     * @param theirs how busy the other owner's target is
+     * @return indexes of the slices to hand over; empty where no move is worth its churn
      */
-    Optional<MoveProposal> propose(ServiceDocument document, List<MemberLoad> members);
+    List<Integer> choose(ServiceDocument document, TargetUsage mine, List<SliceLoad> slices, TargetUsage theirs);
 }
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/balance/SliceLoad.java
@@ -0,0 +1,9 @@
+package org.siskindyke.kernel.balance;
+
+/**
+ * The load of one slice.
+ *
+ * @param index position of the slice in its service
+ * @param callsPerSecond calls of its keys each second
+ */
+public record SliceLoad(int index, double callsPerSecond) {}
--- a/src/main/java/org/siskindyke/kernel/call/SlotQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/SlotQueue.java
@@ -96,6 +96,11 @@
         return queue.remove(waiter);
     }
 
+    /** Returns the number of calls that may run at a time. */
+    public synchronized int slots() {
+        return slots;
+    }
+
     /** Returns the slots in use. */
     public synchronized int used() {
         return used;
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/control/BalanceDuty.java
@@ -0,0 +1,97 @@
+package org.siskindyke.kernel.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.siskindyke.kernel.balance.SliceBalancePolicy;
+import org.siskindyke.kernel.balance.TargetUsage;
+import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.ownership.HeldSlice;
+
+/**
+ * Levels load between owners in pairs: now and then a member asks a random other owner of a service how busy it is, and
+ * hands slices over if it is busier itself. Its cost does not depend on the number of members.
+ */
+final class BalanceDuty {
+    private static final long PAUSE_AFTER_MOVE_MILLIS = 1_500;
+
+    private final ControlContext context;
+    private final HolderDuty holder;
+    private final ReleaseDuty releases;
+    private final LoadSource loads;
+    private final SliceBalancePolicy policy;
+    private final Map<ServiceName, Long> nextMillis = new HashMap<>();
+
+    BalanceDuty(
+            ControlContext context,
+            HolderDuty holder,
+            ReleaseDuty releases,
+            LoadSource loads,
+            SliceBalancePolicy policy) {
+        this.context = context;
+        this.holder = holder;
+        this.releases = releases;
+        this.loads = loads;
+        this.policy = policy;
+    }
+
+    void tick(long nowMillis) {
+        for (TargetAnnouncement target : holder.row().targets()) {
+            ServiceName service = target.service();
+            if (target.accepting() && nowMillis >= nextMillis.getOrDefault(service, Long.MIN_VALUE)) {
+                long intervalMillis = context.settings().planMillis();
+                nextMillis.put(
+                        service, nowMillis + intervalMillis + context.random().nextLong(intervalMillis));
+                askAnother(service);
+            }
+        }
+    }
+
+    /** Returns how busy this member's target of a service is. */
+    Optional<TargetUsage> usage(ServiceName service) {
+        return loads.usage(service, owned(service));
+    }
+
+    private void askAnother(ServiceName service) {
+        Optional<ServiceDocument> document = context.view()
+                .documents()
+                .get(service)
+                .map(AcceptedDocument::document)
+                .filter(d -> d.keys().divided());
+        List<MemberRow> others = context.view().members().withTarget(service);
+        if (document.isEmpty() || others.size() < 2 || owned(service).isEmpty()) {
+            return;
+        }
+        MemberRow other = others.get(context.random().nextInt(others.size()));
+        if (!other.id().equals(context.self())) {
+            context.peers().askUsage(other, service, theirs -> compare(document.get(), other, theirs));
+        }
+    }
+
+    private void compare(ServiceDocument document, MemberRow other, TargetUsage theirs) {
+        ServiceName service = document.service();
+        Optional<TargetUsage> mine = usage(service);
+        if (mine.isEmpty() || releases.releasingCount() > 0) {
+            return;
+        }
+        List<Integer> chosen = policy.choose(document, mine.get(), loads.slices(service, owned(service)), theirs);
+        if (chosen.isEmpty()) {
+            return;
+        }
+        nextMillis.put(service, context.nowMillis() + PAUSE_AFTER_MOVE_MILLIS);
+        String reason = String.format("usage %.3f against %.3f", mine.get().utilisation(), theirs.utilisation());
+        releases.start(new PeerPort.Release(service, chosen, other.id(), reason));
+    }
+
+    private List<Integer> owned(ServiceName service) {
+        return context.view().holding(service, context.self()).slices().stream()
+                .map(HeldSlice::index)
+                .toList();
+    }
+}
--- a/src/main/java/org/siskindyke/kernel/control/ControlNode.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlNode.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 
 import org.siskindyke.kernel.balance.SliceBalancePolicy;
+import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.HolderLease;
 import org.siskindyke.kernel.membership.LeaseGrantor;
@@ -32,6 +33,7 @@
     private final SilenceDuty silence;
     private final ReleaseDuty releases;
     private final PlannerDuty planner;
+    private final BalanceDuty balance;
     private final HandoverDuty handover;
     private final LeaveDuty leave;
 
@@ -41,13 +43,20 @@
      * @param context shared parts
      * @param template the member's row but for state, epoch and grantor
      * @param traffic stops and resumes calls of slices
-     * @param policy proposes moves of slices
+     * @param loads tells how busy targets are
+     * @param policy chooses slices to hand over
      */
-    public ControlNode(ControlContext context, MemberRow template, SliceTraffic traffic, SliceBalancePolicy policy) {
+    public ControlNode(
+            ControlContext context,
+            MemberRow template,
+            SliceTraffic traffic,
+            LoadSource loads,
+            SliceBalancePolicy policy) {
         this(
                 context,
                 template,
                 traffic,
+                loads,
                 policy,
                 new HolderLease(),
                 new LeaseGrantor(context.settings().lease()));
@@ -58,6 +67,7 @@
             ControlContext context,
             MemberRow template,
             SliceTraffic traffic,
+            LoadSource loads,
             SliceBalancePolicy policy,
             HolderLease lease,
             LeaseGrantor leaseGrantor) {
@@ -70,7 +80,8 @@
         this.silence = new SilenceDuty(context, deaths);
         sync.observeGossip(silence::onGossipSent, silence::onGossipAnswered);
         this.releases = new ReleaseDuty(context, sync, writer, traffic);
-        this.planner = new PlannerDuty(context, sync, writer, holder, releases, policy);
+        this.planner = new PlannerDuty(context, sync, writer, holder);
+        this.balance = new BalanceDuty(context, holder, releases, loads, policy);
         this.handover = new HandoverDuty(context, holder, releases);
         this.leave = new LeaveDuty(context, holder, grantor, handover, writer);
     }
@@ -145,6 +156,7 @@
             handover.tick(nowMillis);
             if (!leave.isActive()) {
                 planner.tick(nowMillis);
+                balance.tick(nowMillis);
             }
         }
         leave.tick(nowMillis);
@@ -160,6 +172,11 @@
         return sync.onGossip(gossip);
     }
 
+    /** Returns how busy this member's target of a service is. */
+    public Optional<TargetUsage> usage(ServiceName service) {
+        return balance.usage(service);
+    }
+
     /** Starts handing slices over, if they are this member's. */
     public void onRelease(PeerPort.Release release) {
         if (holder.isJoined()) {
--- a/src/main/java/org/siskindyke/kernel/control/PeerPort.java
+++ b/src/main/java/org/siskindyke/kernel/control/PeerPort.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.GrantDecision;
@@ -55,6 +56,9 @@
     /** Sends one side of an exchange and receives the other. */
     void gossip(MemberRow to, Gossip gossip, Consumer<Gossip> onReply);
 
+    /** Asks a member how busy its target of a service is; a member without one does not answer. */
+    void askUsage(MemberRow to, ServiceName service, Consumer<TargetUsage> onReply);
+
     /** Sends a request to release slices. */
     void release(MemberRow to, Release release);
 }
--- a/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
@@ -8,9 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.siskindyke.kernel.balance.MoveProposal;
-import org.siskindyke.kernel.balance.SliceBalancePolicy;
-import org.siskindyke.kernel.balance.SliceBalancePolicy.MemberLoad;
 import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
 import org.siskindyke.kernel.document.ServiceDocument;
 import org.siskindyke.kernel.id.MemberId;
@@ -24,38 +21,25 @@
 import org.siskindyke.kernel.table.Transaction;
 
 /**
- * Gives slices without an owner to members and asks owners to hand slices over where that improves balance.
+ * Gives slices without an owner to members.
  *
  * <p>The planner of a service is the member with the lowest id among those with a target. Two members that believe so
  * at
  * once may waste work; transactions keep ownership right.
  */
 final class PlannerDuty {
-    private static final long MOVE_PAUSE_MILLIS = 1_000;
-
     private final ControlContext context;
     private final TableSync sync;
     private final TableWriter writer;
     private final HolderDuty holder;
-    private final ReleaseDuty releases;
-    private final SliceBalancePolicy policy;
     private final Set<ServiceName> assigning = new HashSet<>();
-    private final Map<ServiceName, Long> nextMoveMillis = new HashMap<>();
     private long nextPlanMillis;
 
-    PlannerDuty(
-            ControlContext context,
-            TableSync sync,
-            TableWriter writer,
-            HolderDuty holder,
-            ReleaseDuty releases,
-            SliceBalancePolicy policy) {
+    PlannerDuty(ControlContext context, TableSync sync, TableWriter writer, HolderDuty holder) {
         this.context = context;
         this.sync = sync;
         this.writer = writer;
         this.holder = holder;
-        this.releases = releases;
-        this.policy = policy;
     }
 
     void tick(long nowMillis) {
@@ -69,11 +53,11 @@
                     .get(target.service())
                     .map(AcceptedDocument::document)
                     .filter(document -> document.keys().divided())
-                    .ifPresent(document -> plan(document, nowMillis));
+                    .ifPresent(this::plan);
         }
     }
 
-    private void plan(ServiceDocument document, long nowMillis) {
+    private void plan(ServiceDocument document) {
         ServiceName service = document.service();
         List<MemberRow> members = context.view().members().withTarget(service);
         Optional<MemberId> planner = members.stream().map(MemberRow::id).min(Comparator.naturalOrder());
@@ -83,8 +67,6 @@
         HoldingRow unassigned = context.view().unassigned(service);
         if (!unassigned.slices().isEmpty()) {
             assign(service, unassigned, members);
-        } else if (nowMillis >= nextMoveMillis.getOrDefault(service, Long.MIN_VALUE)) {
-            move(document, members, nowMillis);
         }
     }
 
@@ -121,29 +103,6 @@
         });
     }
 
-    private void move(ServiceDocument document, List<MemberRow> members, long nowMillis) {
-        ServiceName service = document.service();
-        List<MemberLoad> loads = members.stream()
-                .map(m -> new MemberLoad(
-                        m.id(), context.view().holding(service, m.id()).slices()))
-                .toList();
-        Optional<MoveProposal> proposal = policy.propose(document, loads);
-        if (proposal.isEmpty()) {
-            return;
-        }
-        nextMoveMillis.put(service, nowMillis + MOVE_PAUSE_MILLIS);
-        MoveProposal move = proposal.get();
-        PeerPort.Release release = new PeerPort.Release(service, move.slices(), move.to(), move.reason());
-        if (move.from().equals(context.self())) {
-            releases.start(release);
-        } else {
-            context.view()
-                    .members()
-                    .serving(move.from())
-                    .ifPresent(m -> context.peers().release(m, release));
-        }
-    }
-
     private long revision(RowPath path) {
         return context.view().replica().get(path).revision();
     }
--- a/src/main/java/org/siskindyke/load/LoadGenerator.java
+++ b/src/main/java/org/siskindyke/load/LoadGenerator.java
@@ -171,7 +171,8 @@
                 String key = probeKeys.get((int) (i % probeKeys.size()));
                 CallSender.Outgoing probe =
                         new CallSender.Outgoing(service, key, "GET", null, 1, List.of(), NO_BODY, true);
-                client.send(probe, (int) i, dueNanos).subscribe(results::accept);
+                int router = (int) (i + i / probeKeys.size());
+                client.send(probe, router, dueNanos).subscribe(results::accept);
             }
         }
     }
--- a/src/main/java/org/siskindyke/measure/VirtualCluster.java
+++ b/src/main/java/org/siskindyke/measure/VirtualCluster.java
@@ -7,15 +7,18 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
-import org.siskindyke.kernel.balance.SliceCountPolicy;
+import org.siskindyke.kernel.balance.LevelUsagePolicy;
+import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.ControlContext;
 import org.siskindyke.kernel.control.ControlNode;
 import org.siskindyke.kernel.control.ControlSettings;
+import org.siskindyke.kernel.control.LoadSource;
 import org.siskindyke.kernel.control.PeerPort;
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.MemberAddress;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
@@ -108,7 +111,8 @@
                 List.of(),
                 null,
                 null);
-        ControlNode node = new ControlNode(context, template, new IdleTraffic(), new SliceCountPolicy());
+        ControlNode node =
+                new ControlNode(context, template, new IdleTraffic(), LoadSource.NONE, new LevelUsagePolicy());
         nodes.put(self, node);
         domainOf.put(self, domain);
         order.add(node);
@@ -172,6 +176,14 @@
             }
         }
 
+        @Override
+        public void askUsage(MemberRow to, ServiceName service, Consumer<TargetUsage> onReply) {
+            ControlNode peer = reach(to);
+            if (peer != null) {
+                peer.usage(service).ifPresent(onReply);
+            }
+        }
+
         @Override
         public void release(MemberRow to, Release release) {
             ControlNode peer = reach(to);
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -36,6 +36,7 @@
 import org.siskindyke.runtime.call.CallerServer;
 import org.siskindyke.runtime.call.LocalDispatcher;
 import org.siskindyke.runtime.call.LocalTarget;
+import org.siskindyke.runtime.call.SliceMeter;
 import org.siskindyke.runtime.call.TrafficState;
 import org.siskindyke.runtime.http.Http;
 import org.siskindyke.runtime.http.Json;
@@ -64,6 +65,7 @@
     private final InvariantMonitor invariants;
     private final LocalDispatcher dispatcher;
     private final LocalTargets targets;
+    private final SliceMeter meter;
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private final List<HttpServerContext> servers = new ArrayList<>();
     private volatile Incarnation incarnation;
@@ -83,6 +85,8 @@
         this.crashes = new CrashDetector(clock, control, this::onTargetUnreachable, () -> incarnation.node());
         this.invariants = new InvariantMonitor(crashes);
         this.dispatcher = new LocalDispatcher(clock, System::currentTimeMillis, invariants);
+        this.meter = new SliceMeter(clock, dispatcher);
+        this.dispatcher.setMeter(meter);
         this.targets = new LocalTargets(clock, control, dispatcher);
     }
 
@@ -196,6 +200,7 @@
         present.node().tick();
         targets.tick(present.node(), present.traffic());
         dispatcher.expire(present.traffic());
+        meter.average();
         if (leaving && present.traffic().callsInProgress() == 0) {
             present.node().onTrafficIdle();
         }
@@ -233,7 +238,7 @@
                 null);
         SliceBalancePolicy policy =
                 Plugins.named(SliceBalancePolicy.class, settings.slicePolicy(), SliceBalancePolicy::name);
-        ControlNode node = new ControlNode(context, template, traffic, policy);
+        ControlNode node = new ControlNode(context, template, traffic, meter, policy);
         node.setPredecessor(this::findPredecessor);
         return new Incarnation(node, traffic);
     }
--- a/src/main/java/org/siskindyke/runtime/RouterSettings.java
+++ b/src/main/java/org/siskindyke/runtime/RouterSettings.java
@@ -14,7 +14,7 @@
  * @param peerPort TCP port for other routers; 0 for any free one
  * @param adminPort TCP port for operators and the backend server; 0 for any free one
  * @param targetPolicy names the policy that chooses targets of undivided services
- * @param slicePolicy names the policy that proposes moves of slices
+ * @param slicePolicy names the policy that chooses slices to hand over
  * @param control settings of the control state machine
  * @param faultInjection whether the admin API may cut links, for trials
  */
@@ -33,7 +33,7 @@
     public static final String DEFAULT_TARGET_POLICY = "two-choices";
 
     /** Policy that proposes moves unless another is named. */
-    public static final String DEFAULT_SLICE_POLICY = "slice-count";
+    public static final String DEFAULT_SLICE_POLICY = "level-usage";
 
     /** Returns settings with free ports and defaults, for demonstrations and tests. */
     public static RouterSettings onFreePorts(String instance, String failureDomain) {
--- a/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
@@ -40,6 +40,7 @@
     private final CallObserver observer;
     private final ResendGuard resendGuard;
     private final Map<ServiceName, LocalTarget> targets = new ConcurrentHashMap<>();
+    private volatile SliceMeter meter;
 
     /**
      * Creates a dispatcher without targets.
@@ -55,6 +56,11 @@
         this.resendGuard = new ResendGuard(clock, epochMillis);
     }
 
+    /** Sets what measures the calls of slices. */
+    public void setMeter(SliceMeter newMeter) {
+        meter = newMeter;
+    }
+
     /** Puts a target in use, in place of an earlier one of its service. */
     public void attach(LocalTarget target) {
         LocalTarget before = targets.put(target.announcement().service(), target);
@@ -220,16 +226,20 @@
 
         private void send(long generation, long nowMillis) {
             long leaseEndMillis = state.leaseEndMillis();
+            long startNanos = System.nanoTime();
             state.onCallStarted();
             observer.onDispatch(call, state, generation, leaseEndMillis, nowMillis);
             BackendClient.Grant grant = new BackendClient.Grant(state.self(), generation, leaseEndMillis);
             target.client()
                     .send(call, grant, call.remainingMillis(nowMillis))
-                    .subscribe(reply -> onReply(reply, nowMillis));
+                    .subscribe(reply -> onReply(reply, nowMillis, startNanos));
         }
 
-        private void onReply(Reply reply, long sentMillis) {
+        private void onReply(Reply reply, long sentMillis, long startNanos) {
             state.onCallEnded();
+            if (call.slice() != null && meter != null) {
+                meter.onCall(call.slice(), System.nanoTime() - startNanos);
+            }
             observer.onReply(call, target, reply);
             Reply checked = reply;
             if (reply.verdict() == Verdict.RAN && !call.idempotent() && !state.hasLease()) {
--- a/src/main/java/org/siskindyke/runtime/peer/HttpPeerPort.java
+++ b/src/main/java/org/siskindyke/runtime/peer/HttpPeerPort.java
@@ -4,10 +4,14 @@
 import java.util.function.Consumer;
 
 import io.servicetalk.concurrent.api.Single;
+import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.control.PeerPort;
+import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.runtime.ControlThread;
 import org.siskindyke.wire.GossipResponse;
+import org.siskindyke.wire.LoadRequest;
+import org.siskindyke.wire.LoadResponse;
 import org.siskindyke.wire.RenewResponse;
 
 /** Sends the kernel's control messages over HTTP/2; replies arrive on the control thread. */
@@ -44,6 +48,14 @@
                 onReply);
     }
 
+    @Override
+    public void askUsage(MemberRow to, ServiceName service, Consumer<TargetUsage> onReply) {
+        deliver(
+                peers.request(to.address(), PeerPaths.LOAD, new LoadRequest(service.value()), TIMEOUT)
+                        .map(bytes -> WireMapper.fromWire(WireCodec.decode(bytes, new LoadResponse()))),
+                usage -> usage.ifPresent(onReply));
+    }
+
     @Override
     public void release(MemberRow to, Release release) {
         deliver(peers.request(to.address(), PeerPaths.RELEASE, WireMapper.toWire(release), TIMEOUT), ignored -> {});
--- a/src/main/java/org/siskindyke/runtime/peer/PeerPaths.java
+++ b/src/main/java/org/siskindyke/runtime/peer/PeerPaths.java
@@ -6,6 +6,7 @@
     static final String GOSSIP = "/peer/gossip";
     static final String RELEASE = "/peer/release";
     static final String FORWARD = "/peer/forward";
+    static final String LOAD = "/peer/load";
     static final String STATUS = "/peer/status";
 
     private PeerPaths() {}
--- a/src/main/java/org/siskindyke/runtime/peer/PeerServer.java
+++ b/src/main/java/org/siskindyke/runtime/peer/PeerServer.java
@@ -22,6 +22,7 @@
 import org.siskindyke.runtime.http.Json;
 import org.siskindyke.wire.ForwardRequest;
 import org.siskindyke.wire.GossipRequest;
+import org.siskindyke.wire.LoadRequest;
 import org.siskindyke.wire.ReleaseRequest;
 import org.siskindyke.wire.ReleaseResponse;
 import org.siskindyke.wire.RenewRequest;
@@ -84,6 +85,11 @@
                     return new ReleaseResponse(true, "");
                 });
             }
+            case PeerPaths.LOAD -> {
+                ServiceName service =
+                        ServiceName.of(WireCodec.decode(body, new LoadRequest()).getServiceName());
+                yield ask(() -> WireMapper.toWire(incarnation.get().node().usage(service)));
+            }
             case PeerPaths.FORWARD -> forward(WireCodec.decode(body, new ForwardRequest()));
             case PeerPaths.STATUS -> ask(() -> new StatusResponse(status.get()));
             default -> Single.failed(new IllegalArgumentException(HttpResponseStatus.NOT_FOUND.toString()));
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -2,7 +2,9 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 
+import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.Verdict;
 import org.siskindyke.kernel.control.PeerPort;
@@ -22,6 +24,7 @@
 import org.siskindyke.wire.ForwardResponse;
 import org.siskindyke.wire.GossipRequest;
 import org.siskindyke.wire.GossipResponse;
+import org.siskindyke.wire.LoadResponse;
 import org.siskindyke.wire.ReleaseRequest;
 import org.siskindyke.wire.RenewRequest;
 import org.siskindyke.wire.RenewResponse;
@@ -102,6 +105,18 @@
                 wire.getReason());
     }
 
+    static LoadResponse toWire(Optional<TargetUsage> usage) {
+        return usage.map(u -> new LoadResponse(true, u.callsPerSecond(), u.millisPerCall(), u.slots(), u.sliceCount()))
+                .orElseGet(() -> new LoadResponse(false, 0, 0, 0, 0));
+    }
+
+    static Optional<TargetUsage> fromWire(LoadResponse wire) {
+        return wire.isKnown()
+                ? Optional.of(new TargetUsage(
+                        wire.getCallsPerSecond(), wire.getMillisPerCall(), wire.getSlots(), wire.getSliceCount()))
+                : Optional.empty();
+    }
+
     /** Converts changes of the table. */
     public static WireDelta toWire(TableChanges changes) {
         WireDelta wire = new WireDelta();
--- a/src/main/java/org/siskindyke/trial/Trial.java
+++ b/src/main/java/org/siskindyke/trial/Trial.java
@@ -164,16 +164,10 @@
     }
 
     private static boolean isLevel(List<AdminClient> admins) {
-        int total = 0;
-        int most = 0;
-        int least = Integer.MAX_VALUE;
-        for (AdminClient admin : admins) {
-            int slices = admin.instance().slices().getOrDefault(DIVIDED, 0);
-            total += slices;
-            most = Math.max(most, slices);
-            least = Math.min(least, slices);
-        }
-        return total == SLICES && most - least <= 1;
+        List<Integer> counts = admins.stream()
+                .map(a -> a.instance().slices().getOrDefault(DIVIDED, 0))
+                .toList();
+        return SliceCounts.areLevel(counts, SLICES);
     }
 
     private static void await(String what, BooleanSupplier condition) {
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -99,3 +99,16 @@
 struct StatusResponse {
   1: string json,
 }
+
+/** Asks a member how busy its target of a service is. */
+struct LoadRequest {
+  1: string serviceName,
+}
+
+struct LoadResponse {
+  1: bool known,
+  2: double callsPerSecond,
+  3: double millisPerCall,
+  4: i32 slots,
+  5: i32 sliceCount,
+}
--- a/src/test/java/org/siskindyke/kernel/control/FakeMember.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -7,14 +7,18 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 
 import org.siskindyke.kernel.balance.SliceBalancePolicy;
+import org.siskindyke.kernel.balance.SliceLoad;
+import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.membership.GrantDecision;
@@ -25,7 +29,7 @@
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 
 /** A member with a drifting clock that can be paused, lost and asked to leave. It rejoins after being declared dead. */
-final class FakeMember implements PeerPort, SliceTraffic, ControlListener {
+final class FakeMember implements PeerPort, SliceTraffic, LoadSource, ControlListener {
     private static final long REJOIN_MILLIS = 200;
     private static final long OUTAGE_BOUND_MILLIS = 100_000;
     private static final ControlSettings SETTINGS =
@@ -81,7 +85,13 @@
                 null,
                 null);
         node = new ControlNode(
-                context, template, this, policy, world.parts.holder(), world.parts.grantor(LeaseSettings.DEFAULT));
+                context,
+                template,
+                this,
+                this,
+                policy,
+                world.parts.holder(),
+                world.parts.grantor(LeaseSettings.DEFAULT));
         tickLater(generationOfNode);
     }
 
@@ -228,6 +238,26 @@
         });
     }
 
+    @Override
+    public void askUsage(MemberRow to, ServiceName service, Consumer<TargetUsage> onReply) {
+        int sender = generationOfNode;
+        send(
+                to,
+                peer -> peer.node
+                        .usage(service)
+                        .ifPresent(usage -> peer.reply(this, () -> ifSame(sender, () -> onReply.accept(usage)))));
+    }
+
+    @Override
+    public Optional<TargetUsage> usage(ServiceName service, List<Integer> owned) {
+        return Optional.of(new TargetUsage(owned.size(), 1, 1, owned.size()));
+    }
+
+    @Override
+    public List<SliceLoad> slices(ServiceName service, List<Integer> owned) {
+        return owned.stream().map(i -> new SliceLoad(i, 1)).toList();
+    }
+
     @Override
     public void release(MemberRow to, Release release) {
         send(to, peer -> peer.node.onRelease(release));
--- a/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
@@ -5,7 +5,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 
-import org.siskindyke.kernel.balance.SliceCountPolicy;
+import org.siskindyke.kernel.balance.LevelUsagePolicy;
 import org.siskindyke.kernel.document.DocumentRow;
 import org.siskindyke.kernel.document.ServiceDocument;
 import org.siskindyke.kernel.id.ServiceName;
@@ -113,7 +113,7 @@
     }
 
     FakeMember start(String instance, String domain) {
-        FakeMember member = new FakeMember(this, instance, domain, new SliceCountPolicy());
+        FakeMember member = new FakeMember(this, instance, domain, new LevelUsagePolicy());
         members.add(member);
         member.start();
         return member;
