Count an orphan's wait from the death of its present grantor

A member whose grantor died moved to a second grantor that died as well; an observer that learned both at once kept the wait of the first death, and could declare the member dead while a lease of the second was running. Ruled out: lost answers in the writer, touch watches, holds of releases (checked one by one in the trace); iteration order of Set.copyOf and Map.copyOf, salted per process, only made the failure come and go between runs. Change: the wait belongs to the pair of member and grantor; the kernel iterates in fixed orders; a release keeps a wait its owner has not waited out; waits get a margin for drift; a member changes a living grantor only if three nearer ones exist.

--- a/src/main/java/org/siskindyke/kernel/control/DeathDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/DeathDuty.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.membership.GrantorRing;
@@ -28,7 +29,7 @@
     private final TableWriter writer;
     private final Set<MemberId> declaring = new HashSet<>();
     private final Map<MemberId, Long> retryAtMillis = new HashMap<>();
-    private final Map<MemberId, Long> orphanedMillis = new HashMap<>();
+    private final Map<MemberId, Orphan> orphans = new HashMap<>();
     private final Map<MemberId, TouchWatch> touchWatches = new HashMap<>();
 
     DeathDuty(ControlContext context, TableSync sync, TableWriter writer) {
@@ -37,6 +38,9 @@
         this.writer = writer;
     }
 
+    /** A member whose grantor is dead, and since when this member knows both. */
+    private record Orphan(MemberId grantor, long sinceMillis) {}
+
     /** What was last seen of a row by which a member renews its lease at the table. */
     private static final class TouchWatch {
         private long revision = -1;
@@ -47,19 +51,27 @@
 
     void onMemberRow(MemberRow member, long nowMillis) {
         if (!member.mayServe()) {
-            orphanedMillis.remove(member.id());
+            orphans.remove(member.id());
             touchWatches.remove(member.id());
             retryAtMillis.remove(member.id());
             for (MemberId charge : context.view().members().chargesOf(member.id())) {
-                orphanedMillis.putIfAbsent(charge, nowMillis);
+                watchOrphan(charge, member.id(), nowMillis);
             }
             return;
         }
         touchWatches.remove(member.id());
         if (context.view().members().isDead(member.grantor())) {
-            orphanedMillis.putIfAbsent(member.id(), nowMillis);
+            watchOrphan(member.id(), member.grantor(), nowMillis);
         } else {
-            orphanedMillis.remove(member.id());
+            orphans.remove(member.id());
+        }
+    }
+
+    /** Starts the wait for a member anew if it has changed to another grantor, which may have granted it since. */
+    private void watchOrphan(MemberId member, MemberId grantor, long nowMillis) {
+        Orphan known = orphans.get(member);
+        if (known == null || !known.grantor().equals(grantor)) {
+            orphans.put(member, new Orphan(grantor, nowMillis));
         }
     }
 
@@ -118,9 +130,9 @@
     private void declareOrphans(long nowMillis) {
         GrantorRing ring = context.view().members().ring();
         long expiryMillis = context.settings().lease().expiryMillis();
-        for (Map.Entry<MemberId, Long> orphan : Map.copyOf(orphanedMillis).entrySet()) {
+        for (Map.Entry<MemberId, Orphan> orphan : new TreeMap<>(orphans).entrySet()) {
             long staggerMillis = staggerMillis(ring, orphan.getKey());
-            if (nowMillis >= orphan.getValue() + expiryMillis + staggerMillis) {
+            if (nowMillis >= orphan.getValue().sinceMillis() + expiryMillis + staggerMillis) {
                 declare(orphan.getKey(), "grantor dead for lease and margin");
             }
         }
--- a/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
@@ -19,8 +19,9 @@
 final class HolderDuty {
     private static final long TABLE_GRANTOR_REVIEW_MILLIS = 1_000;
     private static final long GRANTOR_REVIEW_MILLIS = 5_000;
+    private static final int NEAR_GRANTORS = 3;
     private static final int TOUCHES_PER_BOUND = 8;
-    private static final long FALLBACK_MARGIN_MILLIS = 600;
+    private static final long FALLBACK_MARGIN_MILLIS = 800;
     private static final long RETRY_RENEWAL_MILLIS = 60;
     private static final long RETRY_WRITE_MILLIS = 100;
 
@@ -275,10 +276,11 @@
         }
     }
 
-    /** Moves to the member that should grant this one since others have joined or ended. */
+    /** Moves to a member nearer on the ring once others have joined or ended in between. */
     private void replaceByBetterGrantor() {
-        List<MemberRow> best = context.view().members().ring().candidates(row.id(), row.failureDomain(), 1);
-        if (!best.isEmpty() && !best.get(0).id().equals(lease.grantor())) {
+        List<MemberRow> near = context.view().members().ring().candidates(row.id(), row.failureDomain(), NEAR_GRANTORS);
+        boolean isNear = near.stream().anyMatch(m -> m.id().equals(lease.grantor()));
+        if (!near.isEmpty() && !isNear) {
             replaceGrantor(null);
         }
     }
--- a/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
@@ -91,7 +91,7 @@
         HoldingRow theirs = (release.heir() == null
                         ? context.view().unassigned(service)
                         : context.view().holding(service, release.heir()))
-                .plus(moving.stream().map(s -> s.passedOn(0)).toList());
+                .plus(moving.stream().map(s -> passOn(service, s)).toList());
         Transaction.Builder transaction = Transaction.builder()
                 .replace(rest.path(), revision(rest.path()), RowCodec.encode(rest))
                 .replace(theirs.path(), revision(theirs.path()), RowCodec.encode(theirs));
@@ -109,6 +109,16 @@
         });
     }
 
+    /** Keeps the wait of a slice that this member has not yet waited out itself. */
+    private HeldSlice passOn(ServiceName service, HeldSlice slice) {
+        boolean settled = context.view()
+                .ownership()
+                .owner(new SliceRef(service, slice.index()))
+                .filter(owner -> owner.isUsableBy(context.self(), context.nowMillis()))
+                .isPresent();
+        return slice.passedOn(settled ? 0 : slice.settleMillis());
+    }
+
     private void learn(HoldingRow rest, HoldingRow theirs, long version) {
         sync.learn(List.of(
                 new Row(rest.path(), version, RowCodec.encode(rest), false),
--- a/src/main/java/org/siskindyke/kernel/control/SilenceDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/SilenceDuty.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.membership.MemberRow;
@@ -63,7 +64,7 @@
                 }
             });
         }
-        Map.copyOf(watches).forEach((member, watch) -> readWhenDue(member, watch, nowMillis));
+        new TreeMap<>(watches).forEach((member, watch) -> readWhenDue(member, watch, nowMillis));
     }
 
     private void readWhenDue(MemberId member, Watch watch, long nowMillis) {
--- a/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
+++ b/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
@@ -29,6 +29,9 @@
     /** Most members that share the slices of a dead one, per service. */
     static final int MAX_HEIRS = 3;
 
+    /** Covers clock drift while an heir waits. */
+    private static final long SETTLE_MARGIN_MILLIS = 100;
+
     private final ClusterView view;
     private final Transaction.Builder transaction = Transaction.builder();
     private int slices;
@@ -124,7 +127,8 @@
             return 0;
         }
         Optional<AcceptedDocument> accepted = view.documents().get(service);
-        return accepted.map(a -> a.document().calls().timeoutMillis()).orElse(0L);
+        return accepted.map(a -> a.document().calls().timeoutMillis() + SETTLE_MARGIN_MILLIS)
+                .orElse(0L);
     }
 
     /**
--- a/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
+++ b/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
@@ -113,8 +113,8 @@
     }
 
     /** Returns the members that are not dead and record a grantor; for the control thread only. */
-    public Set<MemberId> chargesOf(MemberId grantor) {
-        return Set.copyOf(chargesByGrantor.getOrDefault(grantor, Set.of()));
+    public List<MemberId> chargesOf(MemberId grantor) {
+        return List.copyOf(chargesByGrantor.getOrDefault(grantor, Set.of()));
     }
 
     /** Returns a number that grows with each row taken over; for the control thread only. */
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/control/OrphanTest.java
@@ -0,0 +1,76 @@
+package org.siskindyke.kernel.control;
+
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.Example;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.Transaction;
+import org.siskindyke.plugin.table.EmbeddedTable;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class OrphanTest {
+    private static final MemberId SELF = MemberId.of("self:1");
+    private static final MemberId X = MemberId.of("x:1");
+    private static final MemberId G1 = MemberId.of("g1:1");
+    private static final MemberId G2 = MemberId.of("g2:1");
+
+    private final EmbeddedTable table = new EmbeddedTable();
+    private final ClusterView view = new ClusterView();
+    private long nowMillis;
+    private final ControlContext context = new ControlContext(
+            SELF, ControlSettings.DEFAULT, () -> nowMillis, new Random(1), table, null, new FakeListener(), view);
+    private final TableSync sync = new TableSync(context, FailureDomain.of("d"), rows -> {});
+    private final DeathDuty deaths = new DeathDuty(context, sync, new TableWriter(context));
+
+    private void write(MemberId id, MemberState state, long epoch, MemberId grantor) {
+        MemberRow row = new MemberRow(
+                id,
+                InstanceName.of("i"),
+                FailureDomain.of("d"),
+                new MemberAddress("127.0.0.1", 1, 2, 3),
+                state,
+                epoch,
+                grantor,
+                List.of(),
+                null,
+                null);
+        table.commit(Transaction.builder()
+                .put(RowPath.member(id), RowCodec.encode(row))
+                .build());
+        view.apply(
+                table.changesSince(view.replica().version(), 100)
+                        .toCompletableFuture()
+                        .join(),
+                nowMillis);
+        deaths.onMemberRow(row, nowMillis);
+    }
+
+    private MemberState stateOfX() {
+        deaths.tick(nowMillis);
+        return RowCodec.decode(
+                        table.read(RowPath.member(X)).toCompletableFuture().join(), MemberRow.class)
+                .state();
+    }
+
+    @Example
+    void aMemberThatChangedToAnotherGrantorIsNotDeclaredByTheDeathOfTheFirst() {
+        write(G1, MemberState.DEAD, 1, MemberId.TABLE);
+        write(X, MemberState.ALIVE, 1, G1);
+        nowMillis = 1_300;
+        write(G2, MemberState.DEAD, 1, MemberId.TABLE);
+        write(X, MemberState.ALIVE, 2, G2);
+        nowMillis = 2_600;
+        assertEquals(MemberState.ALIVE, stateOfX());
+        nowMillis = 1_300 + 1_400 + 1_000;
+        assertEquals(MemberState.DEAD, stateOfX());
+    }
+}
