--- /dev/null
+++ b/src/main/java/org/siskindyke/command/ReportCommand.java
@@ -0,0 +1,42 @@
+package org.siskindyke.command;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.report.HtmlReport;
+
+/** Turns trials into one page with charts. */
+@AutoService(Command.class)
+public final class ReportCommand implements Command {
+    @Override
+    public String name() {
+        return "report";
+    }
+
+    @Override
+    public String summary() {
+        return "turns the files of trials into one HTML page with timelines, side by side";
+    }
+
+    @Override
+    public Flags flags() {
+        return new Flags().operands("DIR...").optional("out", "report.html", "the page to write");
+    }
+
+    @Override
+    public int run(Flags.Values settings, PrintStream out) {
+        System.setProperty("java.awt.headless", "true");
+        List<Path> directories = settings.words().stream().map(Path::of).toList();
+        if (directories.isEmpty()) {
+            throw new SiskindykeException(ErrorCode.INVALID_SETTING, "name at least one trial's directory");
+        }
+        Path file = Path.of(settings.text("out"));
+        HtmlReport.write(directories, file);
+        out.println("wrote " + file);
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/report/package-info.java
@@ -0,0 +1,2 @@
+/** Turns the files of trials into charts. */
+package org.siskindyke.report;
--- a/src/main/java/org/siskindyke/trial/Trial.java
+++ b/src/main/java/org/siskindyke/trial/Trial.java
@@ -29,6 +29,7 @@
 import org.siskindyke.kernel.ownership.HoldingRow;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
+import org.siskindyke.load.LoadGenerator;
 import org.siskindyke.plugin.table.TableProtocol;
 import org.siskindyke.runtime.admin.AdminClient;
 import org.siskindyke.runtime.http.Http;
@@ -68,6 +69,7 @@
     private ManagedProcess table;
     private int tablePort;
     private HttpClient tableClient;
+    private LoadGenerator load;
     private long faultNanos;
     private String drainedTarget;
     private long drainedNanos;
@@ -234,6 +236,31 @@
         return instances.stream().map(i -> i.address().callerPort()).toList();
     }
 
+    /** Tells the trial which load runs, so that scenarios can change it. */
+    void setLoad(LoadGenerator running) {
+        load = running;
+    }
+
+    /** Makes other keys of the load the hottest. */
+    public void rotateHotKeys(int places) {
+        load.keys().rotate(places);
+    }
+
+    /** Sends the request that crashes each backend server that runs it. */
+    public void sendMarkedRequest() {
+        int port = callerPorts().get(random.nextInt(instances.size()));
+        HttpClient client = Http.client("127.0.0.1", port, Http.Protocol.HTTP_1_1);
+        client.request(client.get("/" + DIVIDED + "/marked?crash-mark=1"))
+                .onErrorReturn(failure -> null)
+                .whenFinally(() -> client.closeAsync().subscribe())
+                .subscribe(response -> {});
+    }
+
+    /** Returns the number of instances of which a backend server has ended. */
+    int crashedBackends() {
+        return (int) instances.stream().filter(i -> !i.backendsAreUp()).count();
+    }
+
     /** Marks the moment of the fault, for timelines. */
     public void markFault() {
         if (faultNanos == 0) {
--- a/src/main/java/org/siskindyke/trial/TrialInstance.java
+++ b/src/main/java/org/siskindyke/trial/TrialInstance.java
@@ -141,6 +141,10 @@
         return router != null && router.isAlive();
     }
 
+    boolean backendsAreUp() {
+        return backends.stream().allMatch(ManagedProcess::isAlive);
+    }
+
     /** Loses the router alone. */
     public void killRouter() {
         router.kill();
--- a/src/main/java/org/siskindyke/trial/TrialRunner.java
+++ b/src/main/java/org/siskindyke/trial/TrialRunner.java
@@ -37,6 +37,7 @@
 
     private static final long NANOS_PER_MICRO = 1_000;
     private static final double MICROS_PER_MILLI = 1_000;
+    private static final double NANOS_PER_SECOND = 1e9;
     private static final double MEDIAN = 50;
     private static final double TAIL = 99;
 
@@ -99,6 +100,7 @@
                 IntStream.range(0, PROBED_KEYS).mapToObj(i -> "probe-" + i).toList();
         LoadGenerator.Prober prober =
                 new LoadGenerator.Prober(Trial.DIVIDED, keys, PROBE_INTERVAL_MILLIS, client, calls::add);
+        trial.setLoad(load);
         Thread loading = new Thread(load::run, "load");
         Thread probing = new Thread(prober, "prober");
         loading.start();
@@ -166,9 +168,19 @@
                 table.mostReadsInSecond(),
                 table.mostWritesInSecond(),
                 judged.isEmpty() ? 0 : (double) judge.executions() / judged.size(),
+                trial.crashedBackends(),
+                servedPerSecond(judged),
                 trial.workAfterDrainMillis(judge));
     }
 
+    private static double servedPerSecond(List<CallRecord> judged) {
+        List<CallRecord> load = judged.stream().filter(c -> !c.probe()).toList();
+        long firstNanos = load.stream().mapToLong(CallRecord::startNanos).min().orElse(0);
+        long lastNanos = load.stream().mapToLong(CallRecord::startNanos).max().orElse(0);
+        double seconds = Math.max(1, lastNanos - firstNanos) / NANOS_PER_SECOND;
+        return load.stream().filter(CallRecord::isServed).count() / seconds;
+    }
+
     private void write(TrialSummary summary) {
         Path calledPath = directory.toPath().resolve("calls.jsonl");
         try (BufferedWriter writer = Files.newBufferedWriter(calledPath)) {
--- a/src/main/java/org/siskindyke/trial/TrialSummary.java
+++ b/src/main/java/org/siskindyke/trial/TrialSummary.java
@@ -23,6 +23,8 @@
  * @param tableReadsPerSecondMax the most reads of the table in any second
  * @param tableWritesPerSecondMax the most transactions in any second
  * @param attemptsPerCall executions listed in ledgers per call sent
+ * @param crashedBackends backend servers that were down at the end
+ * @param servedPerSecond calls of the load that were answered each second
  * @param workAfterDrainMillis how long after a withdrawal a backend server still got work; -1 where none withdrew
  */
 public record TrialSummary(
@@ -46,6 +48,8 @@
         long tableReadsPerSecondMax,
         long tableWritesPerSecondMax,
         double attemptsPerCall,
+        int crashedBackends,
+        double servedPerSecond,
         long workAfterDrainMillis) {
     /** Tells whether everything that must always hold did hold. */
     public boolean isSafe() {
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/HotKeyMoving.java
@@ -0,0 +1,33 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+
+/** Keys are drawn by a Zipf distribution of exponent 1, and other keys get hot every eight seconds. */
+@AutoService(Scenario.class)
+@ScenarioInfo(
+        name = "hot-key-moving",
+        summary = "Keys are drawn by a Zipf distribution of exponent 1, and other keys get hot every eight seconds.",
+        durationMillis = 40_000)
+public final class HotKeyMoving implements Scenario {
+    private static final int ROTATIONS = 3;
+    private static final int PLACES = 500;
+    private static final long ROTATION_MILLIS = 8_000;
+
+    @Override
+    public double zipfExponent() {
+        return 1;
+    }
+
+    @Override
+    public void run(Trial trial) {
+        trial.markFault();
+        for (int i = 1; i <= ROTATIONS; i++) {
+            Trial.pause(ROTATION_MILLIS);
+            trial.rotateHotKeys(i * PLACES);
+        }
+        Trial.pause(ROTATION_MILLIS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/trial/scenario/ResendAfterCrash.java
@@ -0,0 +1,30 @@
+package org.siskindyke.trial.scenario;
+
+import com.google.auto.service.AutoService;
+import org.siskindyke.trial.Scenario;
+import org.siskindyke.trial.ScenarioInfo;
+import org.siskindyke.trial.Trial;
+import org.siskindyke.trial.TrialInstance;
+
+/** An instance is lost while most calls are orders that callers send again. */
+@AutoService(Scenario.class)
+@ScenarioInfo(
+        name = "resend-after-crash",
+        summary = "An instance is lost while most calls are orders that callers send again.")
+public final class ResendAfterCrash implements Scenario {
+    private static final int ORDER_PERCENT = 80;
+
+    @Override
+    public int orderPercent() {
+        return ORDER_PERCENT;
+    }
+
+    @Override
+    public void run(Trial trial) {
+        TrialInstance lost = trial.anyInstance();
+        trial.markFault();
+        lost.kill();
+        Trial.pause(6_000);
+        lost.start();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/benchmark/TargetChoiceBenchmark.java
@@ -0,0 +1,87 @@
+package org.siskindyke.benchmark;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import org.siskindyke.kernel.balance.TargetLoad;
+import org.siskindyke.kernel.balance.TwoChoicesPolicy;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.ownership.KeyHash;
+
+/** Times the decisions that each call needs. Run its main method. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class TargetChoiceBenchmark {
+    /** Number of targets to choose from. */
+    @Param({"4", "64", "3100"})
+    public int targets;
+
+    private final TwoChoicesPolicy policy = new TwoChoicesPolicy();
+    private final List<MemberRow> candidates = new ArrayList<>();
+    private final Map<MemberId, TargetLoad> loads = new HashMap<>();
+
+    @Setup
+    public void fill() {
+        for (int i = 0; i < targets; i++) {
+            MemberId id = MemberId.of(InstanceName.of("i" + i), 1);
+            candidates.add(new MemberRow(
+                    id,
+                    InstanceName.of("i" + i),
+                    FailureDomain.of("d"),
+                    new MemberAddress("10.0.0.1", 1, 2, 3),
+                    MemberState.ALIVE,
+                    1,
+                    MemberId.TABLE,
+                    List.of(),
+                    null,
+                    null));
+            loads.put(id, new TargetLoad());
+        }
+    }
+
+    @Benchmark
+    public Optional<MemberRow> chooseTarget() {
+        return policy.choose(candidates, loads::get, ThreadLocalRandom.current(), 1);
+    }
+
+    @Benchmark
+    public int hashKey() {
+        return KeyHash.sliceOf("crock-12345", 16_384);
+    }
+
+    public static void main(String[] arguments) throws RunnerException {
+        new Runner(new OptionsBuilder()
+                        .include(TargetChoiceBenchmark.class.getSimpleName())
+                        .forks(1)
+                        .warmupIterations(2)
+                        .warmupTime(TimeValue.seconds(1))
+                        .measurementIterations(3)
+                        .measurementTime(TimeValue.seconds(1))
+                        .addProfiler("gc")
+                        .build())
+                .run();
+    }
+}
