--- a/src/main/java/org/siskindyke/runtime/http/Http.java
+++ b/src/main/java/org/siskindyke/runtime/http/Http.java
@@ -19,7 +19,9 @@
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 import io.servicetalk.loadbalancer.RoundRobinLoadBalancers;
 import io.servicetalk.transport.api.HostAndPort;
+import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
 
@@ -30,6 +32,11 @@
     private static final Duration PING_TIMEOUT = Duration.ofSeconds(1);
     private static final int DEFAULT_SEARCH_SPACE = 64;
 
+    /** Few event loops, since most calls cross from one connection to another and wake the other's loop. */
+    private static final int EVENT_LOOPS = 2;
+
+    private static final IoExecutor IO_EXECUTOR = NettyIoExecutors.createIoExecutor(EVENT_LOOPS, "traffic");
+
     private Http() {}
 
     /** Protocols that a server or client may speak without TLS. */
@@ -61,6 +68,7 @@
     public static HttpServerContext serve(String host, int port, Protocol protocol, HttpService service) {
         try {
             return HttpServers.forAddress(new InetSocketAddress(host, port))
+                    .ioExecutor(IO_EXECUTOR)
                     .protocols(protocol.config())
                     .socketOption(StandardSocketOptions.TCP_NODELAY, true)
                     .executionStrategy(HttpExecutionStrategies.offloadNone())
@@ -103,6 +111,7 @@
      */
     public static HttpClient client(String host, int port, Protocol protocol, int searchSpace) {
         return HttpClients.forResolvedAddress(HostAndPort.of(host, port))
+                .ioExecutor(IO_EXECUTOR)
                 .protocols(protocol.config())
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .socketOption(StandardSocketOptions.TCP_NODELAY, true)
