Write call records and summaries so that they can be read again

Cause: 'siskindyke report' refused every trial: derived properties (served, safe) were written into the files and are unknown when read. Change: the derived properties are not written. Conclusion: the report's charts were not looked at before this commit.

--- a/src/main/java/org/siskindyke/load/CallRecord.java
+++ b/src/main/java/org/siskindyke/load/CallRecord.java
@@ -1,5 +1,7 @@
 package org.siskindyke.load;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 /**
  * What became of one call of a load.
  *
@@ -34,6 +36,7 @@
     private static final int OK = 200;
 
     /** Tells whether a backend server answered. */
+    @JsonIgnore
     public boolean isServed() {
         return status == OK;
     }
--- a/src/main/java/org/siskindyke/trial/TrialSummary.java
+++ b/src/main/java/org/siskindyke/trial/TrialSummary.java
@@ -1,5 +1,7 @@
 package org.siskindyke.trial;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 /**
  * What a trial found.
  *
@@ -52,6 +54,7 @@
         double servedPerSecond,
         long workAfterDrainMillis) {
     /** Tells whether everything that must always hold did hold. */
+    @JsonIgnore
     public boolean isSafe() {
         return doubleOwnerMillis == 0 && atMostOnceViolations == 0 && falseNotRun == 0 && wrongAnswers == 0;
     }
