Share what stood twice, drop what nothing calls, hash calls only while there are suspects

Cause: a second reading of the whole change. The test for requests that were surely not sent stood three times, the path of a suspect and a row's revision twice; each call's body was hashed even with no suspects; two listeners consisted of empty methods; three methods had no caller. Change: Http.isNotSent, CallFingerprint.suspectPath and ClusterView.revision serve all; the hash is computed only while the list of suspects is not empty; ControlListener's notices default to nothing. Assertions of tests are unchanged.

--- a/src/main/java/org/siskindyke/kernel/control/ClusterView.java
+++ b/src/main/java/org/siskindyke/kernel/control/ClusterView.java
@@ -48,6 +48,11 @@
         return suspects;
     }
 
+    /** Returns the revision of a row as the replica knows it, 0 for one never written. */
+    public long revision(RowPath path) {
+        return replica.get(path).revision();
+    }
+
     /** Returns what a member holds of a service, as the replica knows it. */
     public HoldingRow holding(ServiceName service, MemberId member) {
         return HoldingRow.read(replica.get(RowPath.holding(service, member)), service, member);
--- a/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
@@ -82,10 +82,10 @@
                 .toList();
         HoldingRow none = new HoldingRow(service, null, List.of());
         Transaction.Builder transaction =
-                Transaction.builder().replace(none.path(), revision(none.path()), RowCodec.encode(none));
+                Transaction.builder().replace(none.path(), context.view().revision(none.path()), RowCodec.encode(none));
         SliceShares.level(counts, slices).forEach((member, share) -> {
             HoldingRow holding = context.view().holding(service, member).plus(share);
-            transaction.replace(holding.path(), revision(holding.path()), RowCodec.encode(holding));
+            transaction.replace(holding.path(), context.view().revision(holding.path()), RowCodec.encode(holding));
             transaction.require(RowPath.member(member), context.view().members().revision(member));
         });
         writer.submit(transaction.build(), context.nowMillis(), outcome -> {
@@ -102,8 +102,4 @@
                             outcome.committed()));
         });
     }
-
-    private long revision(RowPath path) {
-        return context.view().replica().get(path).revision();
-    }
 }
--- a/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
@@ -57,7 +57,7 @@
         }
         releasing.addAll(slices);
         RowPath path = holding.path();
-        long knownRevision = context.view().replica().get(path).revision();
+        long knownRevision = context.view().revision(path);
         context.settle(context.table().read(path), (row, failure) -> {
             if (failure != null || row.revision() != knownRevision) {
                 releasing.removeAll(slices);
@@ -93,8 +93,8 @@
                         : context.view().holding(service, release.heir()))
                 .plus(moving.stream().map(s -> passOn(service, s)).toList());
         Transaction.Builder transaction = Transaction.builder()
-                .replace(rest.path(), revision(rest.path()), RowCodec.encode(rest))
-                .replace(theirs.path(), revision(theirs.path()), RowCodec.encode(theirs));
+                .replace(rest.path(), context.view().revision(rest.path()), RowCodec.encode(rest))
+                .replace(theirs.path(), context.view().revision(theirs.path()), RowCodec.encode(theirs));
         if (release.heir() != null) {
             transaction.require(
                     RowPath.member(release.heir()), context.view().members().revision(release.heir()));
@@ -149,10 +149,6 @@
                         committed));
     }
 
-    private long revision(RowPath path) {
-        return context.view().replica().get(path).revision();
-    }
-
     private static List<HeldSlice> held(HoldingRow holding, List<Integer> indexes) {
         Set<Integer> wanted = new HashSet<>(indexes);
         return holding.slices().stream().filter(s -> wanted.contains(s.index())).toList();
--- a/src/main/java/org/siskindyke/kernel/control/SuspectList.java
+++ b/src/main/java/org/siskindyke/kernel/control/SuspectList.java
@@ -34,6 +34,11 @@
         }
     }
 
+    /** Tells whether no call is suspected. */
+    public boolean isEmpty() {
+        return rows.isEmpty();
+    }
+
     /** Returns the number of crashes that a call was running at. */
     public int crashes(RowPath path) {
         SuspectRow row = rows.get(path);
--- a/src/main/java/org/siskindyke/kernel/table/RowPath.java
+++ b/src/main/java/org/siskindyke/kernel/table/RowPath.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
-import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 
@@ -86,11 +85,6 @@
         return new RowPath(SUSPECTS + service + "/" + fingerprint);
     }
 
-    /** Returns the writer row of an administrator working through an instance. */
-    public static RowPath adminWriter(InstanceName instance, String token) {
-        return new RowPath(WRITERS + "admin/" + instance + "/" + token);
-    }
-
     /** Tells whether every router keeps a copy of rows of this kind. */
     public boolean isReplicated() {
         return isIn(MEMBERS) || isIn(HOLDINGS) || isIn(DOCUMENTS) || isIn(SUSPECTS);
--- a/src/main/java/org/siskindyke/load/CallerClient.java
+++ b/src/main/java/org/siskindyke/load/CallerClient.java
@@ -1,6 +1,5 @@
 package org.siskindyke.load;
 
-import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -9,7 +8,6 @@
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpResponse;
-import io.servicetalk.transport.api.RetryableException;
 import org.siskindyke.kernel.call.Verdict;
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.runtime.call.Headers;
@@ -68,7 +66,7 @@
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .map(response -> record(call, response, dueNanos))
                 .onErrorResume(failure -> {
-                    boolean refused = failure instanceof ConnectException || failure instanceof RetryableException;
+                    boolean refused = Http.isNotSent(failure);
                     if (refused && tried < Math.min(MOST_ROUTERS_TRIED, routers.size())) {
                         return trySend(call, router + 1, dueNanos, tried + 1);
                     }
--- a/src/main/java/org/siskindyke/measure/VirtualCluster.java
+++ b/src/main/java/org/siskindyke/measure/VirtualCluster.java
@@ -87,7 +87,9 @@
                 new Random(random.nextLong()),
                 counted.way(),
                 new Link(self),
-                new SilentListener(),
+                defect -> {
+                    throw defect;
+                },
                 new ClusterView());
         MemberRow template = new MemberRow(
                 self,
--- a/src/main/java/org/siskindyke/report/TrialCharts.java
+++ b/src/main/java/org/siskindyke/report/TrialCharts.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.ToLongFunction;
 
 import org.HdrHistogram.Histogram;
 import org.knowm.xchart.VectorGraphicsEncoder;
@@ -81,10 +80,9 @@
     private String loadPerTarget() {
         XYChart chart = chart("Calls run by each backend server", "calls per second");
         Map<String, TreeMap<Integer, Double>> series = new TreeMap<>();
-        ToLongFunction<Ledger.Entry> begin = Ledger.Entry::beginNanos;
         for (Ledger.Entry entry : trial.executions()) {
             series.computeIfAbsent(entry.target(), t -> new TreeMap<>())
-                    .merge(second(begin.applyAsLong(entry)), 1.0, Double::sum);
+                    .merge(second(entry.beginNanos()), 1.0, Double::sum);
         }
         int last = trial.calls().stream()
                 .mapToInt(c -> second(c.startNanos()))
--- a/src/main/java/org/siskindyke/runtime/CrashDetector.java
+++ b/src/main/java/org/siskindyke/runtime/CrashDetector.java
@@ -81,7 +81,7 @@
 
     private void examine(Call call, TargetAnnouncement target, boolean lost) {
         if (lost && losses.size() < MOST_SUSPECTS) {
-            RowPath path = RowPath.suspect(call.service(), CallFingerprint.of(call));
+            RowPath path = CallFingerprint.suspectPath(call);
             losses.add(new Loss(call.service(), path, clock.nowMillis()));
         }
         if (probing.add(target.service())) {
--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -10,8 +10,6 @@
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.HttpResponse;
-import io.servicetalk.http.api.HttpResponseStatus;
-import io.servicetalk.transport.api.RetryableException;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
@@ -125,20 +123,10 @@
     }
 
     private static Reply toReply(Throwable failure) {
-        if (isNotSent(failure)) {
+        if (Http.isNotSent(failure)) {
             return Reply.notRun(Refusal.TARGET_UNREACHABLE, 0);
         }
         boolean timeout = failure instanceof java.util.concurrent.TimeoutException;
         return Reply.mayHaveRun(timeout ? Refusal.DEADLINE : Refusal.ANSWER_LOST);
     }
-
-    /** Tells whether a failed request was surely not sent. */
-    static boolean isNotSent(Throwable failure) {
-        return failure instanceof RetryableException || failure instanceof java.net.ConnectException;
-    }
-
-    /** Tells whether a status is one that the target uses to say that it is overloaded. */
-    static boolean isOverloaded(int status) {
-        return status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-    }
 }
--- a/src/main/java/org/siskindyke/runtime/call/CallFingerprint.java
+++ b/src/main/java/org/siskindyke/runtime/call/CallFingerprint.java
@@ -4,11 +4,17 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import org.siskindyke.kernel.table.RowPath;
 
 /** Identifies what a call asks for, so that the same request sent again is recognised. */
 public final class CallFingerprint {
     private CallFingerprint() {}
 
+    /** Returns the path of the row that would name a call as suspect. */
+    public static RowPath suspectPath(Call call) {
+        return RowPath.suspect(call.service(), of(call));
+    }
+
     /** Returns a hash of the method, target, key and body, in hexadecimal. */
     public static String of(Call call) {
         Hasher hasher = Hashing.murmur3_128().newHasher();
--- a/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
@@ -17,7 +17,6 @@
 import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.ownership.SliceOwner;
-import org.siskindyke.kernel.table.RowPath;
 import org.siskindyke.kernel.time.MonotonicClock;
 
 import static io.servicetalk.concurrent.api.Processors.newSingleProcessor;
@@ -36,7 +35,6 @@
     private static final long QUEUE_RETRY_MILLIS = 200;
 
     private final MonotonicClock clock;
-    private final LongSupplier epochMillis;
     private final CallObserver observer;
     private final ResendGuard resendGuard;
     private final Map<ServiceName, LocalTarget> targets = new ConcurrentHashMap<>();
@@ -51,7 +49,6 @@
      */
     public LocalDispatcher(MonotonicClock clock, LongSupplier epochMillis, CallObserver observer) {
         this.clock = clock;
-        this.epochMillis = epochMillis;
         this.observer = observer;
         this.resendGuard = new ResendGuard(clock, epochMillis);
     }
@@ -117,7 +114,7 @@
         if (target == null || accepted.isEmpty() || !target.isAccepting() && call.slice() == null) {
             return refuse(Refusal.NO_TARGET, 0);
         }
-        if (state.view().suspects().crashes(suspectPath(call)) >= SuspectList.REFUSE_AFTER_CRASHES) {
+        if (isRefusedSuspect(call, state)) {
             return refuse(Refusal.SUSPECTED_OF_CRASHES, 0);
         }
         Optional<Reply> notOwner = checkOwnership(call, state);
@@ -145,9 +142,11 @@
         return Optional.of(owner == null ? refusal : refusal.withOwner(owner.member(), owner.generation()));
     }
 
-    /** Returns the path of the row that would name a call as suspect. */
-    static RowPath suspectPath(Call call) {
-        return RowPath.suspect(call.service(), CallFingerprint.of(call));
+    /** Looks a call up among the suspects; it is hashed only while there are any. */
+    private static boolean isRefusedSuspect(Call call, TrafficState state) {
+        SuspectList suspects = state.view().suspects();
+        return !suspects.isEmpty()
+                && suspects.crashes(CallFingerprint.suspectPath(call)) >= SuspectList.REFUSE_AFTER_CRASHES;
     }
 
     private static Single<Reply> refuse(Refusal refusal, long retryAfterMillis) {
--- a/src/main/java/org/siskindyke/runtime/http/Http.java
+++ b/src/main/java/org/siskindyke/runtime/http/Http.java
@@ -1,6 +1,7 @@
 package org.siskindyke.runtime.http;
 
 import java.net.BindException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.time.Duration;
@@ -20,6 +21,7 @@
 import io.servicetalk.loadbalancer.RoundRobinLoadBalancers;
 import io.servicetalk.transport.api.HostAndPort;
 import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.api.RetryableException;
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 import org.siskindyke.kernel.error.ErrorCode;
@@ -90,6 +92,11 @@
                 e);
     }
 
+    /** Tells whether a failed request was surely not sent. */
+    public static boolean isNotSent(Throwable failure) {
+        return failure instanceof RetryableException || failure instanceof ConnectException;
+    }
+
     /** Returns the port that a server listens on. */
     public static int portOf(HttpServerContext server) {
         return ((InetSocketAddress) server.listenAddress()).getPort();
--- a/src/main/java/org/siskindyke/runtime/peer/PeerForwarder.java
+++ b/src/main/java/org/siskindyke/runtime/peer/PeerForwarder.java
@@ -4,13 +4,13 @@
 import java.util.concurrent.TimeoutException;
 
 import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.transport.api.RetryableException;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.CallRouter;
 import org.siskindyke.runtime.call.Reply;
+import org.siskindyke.runtime.http.Http;
 import org.siskindyke.wire.ForwardResponse;
 
 /** Passes calls to the routers beside their owners. */
@@ -48,7 +48,7 @@
     }
 
     private static Reply toReply(Throwable failure) {
-        if (failure instanceof RetryableException || failure instanceof java.net.ConnectException) {
+        if (Http.isNotSent(failure)) {
             return Reply.notRun(Refusal.OWNER_UNREACHABLE, UNREACHABLE_RETRY_MILLIS);
         }
         return Reply.mayHaveRun(failure instanceof TimeoutException ? Refusal.DEADLINE : Refusal.ANSWER_LOST);
--- a/src/main/java/org/siskindyke/trial/LedgerJudge.java
+++ b/src/main/java/org/siskindyke/trial/LedgerJudge.java
@@ -89,22 +89,6 @@
         return first.target().equals(second.target()) && first.generation() == second.generation();
     }
 
-    /** Counts keys whose later execution carries a lower generation than an earlier one. */
-    int fallingGenerations() {
-        Map<String, Long> highest = new HashMap<>();
-        int falling = 0;
-        List<Ledger.Entry> ordered = new ArrayList<>(entries);
-        ordered.sort(Comparator.comparingLong(Ledger.Entry::beginNanos));
-        for (Ledger.Entry entry : ordered) {
-            if (entry.key() == null || !entry.completed()) {
-                continue;
-            }
-            long known = highest.merge(entry.key(), entry.generation(), Math::max);
-            falling += entry.generation() < known ? 1 : 0;
-        }
-        return falling;
-    }
-
     /** Counts orders that took effect more than once. */
     int atMostOnceViolations() {
         Map<String, Integer> effects = new HashMap<>();
--- a/src/test/java/org/siskindyke/kernel/control/FakeMember.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -289,16 +289,6 @@
 
     // What the member learns of itself
 
-    @Override
-    public void onLease(long leaseEndMillis) {
-        // The lease is read from the node.
-    }
-
-    @Override
-    public void onJoined(MemberId grantor) {
-        // Tests look at the node.
-    }
-
     @Override
     public void onDeclaredDead(MemberId declaredBy) {
         world.schedule(REJOIN_MILLIS, () -> run(this::start));
@@ -309,21 +299,6 @@
         left = true;
     }
 
-    @Override
-    public void onGrantorReplaced(MemberId before, MemberId after) {
-        // Tests look at the node.
-    }
-
-    @Override
-    public void onRenewalRefused(MemberId grantor, GrantDecision decision) {
-        // Expected under faults.
-    }
-
-    @Override
-    public void onPlacement(PlacementDecision decision) {
-        // Tests look at the view.
-    }
-
     @Override
     public void onDefect(RuntimeException defect) {
         world.report(defect);
--- a/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
@@ -185,8 +185,4 @@
                         text.append(System.lineSeparator()).append("  row ").append(r));
         return text.toString();
     }
-
-    long servingMembers(SliceRef slice) {
-        return members.stream().filter(m -> m.canServe(slice)).count();
-    }
 }
--- a/src/test/java/org/siskindyke/kernel/control/OrphanTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/OrphanTest.java
@@ -27,7 +27,16 @@
     private final ClusterView view = new ClusterView();
     private long nowMillis;
     private final ControlContext context = new ControlContext(
-            SELF, ControlSettings.DEFAULT, () -> nowMillis, new Random(1), table, null, new FakeListener(), view);
+            SELF,
+            ControlSettings.DEFAULT,
+            () -> nowMillis,
+            new Random(1),
+            table,
+            null,
+            defect -> {
+                throw defect;
+            },
+            view);
     private final TableSync sync = new TableSync(context, FailureDomain.of("d"), rows -> {});
     private final DeathDuty deaths = new DeathDuty(context, sync, new TableWriter(context));
 
