--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -0,0 +1,165 @@
+package org.siskindyke.kernel.call;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+
+/**
+ * Admits calls to the slots of one target and orders those that wait. Confined to one thread.
+ *
+ * <p>Calls that a running call waits for go first, then those of higher priority, then those whose objective ends
+ * sooner. A call that cannot be served in time is refused at once, so that its caller can come back or go elsewhere.
+ */
+public final class AdmissionQueue {
+    /** Waiting calls for each slot beyond which more are refused; bounds memory, not the wait. */
+    private static final int WAITING_PER_SLOT = 16;
+    /** Part of a call's expected time that must be left at its start; calls differ around the average. */
+    private static final double LEAST_TIME_SHARE = 0.6;
+
+    private final TreeSet<Entry> waiting = new TreeSet<>(Comparator.comparing((Entry e) -> !e.urgency.nested())
+            .thenComparingInt(e -> e.urgency.priority())
+            .thenComparingLong(e -> e.urgency.objectiveMillis())
+            .thenComparingLong(e -> e.number));
+    private final ServiceTimes times;
+    private int slots;
+    private int used;
+    private long nextNumber;
+
+    /** A call that asks for a slot. */
+    public static final class Entry {
+        private final CallUrgency urgency;
+        private final long deadlineMillis;
+        private final Runnable onAdmitted;
+        private final BiConsumer<Refusal, Long> onRefused;
+        private long number;
+
+        /**
+         * Creates an entry.
+         *
+         * @param urgency its place in the order
+         * @param deadlineMillis the moment from which an answer is of no use
+         * @param onAdmitted runs when the call has a slot, which it must give back
+         * @param onRefused takes the cause and the milliseconds after which to come back
+         */
+        public Entry(
+                CallUrgency urgency, long deadlineMillis, Runnable onAdmitted, BiConsumer<Refusal, Long> onRefused) {
+            this.urgency = urgency;
+            this.deadlineMillis = deadlineMillis;
+            this.onAdmitted = onAdmitted;
+            this.onRefused = onRefused;
+        }
+    }
+
+    /**
+     * Creates a queue.
+     *
+     * @param slots calls that may run at a time
+     * @param times how long calls take
+     */
+    public AdmissionQueue(int slots, ServiceTimes times) {
+        this.slots = slots;
+        this.times = times;
+    }
+
+    /** Changes the number of slots; calls that have one keep it. */
+    public void resize(int newSlots) {
+        slots = newSlots;
+    }
+
+    /** Returns the slots. */
+    public int slots() {
+        return slots;
+    }
+
+    /** Returns the slots in use. */
+    public int used() {
+        return used;
+    }
+
+    /** Returns the number of calls that wait. */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    /** Admits a call, lets it wait or refuses it. */
+    public void enter(Entry entry, long nowMillis) {
+        entry.number = nextNumber++;
+        if (used < slots && waiting.isEmpty()) {
+            used++;
+            entry.onAdmitted.run();
+            return;
+        }
+        double waitMillis = waitMillis(entry);
+        double ownMillis = times.millis(entry.urgency.kind());
+        boolean tooLate = nowMillis + waitMillis + ownMillis * LEAST_TIME_SHARE > entry.deadlineMillis;
+        boolean betterElsewhere =
+                entry.urgency.movable() && nowMillis + waitMillis + ownMillis > entry.urgency.objectiveMillis();
+        if (waiting.size() >= slots * WAITING_PER_SLOT || tooLate || betterElsewhere) {
+            entry.onRefused.accept(Refusal.QUEUE_FULL, (long) Math.max(ownMillis, waitMillis));
+        } else {
+            waiting.add(entry);
+        }
+    }
+
+    /** Returns how long a call that came now would wait for a slot. */
+    private double waitMillis(Entry entry) {
+        double aheadMillis = 0;
+        for (Entry ahead : waiting.headSet(entry)) {
+            aheadMillis += times.millis(ahead.urgency.kind());
+        }
+        return (aheadMillis + times.averageMillis()) / Math.max(1, slots);
+    }
+
+    /** Takes a waiting call out, so that it is neither admitted nor refused; tells whether it was waiting. */
+    public boolean remove(Entry entry) {
+        return waiting.remove(entry);
+    }
+
+    /** Gives a slot back and admits others. */
+    public void leave(long nowMillis) {
+        used--;
+        admit(nowMillis);
+    }
+
+    /** Admits waiting calls to free slots. */
+    public void admit(long nowMillis) {
+        while (used < slots && !waiting.isEmpty()) {
+            Entry next = waiting.pollFirst();
+            double leastMillis = times.millis(next.urgency.kind()) * LEAST_TIME_SHARE;
+            if (nowMillis + leastMillis > next.deadlineMillis) {
+                next.onRefused.accept(Refusal.QUEUE_TIMEOUT, 0L);
+            } else {
+                used++;
+                next.onAdmitted.run();
+            }
+        }
+    }
+
+    /** Refuses the waiting calls that more urgent ones have pushed back too far. */
+    public void refuseHopeless(long nowMillis) {
+        double aheadMillis = times.averageMillis();
+        List<Entry> hopeless = new ArrayList<>();
+        for (Entry entry : waiting) {
+            double ownMillis = times.millis(entry.urgency.kind());
+            double startMillis = nowMillis + aheadMillis / Math.max(1, slots);
+            if (startMillis + ownMillis * LEAST_TIME_SHARE > entry.deadlineMillis) {
+                hopeless.add(entry);
+            } else {
+                aheadMillis += ownMillis;
+            }
+        }
+        for (Entry entry : hopeless) {
+            waiting.remove(entry);
+            entry.onRefused.accept(Refusal.QUEUE_TIMEOUT, (long) (aheadMillis / Math.max(1, slots)));
+        }
+    }
+
+    /** Refuses all waiting calls. */
+    public void refuseAll(Refusal cause) {
+        List<Entry> all = List.copyOf(waiting);
+        waiting.clear();
+        all.forEach(entry -> entry.onRefused.accept(cause, 0L));
+    }
+}
--- a/src/main/java/org/siskindyke/kernel/control/ClusterView.java
+++ b/src/main/java/org/siskindyke/kernel/control/ClusterView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.siskindyke.kernel.document.DocumentCatalog;
+import org.siskindyke.kernel.document.DocumentRow;
 import org.siskindyke.kernel.document.ServiceDocument;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -88,6 +89,19 @@
                 nowMillis);
     }
 
+    /**
+     * Takes over a document that stands outside the table.
+     *
+     * @param document the document
+     * @param number its number, which must not fall
+     * @param nowMillis the present
+     */
+    public void acceptDocument(ServiceDocument document, long number, long nowMillis) {
+        String value = RowCodec.encode(new DocumentRow(document, number, "", 0));
+        documents.apply(new Row(RowPath.document(document.service()), number, value, false));
+        define(document, nowMillis);
+    }
+
     private List<Row> interpret(List<Row> rows, long nowMillis) {
         for (Row row : rows) {
             if (row.path().isIn(RowPath.MEMBERS)) {
--- a/src/main/java/org/siskindyke/kernel/control/ControlListener.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlListener.java
@@ -26,6 +26,9 @@
     /** An action failed in a way that shows a defect. */
     void onDefect(RuntimeException defect);
 
+    /** A newer configuration was learned. */
+    default void onConfiguration(ConfigurationText configuration) {}
+
     /** A placement was decided and its outcome is known. */
     default void onPlacement(PlacementDecision decision) {}
 }
--- a/src/main/java/org/siskindyke/kernel/control/ControlNode.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlNode.java
@@ -162,6 +162,11 @@
         leave.tick(nowMillis);
     }
 
+    /** Tells whether this member has joined and its view contains what it took over when it did. */
+    public boolean knowsOwnSlices() {
+        return holder.isJoined() && view().replica().version() >= holder.joinedRevision();
+    }
+
     /** Answers a renewal or probe. */
     public PeerPort.RenewalReply onRenewal(PeerPort.Renewal renewal) {
         return grantor.onRenewal(renewal);
@@ -194,6 +199,21 @@
         return handover.isFinished(service);
     }
 
+    /**
+     * Gives the lease up until it is renewed, because the machine was suspended for a time that the monotonic clock
+     * did not count.
+     */
+    public void onSuspended() {
+        if (holder.isJoined()) {
+            holder.forfeitLease();
+        }
+    }
+
+    /** Takes over a configuration unless a newer one is known; it spreads with the changes of the table. */
+    public void onConfiguration(ConfigurationText configuration) {
+        sync.acceptConfiguration(configuration);
+    }
+
     /** Starts to leave. */
     public void leave() {
         leave.start();
--- a/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
@@ -31,6 +31,7 @@
     private final HolderLease lease;
     private MemberRow row;
     private long revision;
+    private long joinedRevision;
     private Predecessor predecessor = Predecessor.NONE;
     private GrantorSearch search;
     private boolean writing;
@@ -78,6 +79,11 @@
         return revision > 0 && !ended;
     }
 
+    /** Returns the table version at which this member joined. */
+    long joinedRevision() {
+        return joinedRevision;
+    }
+
     boolean isEnded() {
         return ended;
     }
@@ -118,6 +124,13 @@
         }
     }
 
+    /** Gives the present lease up and asks for a new one at once. */
+    void forfeitLease() {
+        lease.forfeit();
+        nextRenewalMillis = context.nowMillis();
+        context.listener().onLease(Long.MIN_VALUE);
+    }
+
     private void end(MemberId declaredBy) {
         ended = true;
         lease.end();
@@ -388,6 +401,7 @@
         lease.appoint(row.grantor(), row.epoch(), context.nowMillis());
         nextRenewalMillis = context.nowMillis();
         if (before == null) {
+            joinedRevision = revision;
             context.listener().onJoined(row.grantor());
         } else {
             context.listener().onGrantorReplaced(before.grantor(), row.grantor());
--- a/src/main/java/org/siskindyke/kernel/control/PeerPort.java
+++ b/src/main/java/org/siskindyke/kernel/control/PeerPort.java
@@ -37,8 +37,15 @@
      * @param member the sender
      * @param tableVersion the version up to which the sender knows all changes
      * @param changes what the sender believes the receiver lacks
+     * @param configurationRevision revision of the configuration that the sender knows
+     * @param configuration the configuration, where the sender believes that the receiver lacks it; else null
      */
-    record Gossip(MemberId member, long tableVersion, TableChanges changes) {}
+    record Gossip(
+            MemberId member,
+            long tableVersion,
+            TableChanges changes,
+            long configurationRevision,
+            ConfigurationText configuration) {}
 
     /**
      * Asks an owner to hand slices to another member.
--- a/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
 import org.siskindyke.kernel.document.ServiceDocument;
@@ -28,11 +29,15 @@
  * once may waste work; transactions keep ownership right.
  */
 final class PlannerDuty {
+    /** Members of a new cluster start within a second of each other; waiting spares moving slices to late ones. */
+    private static final long FIRST_ASSIGNMENT_WAIT_MILLIS = 2_000;
+
     private final ControlContext context;
     private final TableSync sync;
     private final TableWriter writer;
     private final HolderDuty holder;
     private final Set<ServiceName> assigning = new HashSet<>();
+    private final Map<ServiceName, Long> createAtMillis = new HashMap<>();
     private long nextPlanMillis;
 
     PlannerDuty(ControlContext context, TableSync sync, TableWriter writer, HolderDuty holder) {
@@ -65,11 +70,35 @@
             return;
         }
         HoldingRow unassigned = context.view().unassigned(service);
+        if (context.view().revision(unassigned.path()) == 0) {
+            createSlices(document, unassigned);
+            return;
+        }
         if (!unassigned.slices().isEmpty()) {
             assign(service, unassigned, members);
         }
     }
 
+    /** Creates the slices of a service that has none, once its members have had time to join. */
+    private void createSlices(ServiceDocument document, HoldingRow none) {
+        long nowMillis = context.nowMillis();
+        long dueMillis =
+                createAtMillis.computeIfAbsent(document.service(), s -> nowMillis + FIRST_ASSIGNMENT_WAIT_MILLIS);
+        if (nowMillis < dueMillis || !assigning.add(document.service())) {
+            return;
+        }
+        List<HeldSlice> slices = IntStream.range(0, document.keys().slices())
+                .mapToObj(index -> new HeldSlice(index, 0, 0))
+                .toList();
+        Transaction transaction = Transaction.builder()
+                .replace(none.path(), 0, RowCodec.encode(none.plus(slices)))
+                .build();
+        writer.submit(transaction, nowMillis, outcome -> {
+            assigning.remove(document.service());
+            sync.fetch(none.path());
+        });
+    }
+
     private void assign(ServiceName service, HoldingRow unassigned, List<MemberRow> members) {
         if (!assigning.add(service)) {
             return;
--- a/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/ReleaseDuty.java
@@ -116,7 +116,8 @@
                 .owner(new SliceRef(service, slice.index()))
                 .filter(owner -> owner.isUsableBy(context.self(), context.nowMillis()))
                 .isPresent();
-        return slice.passedOn(settled ? 0 : slice.settleMillis());
+        return slice.handedOver(
+                settled ? 0 : slice.settleMillis(), traffic.handover(new SliceRef(service, slice.index())));
     }
 
     private void learn(HoldingRow rest, HoldingRow theirs, long version) {
--- a/src/main/java/org/siskindyke/kernel/control/SliceTraffic.java
+++ b/src/main/java/org/siskindyke/kernel/control/SliceTraffic.java
@@ -16,4 +16,9 @@
 
     /** Lets the held calls go on, to whoever owns their slices now. */
     void resume(Collection<SliceRef> slices);
+
+    /** Returns what the backend server left when it released a held slice, or null. */
+    default String handover(SliceRef slice) {
+        return null;
+    }
 }
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -23,6 +23,7 @@
     private static final int GOSSIP_LIMIT_ROWS = 200;
     private static final long FIRST_POLL_RETRY_MILLIS = 100;
     private static final long STALE_POLLS = 8;
+    private static final int PUSHES_PER_CHANGE = 8;
 
     private final ControlContext context;
     private final FailureDomain domain;
@@ -30,6 +31,7 @@
     private Consumer<MemberId> onSent = member -> {};
     private Consumer<MemberId> onAnswered = member -> {};
     private long readerAsOfChanges = -1;
+    private ConfigurationText configuration = ConfigurationText.NONE;
     private boolean reader;
     private boolean synced;
     private boolean polling;
@@ -98,15 +100,32 @@
     /** Answers another member's side of an exchange. */
     PeerPort.Gossip onGossip(PeerPort.Gossip gossip) {
         accept(gossip);
+        return toPeer(gossip);
+    }
+
+    /** Returns what a peer lacks, by what it said of itself. */
+    private PeerPort.Gossip toPeer(PeerPort.Gossip theirs) {
+        boolean lacksConfiguration = configuration.revision() > theirs.configurationRevision();
         return new PeerPort.Gossip(
                 context.self(),
                 version(),
-                context.view().replica().changesSince(gossip.tableVersion(), GOSSIP_LIMIT_ROWS));
+                context.view().replica().changesSince(theirs.tableVersion(), GOSSIP_LIMIT_ROWS),
+                configuration.revision(),
+                lacksConfiguration ? configuration : null);
+    }
+
+    /** Takes over a configuration unless a newer one is known. */
+    void acceptConfiguration(ConfigurationText offered) {
+        if (offered.revision() > configuration.revision()) {
+            configuration = offered;
+            context.listener().onConfiguration(offered);
+        }
     }
 
     /** Exchanges changes with a member at once. */
     void gossipWith(MemberRow member) {
-        PeerPort.Gossip mine = new PeerPort.Gossip(context.self(), version(), TableChanges.none(0));
+        PeerPort.Gossip mine =
+                new PeerPort.Gossip(context.self(), version(), TableChanges.none(0), configuration.revision(), null);
         onSent.accept(member.id());
         context.peers().gossip(member, mine, this::onGossipReply);
     }
@@ -114,21 +133,22 @@
     private void onGossipReply(PeerPort.Gossip reply) {
         onAnswered.accept(reply.member());
         accept(reply);
-        if (reply.tableVersion() >= version()) {
+        if (reply.tableVersion() >= version() && reply.configurationRevision() >= configuration.revision()) {
             return;
         }
-        TableChanges lacking = context.view().replica().changesSince(reply.tableVersion(), GOSSIP_LIMIT_ROWS);
         context.view()
                 .members()
                 .serving(reply.member())
-                .ifPresent(m -> context.peers()
-                        .gossip(m, new PeerPort.Gossip(context.self(), version(), lacking), this::accept));
+                .ifPresent(m -> context.peers().gossip(m, toPeer(reply), this::accept));
     }
 
     private void accept(PeerPort.Gossip gossip) {
         if (synced && gossip.changes().upToVersion() > version()) {
             notifyOf(context.view().apply(gossip.changes(), context.nowMillis()));
         }
+        if (gossip.configuration() != null) {
+            acceptConfiguration(gossip.configuration());
+        }
         if (gossip.tableVersion() >= version()) {
             lastFreshMillis = context.nowMillis();
         }
@@ -136,7 +156,9 @@
 
     private void poll() {
         polling = true;
-        nextPollMillis = context.nowMillis() + jittered(context.settings().pollMillis());
+        nextPollMillis = context.nowMillis()
+                + jittered(context.settings().pollMillis())
+                + context.table().longestPollMillis();
         context.settle(context.table().changesSince(version(), POLL_LIMIT_ROWS), this::onPolled);
     }
 
@@ -151,15 +173,27 @@
         }
         lastTableAnswerMillis = nowMillis;
         lastFreshMillis = nowMillis;
+        nextPollMillis = nowMillis + jittered(context.settings().pollMillis());
         boolean complete = changes.rows().size() < POLL_LIMIT_ROWS;
         synced |= complete;
         notifyOf(context.view().apply(changes, nowMillis));
+        if (!changes.rows().isEmpty() && context.table().longestPollMillis() > 0) {
+            pushToDomain();
+        }
         if (pollAgain || !complete) {
             pollAgain = false;
             poll();
         }
     }
 
+    /** Passes news on to the members nearby at once, which do not ask the table themselves. */
+    private void pushToDomain() {
+        context.view().members().serving().stream()
+                .filter(m -> m.failureDomain().equals(domain) && !m.id().equals(context.self()))
+                .limit(PUSHES_PER_CHANGE)
+                .forEach(this::gossipWith);
+    }
+
     private void notifyOf(List<Row> rows) {
         if (!rows.isEmpty()) {
             onRows.accept(rows);
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/grant/TargetHeartbeat.java
@@ -0,0 +1,54 @@
+package org.siskindyke.kernel.grant;
+
+import java.util.List;
+
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.TargetName;
+
+/**
+ * What a backend server says of itself.
+ *
+ * @param service the service it serves
+ * @param target its name
+ * @param slots requests that it runs at a time
+ * @param leaving whether it is about to end and takes no new work
+ * @param coldMillis how much longer it is slow after its start
+ * @param bornMillis its start in milliseconds since the epoch; tells apart two lives of one name
+ * @param sequence grows with each heartbeat of one life
+ * @param held ranges that it holds or still works on
+ * @param released ranges that it has released since its last acknowledged heartbeat
+ */
+public record TargetHeartbeat(
+        ServiceName service,
+        TargetName target,
+        int slots,
+        boolean leaving,
+        long coldMillis,
+        long bornMillis,
+        long sequence,
+        List<HeldRange> held,
+        List<ReleasedRange> released) {
+    /** Copies the lists. */
+    public TargetHeartbeat {
+        held = List.copyOf(held);
+        released = List.copyOf(released);
+    }
+
+    /**
+     * A range that a backend server holds.
+     *
+     * @param first the first key
+     * @param last the last key
+     * @param token the fencing token it was granted with
+     */
+    public record HeldRange(int first, int last, long token) {}
+
+    /**
+     * A range that a backend server has released.
+     *
+     * @param first the first key
+     * @param last the last key
+     * @param handover lets the next holder start warm
+     */
+    public record ReleasedRange(int first, int last, String handover) {}
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/grant/package-info.java
@@ -0,0 +1,2 @@
+/** Grants of slices to the backend server beside a router, renewed with its heartbeats. */
+package org.siskindyke.kernel.grant;
--- a/src/main/java/org/siskindyke/kernel/membership/HolderLease.java
+++ b/src/main/java/org/siskindyke/kernel/membership/HolderLease.java
@@ -87,6 +87,12 @@
         accepting = !ended;
     }
 
+    /** Ends the present lease, and voids renewals under way, because time may have passed that the clock missed. */
+    public void forfeit() {
+        leaseEndMillis = Long.MIN_VALUE;
+        sentMillisBySequence.clear();
+    }
+
     /** Ends the lease for good. */
     public void end() {
         ended = true;
--- a/src/main/java/org/siskindyke/kernel/ownership/HeldSlice.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/HeldSlice.java
@@ -9,12 +9,23 @@
  * @param index position of the slice in its service
  * @param generation grows by one with each change of owner
  * @param settleMillis how long the owner waits, from learning of the slice, before it serves it
+ * @param handover what the last holder's backend server left for the next to start warm; null for nothing
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"index", "generation", "settleMillis"})
-public record HeldSlice(int index, long generation, long settleMillis) {
+@JsonPropertyOrder({"index", "generation", "settleMillis", "handover"})
+public record HeldSlice(int index, long generation, long settleMillis, String handover) {
+    /** Creates a slice that comes without a handover. */
+    public HeldSlice(int index, long generation, long settleMillis) {
+        this(index, generation, settleMillis, null);
+    }
+
     /** Returns the slice as its next owner holds it. */
     public HeldSlice passedOn(long newSettleMillis) {
         return new HeldSlice(index, generation + 1, newSettleMillis);
     }
+
+    /** Returns the slice as its next owner holds it, with what the last backend server left for the next. */
+    public HeldSlice handedOver(long newSettleMillis, String newHandover) {
+        return new HeldSlice(index, generation + 1, newSettleMillis, newHandover);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/siskindyke/kernel/route/RouteTable.java
@@ -0,0 +1,84 @@
+package org.siskindyke.kernel.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import org.siskindyke.kernel.id.ServiceName;
+
+/** Finds the route of a request and the service that gets it. Confined to the traffic thread. */
+public final class RouteTable {
+    private final RoutingConfiguration configuration;
+    private final Map<String, List<Route>> byHost = new HashMap<>();
+    private final Map<Route, double[]> credits = new HashMap<>();
+
+    /** Creates the table of a configuration. */
+    public RouteTable(RoutingConfiguration configuration) {
+        this.configuration = configuration;
+        for (Route route : configuration.routes()) {
+            byHost.computeIfAbsent(route.host(), h -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route r) -> r.prefix().length()).reversed();
+        byHost.values().forEach(routes -> routes.sort(longestFirst));
+    }
+
+    /** Returns the configuration. */
+    public RoutingConfiguration configuration() {
+        return configuration;
+    }
+
+    /**
+     * Finds the route with the longest prefix that begins a path.
+     *
+     * @param hostHeader value of the Host header, possibly with a port
+     * @param path the path, with or without a query
+     * @return the route, empty where none matches
+     */
+    public Optional<Route> find(String hostHeader, String path) {
+        if (hostHeader == null) {
+            return Optional.empty();
+        }
+        for (Route route : byHost.getOrDefault(hostName(hostHeader), List.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Chooses the service for the next request of a route, so that each gets its share in every stretch of requests.
+     *
+     * @param route a route of this table
+     * @return the service; empty where no part of the route has a weight
+     */
+    public Optional<ServiceName> nextService(Route route) {
+        List<ServiceShare> shares = route.shares();
+        if (shares.size() == 1) {
+            return Optional.of(shares.get(0).service());
+        }
+        double total = shares.stream().mapToDouble(ServiceShare::weight).sum();
+        if (total <= 0) {
+            return Optional.empty();
+        }
+        double[] credit = credits.computeIfAbsent(route, r -> new double[shares.size()]);
+        int best = 0;
+        for (int i = 0; i < credit.length; i++) {
+            credit[i] += shares.get(i).weight();
+            best = credit[i] > credit[best] ? i : best;
+        }
+        credit[best] -= total;
+        return Optional.of(shares.get(best).service());
+    }
+
+    private static String hostName(String hostHeader) {
+        int colon = hostHeader.indexOf(':');
+        String host = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
+        return host.toLowerCase(Locale.ROOT);
+    }
+}
--- a/src/main/java/org/siskindyke/kernel/table/TableService.java
+++ b/src/main/java/org/siskindyke/kernel/table/TableService.java
@@ -43,6 +43,14 @@
      */
     CompletionStage<CommitResult> commit(Transaction transaction);
 
+    /**
+     * Returns how long {@link #changesSince} may wait for a change before it answers, in milliseconds; 0 where it
+     * answers at once.
+     */
+    default long longestPollMillis() {
+        return 0;
+    }
+
     @Override
     default void close() {}
 }
--- /dev/null
+++ b/src/main/java/org/siskindyke/platform/Addresses.java
@@ -0,0 +1,24 @@
+package org.siskindyke.platform;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads addresses of the form {@code 10.1.0.8:8301}. */
+final class Addresses {
+    private static final Pattern FORM = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})");
+    private static final int MAX_PORT = 65_535;
+
+    private Addresses() {}
+
+    /** Parses an address; empty where the text is none. No name is looked up. */
+    static Optional<InetSocketAddress> parse(String text) {
+        Matcher matcher = FORM.matcher(text);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        int port = Integer.parseInt(matcher.group(2));
+        return port > MAX_PORT ? Optional.empty() : Optional.of(new InetSocketAddress(matcher.group(1), port));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatch.java
@@ -0,0 +1,79 @@
+package org.siskindyke.platform;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.siskindyke.kernel.control.ConfigurationText;
+import org.siskindyke.runtime.EventLog;
+import org.siskindyke.runtime.traffic.TrafficLoop;
+
+/** Follows the operator's configuration in the store. */
+final class ConfigurationWatch {
+    private static final String TABLE = "op";
+    private static final String KEY = "config";
+    /** Pause after a call that failed; each call is paid for, and half of the time to apply must be left. */
+    private static final long RETRY_MILLIS = 400;
+    /** Changes that follow each other within this are taken with one call. */
+    private static final long PAUSE_MILLIS = 100;
+
+    private final StoreClient store;
+    private final TrafficLoop traffic;
+    private final Consumer<ConfigurationText> onConfiguration;
+    private final EventLog log;
+    private long version;
+    private boolean failing;
+
+    ConfigurationWatch(
+            StoreClient store, TrafficLoop traffic, Consumer<ConfigurationText> onConfiguration, EventLog log) {
+        this.store = store;
+        this.traffic = traffic;
+        this.onConfiguration = onConfiguration;
+        this.log = log;
+    }
+
+    /** Reads the configuration and goes on watching. */
+    void start() {
+        store.rows(TABLE, KEY, KEY + '\u0001', 1).whenComplete(this::onAnswer);
+    }
+
+    private void watch() {
+        store.watch(TABLE, version).whenComplete(this::onAnswer);
+    }
+
+    private void onAnswer(StoreClient.Answer answer, Throwable failure) {
+        if (failure != null) {
+            noteFailing(true, failure.getMessage());
+            long delayMillis = RETRY_MILLIS / 2 + ThreadLocalRandom.current().nextLong(RETRY_MILLIS);
+            traffic.schedule(version == 0 ? this::start : this::watch, delayMillis);
+            return;
+        }
+        noteFailing(false, "");
+        if (answer.status() == StoreClient.HISTORY_GONE) {
+            traffic.schedule(this::start, PAUSE_MILLIS);
+            return;
+        }
+        for (JsonNode row : answer.body().path("rows")) {
+            if (row.path("key").asText().equals(KEY) && !row.path("tombstone").asBoolean(false)) {
+                offer(row);
+            }
+        }
+        version = Math.max(version, answer.body().path("ver").asLong());
+        traffic.schedule(this::watch, PAUSE_MILLIS);
+    }
+
+    private void offer(JsonNode row) {
+        try {
+            onConfiguration.accept(new ConfigurationText(row.path("ver").asLong(), StoreClient.value(row)));
+        } catch (IllegalArgumentException e) {
+            log.event("configuration-unreadable", "revision", row.path("ver").asLong(), "cause", e.getMessage());
+        }
+    }
+
+    private void noteFailing(boolean nowFailing, String cause) {
+        if (nowFailing != failing) {
+            failing = nowFailing;
+            log.event(nowFailing ? "store-lost" : "store-regained", "cause", cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/platform/PlatformDialect.java
@@ -0,0 +1,91 @@
+package org.siskindyke.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.kernel.ownership.KeyRange;
+import org.siskindyke.runtime.call.Header;
+import org.siskindyke.runtime.call.Headers;
+import org.siskindyke.runtime.traffic.CallDialect;
+
+/** The platform's header fields. */
+final class PlatformDialect implements CallDialect {
+    private static final String REQUEST_ID = "X-Siskindyke-Request-Id";
+    private static final String TIMEOUT_MILLIS = "X-Siskindyke-Timeout-Ms";
+    private static final String KEY = "X-Siskindyke-Shard-Key";
+    private static final String CALLER_SERVICE = "X-Siskindyke-Caller-Service";
+    private static final String EXPECTED_TARGET = "X-Siskindyke-Expected-Instance";
+    private static final String NOT_RUN = "X-Siskindyke-Not-Executed";
+    private static final int MISDIRECTED = 421;
+
+    @Override
+    public CallerFields read(List<Header> headers) {
+        return new CallerFields(
+                Headers.firstIgnoringCase(headers, REQUEST_ID),
+                timeout(Headers.firstIgnoringCase(headers, TIMEOUT_MILLIS)),
+                key(Headers.firstIgnoringCase(headers, KEY)));
+    }
+
+    private static OptionalLong timeout(String text) {
+        long millis = parse(text);
+        return millis < 0 ? OptionalLong.empty() : OptionalLong.of(millis);
+    }
+
+    private static OptionalInt key(String text) {
+        long key = parse(text);
+        return key < 0 || key >= KeyRange.KEYS ? OptionalInt.empty() : OptionalInt.of((int) key);
+    }
+
+    private static long parse(String text) {
+        try {
+            return text == null ? -1 : Long.parseLong(text.trim());
+        } catch (NumberFormatException e) {
+            // A field that is not a number says nothing.
+            return -1;
+        }
+    }
+
+    @Override
+    public List<Header> passOn(List<Header> headers, Optional<ServiceName> callerService) {
+        List<Header> passed = new ArrayList<>(headers.size() + 1);
+        for (Header header : headers) {
+            String name = header.name().toLowerCase(Locale.ROOT);
+            boolean own = name.equals(CALLER_SERVICE.toLowerCase(Locale.ROOT))
+                    || name.equals(EXPECTED_TARGET.toLowerCase(Locale.ROOT))
+                    || name.equals("expect");
+            if (!own) {
+                passed.add(header);
+            }
+        }
+        callerService.ifPresent(service -> passed.add(new Header(CALLER_SERVICE, service.value())));
+        return passed;
+    }
+
+    @Override
+    public List<Header> forTarget(TargetName target, long remainingMillis) {
+        return List.of(
+                new Header(EXPECTED_TARGET, target.value()),
+                new Header(TIMEOUT_MILLIS, Long.toString(Math.max(1, remainingMillis))));
+    }
+
+    @Override
+    public boolean saysNotRun(int status, List<Header> headers) {
+        return status == MISDIRECTED || Headers.firstIgnoringCase(headers, NOT_RUN) != null;
+    }
+
+    @Override
+    public String answeredRequest(List<Header> headers) {
+        return Headers.firstIgnoringCase(headers, REQUEST_ID);
+    }
+
+    @Override
+    public Header requestIdField(String requestId) {
+        return new Header(REQUEST_ID, requestId);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/platform/PlatformTable.java
@@ -0,0 +1,128 @@
+package org.siskindyke.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.siskindyke.kernel.table.CommitResult;
+import org.siskindyke.kernel.table.Row;
+import org.siskindyke.kernel.table.RowPath;
+import org.siskindyke.kernel.table.TableChanges;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.kernel.table.Transaction;
+
+/**
+ * The table service kept in two tables of the platform's store: rows that all routers copy, and rows that only some
+ * read, so that those wake no watch.
+ */
+final class PlatformTable implements TableService {
+    private static final String COPIED = "routers";
+    private static final String UNCOPIED = "routers-own";
+    private static final int PAGE_ROWS = 500;
+
+    private final StoreClient store;
+
+    PlatformTable(StoreClient store) {
+        this.store = store;
+    }
+
+    @Override
+    public long longestPollMillis() {
+        return StoreClient.WATCH_MILLIS + StoreClient.CALL_TIMEOUT_MILLIS;
+    }
+
+    @Override
+    public CompletionStage<TableChanges> changesSince(long version, int limitRows) {
+        if (version == 0) {
+            return snapshot(null, Long.MAX_VALUE, new ArrayList<>());
+        }
+        return store.watch(COPIED, version)
+                .thenCompose(answer -> answer.status() == StoreClient.HISTORY_GONE
+                        ? snapshot(null, Long.MAX_VALUE, new ArrayList<>())
+                        : CompletableFuture.completedStage(changes(answer.body())));
+    }
+
+    private static TableChanges changes(JsonNode body) {
+        List<Row> rows = new ArrayList<>();
+        body.path("rows").forEach(row -> rows.add(row(row)));
+        return new TableChanges(body.path("ver").asLong(), rows);
+    }
+
+    /** Reads all copied rows, page by page; complete up to the version of the first page. */
+    private CompletionStage<TableChanges> snapshot(String from, long version, List<Row> rows) {
+        return store.rows(COPIED, from, null, PAGE_ROWS).thenCompose(answer -> {
+            JsonNode body = answer.body();
+            body.path("rows").forEach(row -> rows.add(row(row)));
+            long upTo = Math.min(version, body.path("ver").asLong());
+            if (!body.path("has_more").asBoolean(false) || rows.isEmpty()) {
+                return CompletableFuture.completedStage(new TableChanges(upTo, rows));
+            }
+            String last = rows.get(rows.size() - 1).path().value();
+            return snapshot(last + '\u0001', upTo, rows);
+        });
+    }
+
+    private static Row row(JsonNode row) {
+        RowPath path = RowPath.of(row.path("key").asText());
+        boolean deleted = row.path("tombstone").asBoolean(false);
+        return new Row(path, row.path("ver").asLong(), deleted ? "" : StoreClient.value(row), deleted);
+    }
+
+    private static String table(RowPath path) {
+        return path.isReplicated() ? COPIED : UNCOPIED;
+    }
+
+    @Override
+    public CompletionStage<Row> read(RowPath path) {
+        return store.rows(table(path), path.value(), path.value() + '\u0001', 1).thenApply(answer -> {
+            JsonNode rows = answer.body().path("rows");
+            return rows.isEmpty() ? Row.absent(path) : row(rows.get(0));
+        });
+    }
+
+    @Override
+    public CompletionStage<List<Row>> list(String prefix, int limitRows) {
+        String table = table(RowPath.of(prefix));
+        return store.rows(table, prefix, prefix + '\uffff', Math.min(PAGE_ROWS, limitRows))
+                .thenApply(answer -> changes(answer.body()).rows());
+    }
+
+    @Override
+    public CompletionStage<CommitResult> commit(Transaction transaction) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        ArrayNode conditions = body.putArray("precondition");
+        for (Transaction.Condition condition : transaction.conditions()) {
+            name(conditions.addObject(), condition.path()).put("ver", condition.revision());
+        }
+        ArrayNode writes = body.putArray("writes");
+        ArrayNode removals = body.putArray("remove");
+        for (Transaction.Write write : transaction.writes()) {
+            if (write.value() == null) {
+                name(removals.addObject(), write.path());
+            } else {
+                name(writes.addObject(), write.path()).put("value", StoreClient.encodeValue(write.value()));
+            }
+        }
+        return store.transact(body).thenApply(answer -> result(answer, transaction));
+    }
+
+    private static ObjectNode name(ObjectNode node, RowPath path) {
+        return node.put("table", table(path)).put("part", "").put("key", path.value());
+    }
+
+    private static CommitResult result(StoreClient.Answer answer, Transaction transaction) {
+        long version = answer.body().path("ver").asLong();
+        if (answer.status() == StoreClient.OK) {
+            return CommitResult.committed(version);
+        }
+        RowPath first = transaction.conditions().isEmpty()
+                ? null
+                : transaction.conditions().get(0).path();
+        return CommitResult.conflict(version, first);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/platform/SettingsReader.java
@@ -0,0 +1,109 @@
+package org.siskindyke.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.runtime.InstanceSettings;
+
+/** Reads the settings file that the platform makes from {@code deploy/node.json.template}; ignores unknown fields. */
+final class SettingsReader {
+    /** The variable that holds the path of the settings file. */
+    static final String PATH_VARIABLE = "SISKINDYKE_NODE_FILE";
+
+    private SettingsReader() {}
+
+    /**
+     * Reads the settings.
+     *
+     * @param environment the environment variables
+     * @throws SiskindykeException with code {@code INVALID_SETTING}
+     */
+    static InstanceSettings read(Map<String, String> environment) {
+        String path = environment.get(PATH_VARIABLE);
+        if (path == null) {
+            throw new SiskindykeException(ErrorCode.INVALID_SETTING, PATH_VARIABLE + " is not set");
+        }
+        try {
+            return parse(Files.readString(Path.of(path)));
+        } catch (IOException e) {
+            throw new SiskindykeException(ErrorCode.INVALID_SETTING, "cannot read " + path + ": " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Parses the settings.
+     *
+     * @param text the file's text
+     * @throws SiskindykeException with code {@code INVALID_SETTING} for a field that is missing or malformed
+     */
+    static InstanceSettings parse(String text) {
+        JsonNode root;
+        try {
+            root = JsonMapper.builder().build().readTree(text);
+        } catch (IOException e) {
+            throw new SiskindykeException(ErrorCode.INVALID_SETTING, "settings are not JSON: " + e.getMessage(), e);
+        }
+        return new InstanceSettings(
+                InstanceName.of(text(root, "/node_name")),
+                FailureDomain.of(text(root, "/zone")),
+                ServiceName.of(text(root, "/service")),
+                new InstanceSettings.Addresses(
+                        address(root, "/listen/outbound"),
+                        address(root, "/listen/inbound"),
+                        address(root, "/listen/ready"),
+                        address(root, "/listen/control")),
+                address(root, "/platform/address"),
+                Duration.ofMillis((long) number(root, "/heartbeat_ms")),
+                bounds(root));
+    }
+
+    private static InstanceSettings.Bounds bounds(JsonNode root) {
+        return new InstanceSettings.Bounds(
+                Duration.ofMillis((long) number(root, "/bounds/drain_ms")),
+                seconds(number(root, "/bounds/grace_s")),
+                Duration.ofMillis((long) number(root, "/bounds/hold_max_ms")),
+                number(root, "/bounds/retry_budget_ratio"),
+                number(root, "/bounds/budget_extra"),
+                seconds(number(root, "/bounds/budget_window_s")));
+    }
+
+    private static Duration seconds(double seconds) {
+        return Duration.ofMillis((long) (seconds * Duration.ofSeconds(1).toMillis()));
+    }
+
+    private static String text(JsonNode root, String pointer) {
+        JsonNode node = root.at(pointer);
+        if (!node.isTextual()) {
+            throw invalid(pointer, "a text is needed");
+        }
+        return node.textValue();
+    }
+
+    private static double number(JsonNode root, String pointer) {
+        JsonNode node = root.at(pointer);
+        if (!node.isNumber() || node.doubleValue() < 0) {
+            throw invalid(pointer, "a number that is not negative is needed");
+        }
+        return node.doubleValue();
+    }
+
+    private static InetSocketAddress address(JsonNode root, String pointer) {
+        return Addresses.parse(text(root, pointer))
+                .orElseThrow(() -> invalid(pointer, "an IP number and a port are needed"));
+    }
+
+    private static SiskindykeException invalid(String pointer, String need) {
+        return new SiskindykeException(ErrorCode.INVALID_SETTING, "setting " + pointer + ": " + need);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -0,0 +1,96 @@
+package org.siskindyke.platform;
+
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.runtime.traffic.HttpCaller;
+import org.siskindyke.runtime.traffic.HttpExchange;
+
+/** Speaks the protocol of the platform's store. */
+final class StoreClient {
+    static final int OK = 200;
+    static final int CONDITION_FAILED = 412;
+    static final int HISTORY_GONE = 410;
+    /** How long a call may take; a slow store takes tens of times its usual few milliseconds. */
+    static final long CALL_TIMEOUT_MILLIS = 1_500;
+    /** How long a watch waits for a change at the store; the longest it allows is 30 seconds. */
+    static final long WATCH_MILLIS = 25_000;
+
+    private static final long WATCH_TIMEOUT_MILLIS = WATCH_MILLIS + 2_000;
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final byte[] NO_BODY = {};
+
+    private final HttpCaller caller;
+
+    StoreClient(HttpCaller caller) {
+        this.caller = caller;
+    }
+
+    /**
+     * An answer of the store.
+     *
+     * @param status 200, or one that the call names
+     * @param body the JSON body
+     */
+    record Answer(int status, JsonNode body) {}
+
+    /** Sends a transaction; answers with status 200 or 412. */
+    CompletionStage<Answer> transact(JsonNode transaction) {
+        return caller.call(
+                        "POST",
+                        "/rows-tx",
+                        transaction.toString().getBytes(StandardCharsets.UTF_8),
+                        CALL_TIMEOUT_MILLIS)
+                .thenCompose(response -> decode(response, CONDITION_FAILED));
+    }
+
+    /** Reads rows of a table, from a key on; {@code to} is the first key left out, null for none. */
+    CompletionStage<Answer> rows(String table, String from, String to, int limit) {
+        String target = "/rows-get?table=" + table + "&part=&limit=" + limit;
+        target += from == null ? "" : "&from=" + encode(from);
+        target += to == null ? "" : "&target=" + encode(to);
+        return caller.call("GET", target, NO_BODY, CALL_TIMEOUT_MILLIS).thenCompose(r -> decode(r, OK));
+    }
+
+    /** Waits for changes of a table after a version; answers with status 200, or 410 where the history is gone. */
+    CompletionStage<Answer> watch(String table, long after) {
+        String target = "/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + WATCH_MILLIS;
+        return caller.call("GET", target, NO_BODY, WATCH_TIMEOUT_MILLIS).thenCompose(r -> decode(r, HISTORY_GONE));
+    }
+
+    /** Returns the text of a row's value. */
+    static String value(JsonNode row) {
+        byte[] bytes = Base64.getDecoder().decode(row.path("value").asText());
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    static String encodeValue(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private static CompletionStage<Answer> decode(HttpExchange.Response response, int alsoAllowed) {
+        if (response.status() != OK && response.status() != alsoAllowed) {
+            return CompletableFuture.failedStage(
+                    new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "store answers " + response.status()));
+        }
+        try {
+            JsonNode body = response.body().length == 0 ? MAPPER.createObjectNode() : MAPPER.readTree(response.body());
+            return CompletableFuture.completedStage(new Answer(response.status(), body));
+        } catch (IOException e) {
+            return CompletableFuture.failedStage(
+                    new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "store answers unreadably", e));
+        }
+    }
+}
--- a/src/main/java/org/siskindyke/runtime/ControlThread.java
+++ b/src/main/java/org/siskindyke/runtime/ControlThread.java
@@ -19,7 +19,6 @@
 
 /** The one thread that owns a router's control state. */
 public final class ControlThread implements AutoCloseable {
-    private static final System.Logger LOGGER = System.getLogger(ControlThread.class.getName());
 
     private final ScheduledExecutorService executor;
 
@@ -37,7 +36,7 @@
         try {
             executor.execute(() -> runLogged(action));
         } catch (RejectedExecutionException e) {
-            LOGGER.log(Level.DEBUG, "control thread has ended; action dropped");
+            logger().log(Level.DEBUG, "control thread has ended; action dropped");
         }
     }
 
@@ -46,7 +45,7 @@
         try {
             executor.schedule(() -> runLogged(action), delayMillis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
-            LOGGER.log(Level.DEBUG, "control thread has ended; action dropped");
+            logger().log(Level.DEBUG, "control thread has ended; action dropped");
         }
     }
 
@@ -78,11 +77,16 @@
         executor.shutdownNow();
     }
 
+    /** Looks the logger up when it is needed, since setting up the log takes a noticeable part of a start. */
+    private static System.Logger logger() {
+        return System.getLogger(ControlThread.class.getName());
+    }
+
     private static void runLogged(Runnable action) {
         try {
             action.run();
         } catch (RuntimeException e) {
-            LOGGER.log(Level.ERROR, "event=control-failure", e);
+            logger().log(Level.ERROR, "event=control-failure", e);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -0,0 +1,479 @@
+package org.siskindyke.runtime;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.siskindyke.kernel.balance.LevelUsagePolicy;
+import org.siskindyke.kernel.balance.NearbyFirst;
+import org.siskindyke.kernel.call.SendBudget;
+import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.control.ConfigurationText;
+import org.siskindyke.kernel.control.ControlContext;
+import org.siskindyke.kernel.control.ControlListener;
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.control.ControlSettings;
+import org.siskindyke.kernel.control.PlacementDecision;
+import org.siskindyke.kernel.document.BalanceRule;
+import org.siskindyke.kernel.document.CallRule;
+import org.siskindyke.kernel.document.KeyRule;
+import org.siskindyke.kernel.document.MatchRule;
+import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.grant.GrantReply;
+import org.siskindyke.kernel.grant.TargetHeartbeat;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.kernel.id.TeamName;
+import org.siskindyke.kernel.membership.LeaseSettings;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.route.CallerLimits;
+import org.siskindyke.kernel.route.RouteTable;
+import org.siskindyke.kernel.route.RoutingConfiguration;
+import org.siskindyke.kernel.route.ServiceSettings;
+import org.siskindyke.kernel.table.TableService;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.call.SliceMeter;
+import org.siskindyke.runtime.traffic.CallDialect;
+import org.siskindyke.runtime.traffic.CallDirector;
+import org.siskindyke.runtime.traffic.HttpExchange;
+import org.siskindyke.runtime.traffic.HttpListener;
+import org.siskindyke.runtime.traffic.LocalGate;
+import org.siskindyke.runtime.traffic.PeerNetwork;
+import org.siskindyke.runtime.traffic.TrafficLoop;
+
+/** The router beside one backend server, whose heartbeats it answers with grants. */
+public final class InstanceRouter {
+    /** Slices of neighbouring keys; as many ranges fit into an acknowledgement of 4 KiB. */
+    private static final int SLICES = 128;
+
+    private static final long TICK_MILLIS = 50;
+    private static final long REJOIN_MILLIS = 200;
+    /** Lease beyond two heartbeats, so that a hold outlasts one that is lost and a renewal that is late. */
+    private static final long LEASE_BEYOND_HEARTBEATS_MILLIS = 1_500;
+
+    private static final long LEASE_MARGIN_MILLIS = 200;
+    private static final long RENEWAL_MILLIS = 500;
+    private static final long REPLACE_GRANTOR_MILLIS = 1_300;
+    private static final long POLL_PAUSE_MILLIS = 100;
+    private static final long GOSSIP_MILLIS = 700;
+    private static final long PLAN_MILLIS = 500;
+    private static final long OUTAGE_BOUND_MILLIS = 600_000;
+    /** Heartbeats in a hold, so that one lost heartbeat does not end it. */
+    private static final double HEARTBEATS_IN_HOLD = 2.8;
+    /** The platform asks once a second and acts on the second miss. */
+    private static final long NOTICED_NOT_READY_MILLIS = 2_300;
+
+    private static final long STOP_MARGIN_MILLIS = 700;
+    private static final long STOP_POLL_MILLIS = 20;
+
+    private final InstanceSettings settings;
+    private final CallDialect dialect;
+    private final Function<ConfigurationText, RoutingConfiguration> decoder;
+    private final MonotonicClock clock = SystemMonotonicClock.INSTANCE;
+    private final EventLog log;
+    private final TrafficLoop traffic;
+    private final ControlThread control;
+    private final TableService table;
+    private final SliceMeter meter;
+    private final LocalGate gate;
+    private final PeerNetwork peers;
+    private final CallDirector director;
+    private final TargetKeeper targets;
+    private final RequestLog requests;
+    private final HttpListener callers;
+    private final SuspensionDetector suspension;
+    private volatile ControlNode node;
+    private volatile CallerLimits limits = CallerLimits.DEFAULT;
+    private volatile boolean configured;
+    private volatile boolean stopping;
+    private ConfigurationText configuration = ConfigurationText.NONE;
+    private RoutingConfiguration routing;
+
+    /**
+     * Creates a router that does not listen yet.
+     *
+     * @param settings its settings
+     * @param traffic the loop of its traffic
+     * @param table the table service
+     * @param dialect header fields of callers and backend servers
+     * @param decoder reads configurations; fails with {@code INVALID_DOCUMENT}
+     * @param log takes events
+     */
+    public InstanceRouter(
+            InstanceSettings settings,
+            TrafficLoop traffic,
+            TableService table,
+            CallDialect dialect,
+            Function<ConfigurationText, RoutingConfiguration> decoder,
+            EventLog log) {
+        this.settings = settings;
+        this.traffic = traffic;
+        this.dialect = dialect;
+        this.decoder = decoder;
+        this.log = log;
+        this.control = new ControlThread("control-" + settings.instance());
+        this.table = control.confine(table);
+        this.suspension = new SuspensionDetector(clock, System::currentTimeMillis);
+        this.meter = new SliceMeter(clock, service -> gateSlots(service));
+        this.gate = new LocalGate(
+                traffic,
+                clock,
+                dialect,
+                meter,
+                (service, slice) -> view().ownership()
+                        .owner(slice)
+                        .filter(owner -> node.row().id().equals(owner.member()))
+                        .isPresent(),
+                () -> control.execute(() -> targets().onUnreachable(clock.nowMillis())));
+        this.peers = new PeerNetwork(traffic, control, clock, gate, log);
+        this.requests = new RequestLog(log, clock);
+        this.director = new CallDirector(
+                traffic,
+                clock,
+                dialect,
+                this::view,
+                () -> node.row().id(),
+                peers,
+                gate,
+                new CallDirector.Policies(
+                        new NearbyFirst(settings.failureDomain()), this::newBudget, requests::onEnded));
+        this.targets = new TargetKeeper(settings, clock, traffic, gate, log, SLICES, longestHoldMillis());
+        this.callers = new HttpListener(traffic, clock, () -> limits, director);
+    }
+
+    private java.util.OptionalInt gateSlots(ServiceName service) {
+        return gate.slots(service);
+    }
+
+    private TargetKeeper targets() {
+        return targets;
+    }
+
+    private long longestHoldMillis() {
+        long byHeartbeats = (long) (settings.heartbeat().toMillis() * HEARTBEATS_IN_HOLD);
+        return Math.min(byHeartbeats, settings.bounds().longestHold().toMillis());
+    }
+
+    private SendBudget newBudget(int routers) {
+        InstanceSettings.Bounds bounds = settings.bounds();
+        return new SendBudget(
+                bounds.repeatRatio(),
+                bounds.repeatAllowance(),
+                routers,
+                bounds.repeatWindow().toMillis());
+    }
+
+    /** Starts to listen for callers and other routers, and joins; returns before the member has joined. */
+    public void start() {
+        node = newNode();
+        peers.attach(node);
+        peers.listen(settings.addresses().peers());
+        callers.listen(settings.addresses().callers());
+        control.repeat(this::tick, TICK_MILLIS);
+        traffic.repeat(gate::tick, TICK_MILLIS);
+        traffic.repeat(requests::flush, TimeUnit.SECONDS.toMillis(5));
+        log.event(
+                "router-started",
+                "failureDomain",
+                settings.failureDomain(),
+                "service",
+                settings.service(),
+                "callers",
+                settings.addresses().callers());
+    }
+
+    /** Tells whether callers may be sent here. */
+    public boolean isReady() {
+        return configured && !stopping;
+    }
+
+    /** Offers a configuration as the table holds it. */
+    public void offerConfiguration(ConfigurationText offered) {
+        control.execute(() -> node.onConfiguration(offered));
+    }
+
+    /**
+     * Takes a heartbeat of the backend server beside this router.
+     *
+     * @param heartbeat the heartbeat
+     * @param address where the backend server takes requests
+     * @param onReply takes the answer, on the traffic loop
+     */
+    public void onHeartbeat(
+            TargetHeartbeat heartbeat, java.net.InetSocketAddress address, Consumer<GrantReply> onReply) {
+        control.execute(() -> {
+            checkSuspension();
+            GrantReply reply = targets.onHeartbeat(heartbeat, address, node, settingsOf(heartbeat.service()));
+            traffic.execute(() -> onReply.accept(reply));
+        });
+    }
+
+    /** Learns that the backend server is about to end, though it may still serve for a while. */
+    public void onDeregister(TargetName target, Runnable onTaken) {
+        control.execute(() -> {
+            targets.onDeregister(target, node);
+            traffic.execute(onTaken);
+        });
+    }
+
+    private Optional<ServiceSettings> settingsOf(ServiceName service) {
+        return Optional.ofNullable(routing).map(r -> r.services().get(service));
+    }
+
+    private ClusterView view() {
+        return node.view();
+    }
+
+    private void tick() {
+        checkSuspension();
+        node.tick();
+        targets.tick(node);
+        meter.average();
+    }
+
+    private void checkSuspension() {
+        if (suspension.wasSuspended()) {
+            log.event("suspension-noticed");
+            node.onSuspended();
+        }
+    }
+
+    private ControlNode newNode() {
+        long unique = System.currentTimeMillis() * TimeUnit.SECONDS.toMillis(1)
+                + ThreadLocalRandom.current().nextInt(1_000);
+        MemberId self = MemberId.of(settings.instance(), unique);
+        InstanceSettings.Addresses addresses = settings.addresses();
+        MemberAddress address = new MemberAddress(
+                addresses.peers().getHostString(),
+                addresses.peers().getPort(),
+                addresses.callers().getPort(),
+                addresses.readiness().getPort());
+        ControlContext context = new ControlContext(
+                self,
+                controlSettings(),
+                clock,
+                new Random(unique),
+                table,
+                peers,
+                new Listener(self),
+                new ClusterView());
+        MemberRow template = new MemberRow(
+                self,
+                settings.instance(),
+                settings.failureDomain(),
+                address,
+                MemberState.ALIVE,
+                0,
+                MemberId.TABLE,
+                targets.announcements(),
+                null,
+                null);
+        ControlNode made = new ControlNode(context, template, targets.sliceTraffic(), meter, new LevelUsagePolicy());
+        made.setPredecessor(view -> predecessor(view, self, address));
+        return made;
+    }
+
+    /** Finds an earlier life of this router: one process runs on an instance, so it has ended. */
+    private Optional<MemberRow> predecessor(ClusterView view, MemberId self, MemberAddress address) {
+        return view.members().serving().stream()
+                .filter(m -> m.instance().equals(settings.instance()))
+                .filter(m -> m.address().equals(address) && !m.id().equals(self))
+                .findFirst();
+    }
+
+    private ControlSettings controlSettings() {
+        long leaseMillis = 2 * settings.heartbeat().toMillis() + LEASE_BEYOND_HEARTBEATS_MILLIS;
+        LeaseSettings lease =
+                new LeaseSettings(leaseMillis, LEASE_MARGIN_MILLIS, RENEWAL_MILLIS, REPLACE_GRANTOR_MILLIS);
+        return new ControlSettings(lease, POLL_PAUSE_MILLIS, GOSSIP_MILLIS, PLAN_MILLIS, OUTAGE_BOUND_MILLIS, true);
+    }
+
+    /** Takes a configuration into force; one that cannot be read is logged and left out. */
+    private void apply(ConfigurationText text) {
+        RoutingConfiguration read;
+        try {
+            read = decoder.apply(text);
+        } catch (SiskindykeException e) {
+            log.event("configuration-unreadable", "revision", text.revision(), "cause", e.getMessage());
+            return;
+        }
+        configuration = text;
+        routing = read;
+        limits = read.limits();
+        acceptDocuments(read);
+        RouteTable routes = new RouteTable(read);
+        traffic.execute(() -> {
+            director.setRoutes(routes);
+            configured = true;
+        });
+        log.event(
+                "configuration-in-force",
+                "version",
+                read.version(),
+                "routes",
+                read.routes().size());
+    }
+
+    private void acceptDocuments(RoutingConfiguration read) {
+        for (ServiceSettings service : read.services().values()) {
+            if (service.divided()) {
+                node.view().acceptDocument(document(service.service()), read.version(), clock.nowMillis());
+            }
+        }
+    }
+
+    private static ServiceDocument document(ServiceName service) {
+        KeyRule keys = new KeyRule(true, KeyRule.KeySource.HEADER, service.value(), 0, SLICES);
+        CallRule calls = new CallRule(TimeUnit.SECONDS.toMillis(1), null, null, null, null, null, null);
+        return new ServiceDocument(
+                service,
+                TeamName.of("operators"),
+                new MatchRule(List.of(), null),
+                keys,
+                List.of(),
+                calls,
+                BalanceRule.EVEN);
+    }
+
+    /**
+     * Stops: answers everything that was read, then ends. Called on a thread that may wait.
+     *
+     * @throws InterruptedException when the thread is interrupted
+     */
+    public void stop() throws InterruptedException {
+        long startMillis = clock.nowMillis();
+        long endMillis = startMillis + settings.bounds().grace().toMillis() - STOP_MARGIN_MILLIS;
+        stopping = true;
+        log.event("router-stopping");
+        traffic.execute(callers::startClosing);
+        control.execute(() -> targets.onStopping(node));
+        boolean gateClosed = false;
+        while (clock.nowMillis() < endMillis) {
+            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+            boolean noticed = clock.nowMillis() - startMillis >= NOTICED_NOT_READY_MILLIS;
+            if (noticed && !gateClosed) {
+                gateClosed = true;
+                traffic.execute(() -> gate.setAccepting(false));
+            }
+            if (noticed && unanswered() == 0) {
+                break;
+            }
+        }
+        CountDownLatch closed = new CountDownLatch(1);
+        traffic.execute(() -> {
+            callers.close();
+            closed.countDown();
+        });
+        closed.await(STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        log.event("router-stopped", "tookMillis", clock.nowMillis() - startMillis, "unanswered", unanswered());
+    }
+
+    private int unanswered() throws InterruptedException {
+        int[] count = new int[1];
+        CountDownLatch counted = new CountDownLatch(1);
+        traffic.execute(() -> {
+            count[0] = callers.unanswered() + gate.unanswered();
+            counted.countDown();
+        });
+        return counted.await(1, TimeUnit.SECONDS) ? count[0] : 1;
+    }
+
+    /** Returns a handler that says whether callers may be sent here. */
+    public HttpExchange.Handler readiness() {
+        return (request, responder) -> {
+            responder.respond(HttpExchange.Response.empty(isReady() ? 200 : 503));
+            return org.siskindyke.runtime.traffic.Cancellable.NONE;
+        };
+    }
+
+    /** Logs what happens to the member and passes it on. */
+    private final class Listener implements ControlListener {
+        private final MemberId self;
+
+        private Listener(MemberId self) {
+            this.self = self;
+        }
+
+        @Override
+        public void onLease(long leaseEndMillis) {
+            if (leaseEndMillis == Long.MIN_VALUE) {
+                log.event("lease-ended", "member", self);
+            }
+        }
+
+        @Override
+        public void onJoined(MemberId grantor) {
+            log.event("joined", "member", self, "grantor", grantor);
+            Set<MemberId> serving = view().members().serving().stream()
+                    .map(MemberRow::id)
+                    .collect(Collectors.toCollection(HashSet::new));
+            traffic.execute(() -> director.forgetAllBut(serving));
+        }
+
+        @Override
+        public void onDeclaredDead(MemberId declaredBy) {
+            log.event("declared-dead", "member", self, "by", declaredBy);
+            if (!stopping) {
+                control.schedule(this::rejoin, REJOIN_MILLIS);
+            }
+        }
+
+        private void rejoin() {
+            node = newNode();
+            peers.attach(node);
+            node.onConfiguration(configuration);
+        }
+
+        @Override
+        public void onLeft() {
+            log.event("left", "member", self);
+        }
+
+        @Override
+        public void onGrantorReplaced(MemberId before, MemberId after) {
+            log.event("grantor-replaced", "before", before, "after", after);
+        }
+
+        @Override
+        public void onConfiguration(ConfigurationText learned) {
+            apply(learned);
+        }
+
+        @Override
+        public void onPlacement(PlacementDecision decision) {
+            log.event(
+                    "placement",
+                    "kind",
+                    decision.kind(),
+                    "service",
+                    decision.service(),
+                    "from",
+                    decision.from(),
+                    "to",
+                    decision.to(),
+                    "slices",
+                    decision.slices(),
+                    "reason",
+                    decision.reason(),
+                    "committed",
+                    decision.committed());
+        }
+
+        @Override
+        public void onDefect(RuntimeException defect) {
+            log.event("control-defect", "cause", defect, "at", defect.getStackTrace()[0]);
+        }
+    }
+}
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -85,7 +86,12 @@
         this.crashes = new CrashDetector(clock, control, this::onTargetUnreachable, () -> incarnation.node());
         this.invariants = new InvariantMonitor(crashes);
         this.dispatcher = new LocalDispatcher(clock, System::currentTimeMillis, invariants);
-        this.meter = new SliceMeter(clock, dispatcher);
+        this.meter = new SliceMeter(
+                clock,
+                service -> dispatcher
+                        .target(service)
+                        .map(t -> OptionalInt.of(t.slots().slots()))
+                        .orElse(OptionalInt.empty()));
         this.dispatcher.setMeter(meter);
         this.targets = new LocalTargets(clock, control, dispatcher);
     }
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/TargetKeeper.java
@@ -0,0 +1,238 @@
+package org.siskindyke.runtime;
+
+import java.net.InetSocketAddress;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.control.SliceTraffic;
+import org.siskindyke.kernel.grant.GrantReply;
+import org.siskindyke.kernel.grant.TargetGrants;
+import org.siskindyke.kernel.grant.TargetHeartbeat;
+import org.siskindyke.kernel.id.SliceRef;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.ownership.HeldSlice;
+import org.siskindyke.kernel.route.ServiceSettings;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.traffic.LocalGate;
+import org.siskindyke.runtime.traffic.LocalTarget;
+import org.siskindyke.runtime.traffic.TrafficLoop;
+
+/**
+ * Follows the heartbeats of the backend server beside this router: announces it, grants it slices and stops new work
+ * when it leaves. Confined to the control thread.
+ */
+final class TargetKeeper {
+    /** Heartbeats that may be missing before a backend server is taken for lost. */
+    private static final double MISSING_HEARTBEATS = 3;
+    /** Heartbeats that may be missing where connections are refused too. */
+    private static final double MISSING_HEARTBEATS_REFUSED = 1.2;
+    /** Connections of a backend server whose service no configuration names yet. */
+    private static final int DEFAULT_CONNECTIONS = 32;
+    /** An acknowledgement has reached the backend server beside this router by then. */
+    private static final long ACKNOWLEDGED_MILLIS = 5;
+    /** Part of the drain time in which a leaving backend server's keys are still served while they move. */
+    private static final double DRAIN_SHARE = 0.75;
+
+    private final InstanceSettings settings;
+    private final MonotonicClock clock;
+    private final TrafficLoop traffic;
+    private final LocalGate gate;
+    private final EventLog log;
+    private final TargetGrants grants;
+    private TargetHeartbeat last;
+    private InetSocketAddress address;
+    private boolean divided;
+    private boolean leaving;
+    private boolean lost;
+    private long heardMillis;
+
+    TargetKeeper(
+            InstanceSettings settings,
+            MonotonicClock clock,
+            TrafficLoop traffic,
+            LocalGate gate,
+            EventLog log,
+            int slices,
+            long longestHoldMillis) {
+        this.settings = settings;
+        this.clock = clock;
+        this.traffic = traffic;
+        this.gate = gate;
+        this.log = log;
+        this.grants = new TargetGrants(slices, longestHoldMillis);
+    }
+
+    /** Returns what other routers are told of the backend server. */
+    List<TargetAnnouncement> announcements() {
+        if (last == null) {
+            return List.of();
+        }
+        return List.of(new TargetAnnouncement(
+                last.service(), last.target(), address.getHostString(), address.getPort(), !leaving && !lost, true));
+    }
+
+    GrantReply onHeartbeat(
+            TargetHeartbeat heartbeat,
+            InetSocketAddress announced,
+            ControlNode node,
+            Optional<ServiceSettings> service) {
+        long nowMillis = clock.nowMillis();
+        if (!grants.isCurrent(heartbeat)) {
+            log.event("heartbeat-outdated", "target", heartbeat.target(), "sequence", heartbeat.sequence());
+            return GrantReply.NOTHING;
+        }
+        boolean newLife = last == null || last.bornMillis() != heartbeat.bornMillis();
+        boolean newlyLeaving = heartbeat.leaving() && !(leaving && !newLife);
+        divided = service.map(ServiceSettings::divided).orElse(false);
+        address = announced;
+        leaving = heartbeat.leaving() || leaving && !newLife;
+        lost = false;
+        heardMillis = nowMillis;
+        last = heartbeat;
+        if (newLife) {
+            log.event("target-started", "target", heartbeat.target(), "service", heartbeat.service());
+        }
+        GrantReply reply = grants.onHeartbeat(heartbeat, owned(node), leaseEndMillis(node), nowMillis);
+        node.setTargets(announcements());
+        publish(heartbeat, service, newLife || newlyLeaving);
+        return divided ? reply : GrantReply.NOTHING;
+    }
+
+    /** Returns the end of the lease; none before the own slices are known, since an answer lists all of them. */
+    private static long leaseEndMillis(ControlNode node) {
+        return node.knowsOwnSlices() ? node.lease().leaseEndMillis() : Long.MIN_VALUE;
+    }
+
+    private List<HeldSlice> owned(ControlNode node) {
+        return divided ? node.view().holding(last.service(), node.row().id()).slices() : List.of();
+    }
+
+    private void publish(TargetHeartbeat heartbeat, Optional<ServiceSettings> service, boolean stateChanged) {
+        LocalTarget target = new LocalTarget(
+                heartbeat.service(),
+                heartbeat.target(),
+                address,
+                heartbeat.slots(),
+                service.map(ServiceSettings::connections).orElse(DEFAULT_CONNECTIONS),
+                divided);
+        BitSet granted = grants.granted();
+        long endMillis = grants.holdEndMillis();
+        boolean stopNow = leaving && !divided;
+        boolean stopSoon = leaving && divided && stateChanged;
+        traffic.execute(() -> {
+            gate.setTarget(target);
+            gate.retainGrants(granted);
+            if (stateChanged) {
+                gate.setAccepting(!stopNow);
+            }
+        });
+        traffic.schedule(() -> gate.setGrants(granted, endMillis), ACKNOWLEDGED_MILLIS);
+        if (stopSoon) {
+            stopAfterDrain(heartbeat);
+        }
+    }
+
+    private void stopAfterDrain(TargetHeartbeat heartbeat) {
+        long delayMillis = (long) (settings.bounds().drain().toMillis() * DRAIN_SHARE);
+        traffic.schedule(
+                () -> {
+                    LocalTarget present = gate.target();
+                    if (present != null && present.name().equals(heartbeat.target())) {
+                        gate.setAccepting(false);
+                    }
+                },
+                delayMillis);
+    }
+
+    void onDeregister(TargetName target, ControlNode node) {
+        if (last == null || !last.target().equals(target)) {
+            log.event("deregister-unknown", "target", target);
+            return;
+        }
+        log.event("target-deregistered", "target", target);
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        node.setTargets(announcements());
+        if (divided) {
+            stopAfterDrain(last);
+        } else {
+            traffic.execute(() -> gate.setAccepting(false));
+        }
+    }
+
+    /** Ends the member in order where the backend server has gone for good; else a successor takes over. */
+    void onStopping(ControlNode node) {
+        if (last == null || leaving || lost) {
+            node.leave();
+        }
+    }
+
+    void onUnreachable(long nowMillis) {
+        if (last != null && nowMillis - heardMillis > settings.heartbeat().toMillis() * MISSING_HEARTBEATS_REFUSED) {
+            markLost("connections refused");
+        }
+    }
+
+    void tick(ControlNode node) {
+        long nowMillis = clock.nowMillis();
+        if (last == null) {
+            return;
+        }
+        grants.tick(nowMillis);
+        boolean silent = nowMillis - heardMillis > settings.heartbeat().toMillis() * MISSING_HEARTBEATS;
+        if (silent && !lost && isUseless(nowMillis)) {
+            markLost("no heartbeats");
+        }
+        if (lost) {
+            node.setTargets(announcements());
+        }
+    }
+
+    private boolean isUseless(long nowMillis) {
+        if (divided) {
+            return nowMillis >= grants.holdEndMillis();
+        }
+        return nowMillis - gate.lastAnswerMillis() > settings.heartbeat().toMillis();
+    }
+
+    private void markLost(String reason) {
+        if (!lost) {
+            lost = true;
+            log.event("target-lost", "target", last.target(), "reason", reason);
+        }
+    }
+
+    /** Returns what stops and resumes calls of slices while they move. */
+    SliceTraffic sliceTraffic() {
+        return new SliceTraffic() {
+            @Override
+            public void hold(Collection<SliceRef> refs, Runnable whenIdle) {
+                grants.revoke(indexes(refs), clock.nowMillis(), whenIdle);
+            }
+
+            @Override
+            public void resume(Collection<SliceRef> refs) {
+                grants.restore(indexes(refs));
+            }
+
+            @Override
+            public String handover(SliceRef slice) {
+                return grants.handover(slice.index());
+            }
+        };
+    }
+
+    private static Set<Integer> indexes(Collection<SliceRef> refs) {
+        Set<Integer> indexes = new HashSet<>();
+        refs.forEach(ref -> indexes.add(ref.index()));
+        return indexes;
+    }
+}
--- a/src/main/java/org/siskindyke/runtime/call/Call.java
+++ b/src/main/java/org/siskindyke/runtime/call/Call.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.siskindyke.kernel.call.CallUrgency;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 
@@ -18,6 +19,7 @@
  * @param body the whole body
  * @param deadlineMillis moment by this process's clock at which the caller gets a final answer
  * @param idempotent whether it may run more than once
+ * @param urgency its place among calls that wait
  */
 public record Call(
         String id,
@@ -29,7 +31,13 @@
         List<Header> headers,
         byte[] body,
         long deadlineMillis,
-        boolean idempotent) {
+        boolean idempotent,
+        CallUrgency urgency) {
+    /** Returns the call with another urgency. */
+    public Call withUrgency(CallUrgency other) {
+        return new Call(id, service, key, slice, method, target, headers, body, deadlineMillis, idempotent, other);
+    }
+
     /** Returns the path of the target, without the query. */
     public String path() {
         int query = target.indexOf('?');
--- a/src/main/java/org/siskindyke/runtime/call/CallReader.java
+++ b/src/main/java/org/siskindyke/runtime/call/CallReader.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.servicetalk.http.api.HttpRequest;
+import org.siskindyke.kernel.call.CallUrgency;
 import org.siskindyke.kernel.call.KeyExtractor;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.control.ClusterView;
@@ -78,7 +79,8 @@
                 headers,
                 Bytes.of(request.payloadBody()),
                 clock.nowMillis() + timeoutMillis(headers, document),
-                document.calls().isIdempotent(method, path));
+                document.calls().isIdempotent(method, path),
+                CallUrgency.NORMAL);
     }
 
     private String keyOf(HttpRequest request, KeyRule rule) {
--- a/src/main/java/org/siskindyke/runtime/call/Headers.java
+++ b/src/main/java/org/siskindyke/runtime/call/Headers.java
@@ -75,6 +75,27 @@
         return copied;
     }
 
+    /** Returns the fields that are passed on from hop to hop, spelled as they came. */
+    public static List<Header> endToEnd(List<Header> headers) {
+        List<Header> copied = new ArrayList<>(headers.size());
+        for (Header header : headers) {
+            if (!HOP_BY_HOP.contains(header.name().toLowerCase(Locale.ROOT))) {
+                copied.add(header);
+            }
+        }
+        return copied;
+    }
+
+    /** Returns the first value of a field whatever the case of its name, or null. */
+    public static String firstIgnoringCase(List<Header> headers, String name) {
+        for (Header header : headers) {
+            if (header.name().equalsIgnoreCase(name)) {
+                return header.value();
+            }
+        }
+        return null;
+    }
+
     /** Returns the first value of a field, or null. */
     public static String first(List<Header> headers, String name) {
         for (Header header : headers) {
--- a/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
+++ b/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
@@ -4,9 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Function;
 
 import org.siskindyke.kernel.balance.SliceLoad;
 import org.siskindyke.kernel.balance.TargetUsage;
@@ -24,17 +26,22 @@
     private static final double KEEP = 0.7;
 
     private final MonotonicClock clock;
-    private final LocalDispatcher dispatcher;
+    private final Function<ServiceName, OptionalInt> slots;
     private final Map<SliceRef, LongAdder> calls = new ConcurrentHashMap<>();
     private final Map<ServiceName, LongAdder> busyNanos = new ConcurrentHashMap<>();
     private final Map<SliceRef, Double> callsPerSecond = new ConcurrentHashMap<>();
     private final Map<ServiceName, Double> millisPerCall = new ConcurrentHashMap<>();
     private long averagedMillis;
 
-    /** Creates a meter. */
-    public SliceMeter(MonotonicClock clock, LocalDispatcher dispatcher) {
+    /**
+     * Creates a meter.
+     *
+     * @param clock the clock
+     * @param slots tells the slots of the target of a service, empty where there is none beside this router
+     */
+    public SliceMeter(MonotonicClock clock, Function<ServiceName, OptionalInt> slots) {
         this.clock = clock;
-        this.dispatcher = dispatcher;
+        this.slots = slots;
         this.averagedMillis = clock.nowMillis();
     }
 
@@ -70,15 +77,15 @@
 
     @Override
     public Optional<TargetUsage> usage(ServiceName service, List<Integer> owned) {
-        return dispatcher
-                .target(service)
-                .map(target -> new TargetUsage(
-                        slices(service, owned).stream()
-                                .mapToDouble(SliceLoad::callsPerSecond)
-                                .sum(),
-                        millisPerCall.getOrDefault(service, 1.0),
-                        target.slots().slots(),
-                        owned.size()));
+        OptionalInt present = slots.apply(service);
+        if (present.isEmpty()) {
+            return Optional.empty();
+        }
+        double rate = slices(service, owned).stream()
+                .mapToDouble(SliceLoad::callsPerSecond)
+                .sum();
+        double millis = millisPerCall.getOrDefault(service, 1.0);
+        return Optional.of(new TargetUsage(rate, millis, present.getAsInt(), owned.size()));
     }
 
     @Override
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -4,9 +4,12 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.siskindyke.kernel.balance.TargetReport;
 import org.siskindyke.kernel.balance.TargetUsage;
+import org.siskindyke.kernel.call.CallUrgency;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.Verdict;
+import org.siskindyke.kernel.control.ConfigurationText;
 import org.siskindyke.kernel.control.PeerPort;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
@@ -24,12 +27,14 @@
 import org.siskindyke.wire.ForwardResponse;
 import org.siskindyke.wire.GossipRequest;
 import org.siskindyke.wire.GossipResponse;
+import org.siskindyke.wire.LoadRequest;
 import org.siskindyke.wire.LoadResponse;
 import org.siskindyke.wire.ReleaseRequest;
 import org.siskindyke.wire.RenewRequest;
 import org.siskindyke.wire.RenewResponse;
 import org.siskindyke.wire.WireDelta;
 import org.siskindyke.wire.WireHeader;
+import org.siskindyke.wire.WireLoad;
 import org.siskindyke.wire.WireRow;
 
 /** Converts between the kernel's messages and their wire form. */
@@ -70,22 +75,44 @@
         wire.setMember(gossip.member().value());
         wire.setTableVersion(gossip.tableVersion());
         wire.setDelta(toWire(gossip.changes()));
+        wire.setConfigurationRevision(gossip.configurationRevision());
+        if (gossip.configuration() != null) {
+            wire.setConfiguration(gossip.configuration().text());
+        }
         return wire;
     }
 
     static PeerPort.Gossip fromWire(GossipRequest wire) {
-        return new PeerPort.Gossip(MemberId.of(wire.getMember()), wire.getTableVersion(), fromWire(wire.getDelta()));
+        return new PeerPort.Gossip(
+                MemberId.of(wire.getMember()),
+                wire.getTableVersion(),
+                fromWire(wire.getDelta()),
+                wire.getConfigurationRevision(),
+                configuration(wire.getConfigurationRevision(), wire.getConfiguration()));
+    }
+
+    private static ConfigurationText configuration(long revision, String text) {
+        return text == null ? null : new ConfigurationText(revision, text);
     }
 
     static GossipResponse toResponse(PeerPort.Gossip gossip) {
         GossipResponse wire = new GossipResponse();
         wire.setTableVersion(gossip.tableVersion());
         wire.setDelta(toWire(gossip.changes()));
+        wire.setConfigurationRevision(gossip.configurationRevision());
+        if (gossip.configuration() != null) {
+            wire.setConfiguration(gossip.configuration().text());
+        }
         return wire;
     }
 
     static PeerPort.Gossip fromWire(MemberId sender, GossipResponse wire) {
-        return new PeerPort.Gossip(sender, wire.getTableVersion(), fromWire(wire.getDelta()));
+        return new PeerPort.Gossip(
+                sender,
+                wire.getTableVersion(),
+                fromWire(wire.getDelta()),
+                wire.getConfigurationRevision(),
+                configuration(wire.getConfigurationRevision(), wire.getConfiguration()));
     }
 
     static ReleaseRequest toWire(PeerPort.Release release) {
@@ -149,6 +176,12 @@
         wire.setBody(call.body());
         wire.setRemainingMillis(call.remainingMillis(nowMillis));
         wire.setHops(hops);
+        wire.setPriority(call.urgency().priority());
+        wire.setIdempotent(call.idempotent());
+        wire.setObjectiveMillis(call.urgency().objectiveMillis() - nowMillis);
+        wire.setNested(call.urgency().nested());
+        wire.setMovable(call.urgency().movable());
+        wire.setKind(call.urgency().kind());
         wire.setToMember(to.value());
         return wire;
     }
@@ -166,7 +199,13 @@
                 fromWire(wire.getHeaders()),
                 wire.getBody(),
                 nowMillis + wire.getRemainingMillis(),
-                idempotent);
+                idempotent,
+                new CallUrgency(
+                        wire.getKind() == null ? "" : wire.getKind(),
+                        wire.getPriority(),
+                        nowMillis + wire.getObjectiveMillis(),
+                        wire.isNested(),
+                        wire.isMovable()));
     }
 
     static ForwardResponse toWire(String callId, Reply reply) {
@@ -184,6 +223,10 @@
             wire.setOwnerHint(reply.owner().value());
             wire.setGenerationHint(reply.generation());
         }
+        if (reply.load() != null) {
+            TargetReport load = reply.load();
+            wire.setLoad(new WireLoad(load.slots(), load.busy(), load.waiting(), load.millisPerCall()));
+        }
         return wire;
     }
 
@@ -200,7 +243,12 @@
                 wire.isSetCode() ? constant(Refusal.class, wire.getCode()) : null,
                 wire.getRetryAfterMillis(),
                 wire.isSetOwnerHint() ? MemberId.of(wire.getOwnerHint()) : null,
-                wire.getGenerationHint());
+                wire.getGenerationHint(),
+                wire.isSetLoad() ? fromWire(wire.getLoad()) : null);
+    }
+
+    private static TargetReport fromWire(WireLoad load) {
+        return new TargetReport(load.getSlots(), load.getBusy(), load.getWaiting(), load.getMillisPerCall());
     }
 
     private static List<WireHeader> toWire(List<Header> headers) {
@@ -259,4 +307,55 @@
     public static PeerPort.Gossip decodeGossip(MemberId sender, byte[] bytes) {
         return fromWire(sender, WireCodec.decode(bytes, new GossipResponse()));
     }
+
+    /** Encodes a call that is passed to another router. */
+    public static byte[] encodeForward(Call call, MemberId to, int hops, long nowMillis) {
+        return WireCodec.encode(toWire(call, to, hops, nowMillis));
+    }
+
+    /** Decodes a call that another router passes on; times count from {@code nowMillis}. */
+    public static Call decodeForward(byte[] bytes, long nowMillis) {
+        ForwardRequest wire = WireCodec.decode(bytes, new ForwardRequest());
+        return fromWire(wire, wire.isIdempotent(), nowMillis);
+    }
+
+    /** Encodes what became of a call. */
+    public static byte[] encodeForwardReply(String callId, Reply reply) {
+        return WireCodec.encode(toWire(callId, reply));
+    }
+
+    /** Decodes what became of a call. */
+    public static Reply decodeForwardReply(byte[] bytes) {
+        return fromWire(WireCodec.decode(bytes, new ForwardResponse()));
+    }
+
+    /** Encodes a request to release slices. */
+    public static byte[] encode(PeerPort.Release release) {
+        return WireCodec.encode(toWire(release));
+    }
+
+    /** Decodes a request to release slices. */
+    public static PeerPort.Release decodeRelease(byte[] bytes) {
+        return fromWire(WireCodec.decode(bytes, new ReleaseRequest()));
+    }
+
+    /** Encodes the question how busy a target of a service is. */
+    public static byte[] encodeUsageQuestion(ServiceName service) {
+        return WireCodec.encode(new LoadRequest(service.value()));
+    }
+
+    /** Decodes the question how busy a target of a service is. */
+    public static ServiceName decodeUsageQuestion(byte[] bytes) {
+        return ServiceName.of(WireCodec.decode(bytes, new LoadRequest()).getServiceName());
+    }
+
+    /** Encodes how busy a target is; empty where there is none. */
+    public static byte[] encode(Optional<TargetUsage> usage) {
+        return WireCodec.encode(toWire(usage));
+    }
+
+    /** Decodes how busy a target is; empty where there is none. */
+    public static Optional<TargetUsage> decodeUsage(byte[] bytes) {
+        return fromWire(WireCodec.decode(bytes, new LoadResponse()));
+    }
 }
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
@@ -0,0 +1,45 @@
+package org.siskindyke.runtime.traffic;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.runtime.call.Header;
+
+/** The header fields by which callers and backend servers say what a router needs to know. */
+public interface CallDialect {
+    /**
+     * What a caller says of its request.
+     *
+     * @param requestId identifies the request; null where it is missing
+     * @param timeoutMillis how long the caller waits
+     * @param key the key of a divided service
+     */
+    record CallerFields(String requestId, OptionalLong timeoutMillis, OptionalInt key) {}
+
+    /** Reads what a caller says. */
+    CallerFields read(List<Header> headers);
+
+    /** Returns the header fields to pass on, with the service beside which the request began. */
+    List<Header> passOn(List<Header> headers, Optional<ServiceName> callerService);
+
+    /**
+     * Returns the fields that only the router beside the backend server can set.
+     *
+     * @param target the backend server that must run the request
+     * @param remainingMillis the time left
+     */
+    List<Header> forTarget(TargetName target, long remainingMillis);
+
+    /** Tells whether an answer says that the request did not run and will not run. */
+    boolean saysNotRun(int status, List<Header> headers);
+
+    /** Returns the id of the request that an answer belongs to, or null. */
+    String answeredRequest(List<Header> headers);
+
+    /** Returns the field that names the request in a response of the router's own. */
+    Header requestIdField(String requestId);
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/Cancellable.java
@@ -0,0 +1,11 @@
+package org.siskindyke.runtime.traffic;
+
+/** Work that can be given up. */
+@FunctionalInterface
+public interface Cancellable {
+    /** Cannot be given up any more. */
+    Cancellable NONE = () -> {};
+
+    /** Gives the work up; its outcome is not reported any more. */
+    void cancel();
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpCaller.java
@@ -0,0 +1,88 @@
+package org.siskindyke.runtime.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.call.Header;
+
+/** Sends requests of the router's own to one server; may be used on any thread. */
+public final class HttpCaller {
+    private static final int MOST_CONNECTIONS = 16;
+
+    private final TrafficLoop traffic;
+    private final HttpClientPool pool;
+    private final String host;
+
+    /** Creates a caller of the server at an address. */
+    public HttpCaller(TrafficLoop traffic, MonotonicClock clock, InetSocketAddress address) {
+        this.traffic = traffic;
+        this.pool = new HttpClientPool(traffic, clock, address, MOST_CONNECTIONS, headers -> null);
+        this.host = address.getHostString() + ":" + address.getPort();
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param method the method
+     * @param target path and query
+     * @param body a JSON body, empty for none
+     * @param timeoutMillis how long to wait for the whole answer
+     * @return the answer, whatever its status; fails with {@code TABLE_UNAVAILABLE} where there is none, in which case
+     *     the server may still act on the request
+     */
+    public CompletionStage<HttpExchange.Response> call(String method, String target, byte[] body, long timeoutMillis) {
+        CompletableFuture<HttpExchange.Response> answer = new CompletableFuture<>();
+        traffic.execute(() -> send(method, target, body, timeoutMillis, answer));
+        return answer;
+    }
+
+    private void send(
+            String method,
+            String target,
+            byte[] body,
+            long timeoutMillis,
+            CompletableFuture<HttpExchange.Response> answer) {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, Unpooled.wrappedBuffer(body));
+        request.headers().set(HttpHeaderNames.HOST, host);
+        if (body.length > 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        Cancellable[] sending = {Cancellable.NONE};
+        Cancellable timer = traffic.schedule(
+                () -> {
+                    sending[0].cancel();
+                    answer.completeExceptionally(unavailable(target, "no answer in time"));
+                },
+                timeoutMillis);
+        sending[0] = pool.send(request, null, new HttpClientPool.Outcome() {
+            @Override
+            public void onAnswer(int status, List<Header> headers, byte[] bytes) {
+                timer.cancel();
+                answer.complete(new HttpExchange.Response(status, headers, bytes));
+            }
+
+            @Override
+            public void onLost(boolean sent, String cause) {
+                timer.cancel();
+                answer.completeExceptionally(unavailable(target, cause));
+            }
+        });
+    }
+
+    private static SiskindykeException unavailable(String target, String cause) {
+        return new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, target + ": " + cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -0,0 +1,240 @@
+package org.siskindyke.runtime.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.siskindyke.runtime.call.Header;
+
+/**
+ * A connection to a server, with one request at a time on it.
+ *
+ * <p>An answer that names another request is dropped. Bytes that belong to no request end the connection.
+ */
+final class HttpClientConnection extends ChannelInboundHandlerAdapter {
+    private static final int CONTINUE = 100;
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final String KEEP_ALIVE = "keep-alive";
+    private static final String TIMEOUT = "timeout=";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final Function<List<Header>, String> answeredRequest;
+    private final Runnable onIdle;
+    private Channel channel;
+    private Exchange exchange;
+    private HttpResponse head;
+    private CompositeByteBuf body;
+    private boolean broken;
+    private boolean reusable = true;
+    private boolean idleDue;
+    private long keepAliveMillis;
+    private long idleSinceMillis;
+
+    /**
+     * Creates a connection that is not established yet.
+     *
+     * @param answeredRequest finds the request that an answer names
+     * @param onIdle runs when the connection can take another request
+     */
+    HttpClientConnection(Function<List<Header>, String> answeredRequest, Runnable onIdle) {
+        this.answeredRequest = answeredRequest;
+        this.onIdle = onIdle;
+    }
+
+    /** The request under way. */
+    private record Exchange(String requestId, HttpClientPool.Outcome outcome) {}
+
+    void send(FullHttpRequest request, String requestId, HttpClientPool.Outcome outcome) {
+        exchange = new Exchange(requestId, outcome);
+        channel.writeAndFlush(request, channel.voidPromise());
+    }
+
+    boolean isUsable() {
+        return reusable && channel != null && channel.isActive();
+    }
+
+    /** Returns the idle time that the server has announced, 0 for none. */
+    long keepAliveMillis() {
+        return keepAliveMillis;
+    }
+
+    void setIdleSince(long nowMillis) {
+        idleSinceMillis = nowMillis;
+    }
+
+    long idleSinceMillis() {
+        return idleSinceMillis;
+    }
+
+    /** Closes the connection without reporting an outcome. */
+    void drop() {
+        exchange = null;
+        reusable = false;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** Closes the connection and reports a request under way as lost. */
+    void abort(String cause) {
+        if (!broken && channel != null) {
+            fail(cause);
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (broken) {
+                return;
+            }
+            if (exchange == null) {
+                fail("bytes without a request");
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                onHead(response);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                onContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onHead(HttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            fail("malformed answer");
+            return;
+        }
+        head = response;
+        body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+    }
+
+    private void onContent(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            fail("answer cut short");
+            return;
+        }
+        ByteBuf bytes = content.content();
+        if (bytes.isReadable()) {
+            body.addComponent(true, bytes.retain());
+        }
+        if (content instanceof LastHttpContent) {
+            onWhole();
+        }
+    }
+
+    private void onWhole() {
+        HttpResponse response = head;
+        byte[] bytes = ByteBufUtil.getBytes(body);
+        dropPartial();
+        int status = response.status().code();
+        if (status >= CONTINUE && status < FIRST_FINAL_STATUS) {
+            return;
+        }
+        List<Header> headers = new ArrayList<>(response.headers().size());
+        for (Map.Entry<String, String> field : response.headers()) {
+            headers.add(new Header(field.getKey(), field.getValue()));
+        }
+        String answered = answeredRequest.apply(headers);
+        if (answered != null && exchange.requestId() != null && !answered.equals(exchange.requestId())) {
+            reusable = false;
+            return;
+        }
+        noteKeepAlive(response);
+        Exchange ended = exchange;
+        exchange = null;
+        idleDue = true;
+        ended.outcome().onAnswer(status, headers, bytes);
+    }
+
+    private void noteKeepAlive(HttpResponse response) {
+        reusable &= HttpUtil.isKeepAlive(response) && HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isKeepAlive(response) && HttpUtil.isTransferEncodingChunked(response);
+        String announced = response.headers().get(KEEP_ALIVE);
+        if (announced == null) {
+            return;
+        }
+        int start = announced.indexOf(TIMEOUT);
+        if (start >= 0) {
+            keepAliveMillis = parseSeconds(announced.substring(start + TIMEOUT.length())) * MILLIS_PER_SECOND;
+        }
+    }
+
+    private static long parseSeconds(String text) {
+        long seconds = 0;
+        for (int i = 0; i < text.length() && i < 6 && Character.isDigit(text.charAt(i)); i++) {
+            seconds = seconds * 10 + Character.digit(text.charAt(i), 10);
+        }
+        return seconds;
+    }
+
+    /** Offers the connection again only once all bytes that have arrived are read; they may belong to no request. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (!idleDue) {
+            return;
+        }
+        idleDue = false;
+        if (isUsable()) {
+            onIdle.run();
+        } else {
+            context.close();
+        }
+    }
+
+    private void dropPartial() {
+        head = null;
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    private void fail(String cause) {
+        broken = true;
+        reusable = false;
+        dropPartial();
+        channel.close();
+        Exchange ended = exchange;
+        exchange = null;
+        if (ended != null) {
+            ended.outcome().onLost(true, cause);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (!broken) {
+            fail("connection closed");
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!broken) {
+            fail("connection failed: " + cause.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -0,0 +1,161 @@
+package org.siskindyke.runtime.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.ReferenceCountUtil;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.call.Header;
+
+/** Connections to one server, reused; the one used last is used next. */
+final class HttpClientPool {
+    /** Idle time after which a connection is not used again where the server announces none, in milliseconds. */
+    private static final long DEFAULT_IDLE_MILLIS = 8_000;
+    /** Part of the announced idle time in which a connection is used, so that the server does not close it first. */
+    private static final double IDLE_SHARE = 0.8;
+
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int CHUNK_BYTES = 16_384;
+
+    private final TrafficLoop traffic;
+    private final MonotonicClock clock;
+    private final InetSocketAddress address;
+    private final int mostConnections;
+    private final Function<List<Header>, String> answeredRequest;
+    private final Deque<HttpClientConnection> idle = new ArrayDeque<>();
+    private final Set<HttpClientConnection> all = new HashSet<>();
+    private long opened;
+
+    /** Learns what became of a request. */
+    interface Outcome {
+        /** The whole answer has arrived. */
+        void onAnswer(int status, List<Header> headers, byte[] body);
+
+        /**
+         * There will be no answer.
+         *
+         * @param sent whether the request may have reached the server
+         * @param cause why, for the log
+         */
+        void onLost(boolean sent, String cause);
+    }
+
+    HttpClientPool(
+            TrafficLoop traffic,
+            MonotonicClock clock,
+            InetSocketAddress address,
+            int mostConnections,
+            Function<List<Header>, String> answeredRequest) {
+        this.traffic = traffic;
+        this.clock = clock;
+        this.address = address;
+        this.mostConnections = mostConnections;
+        this.answeredRequest = answeredRequest;
+    }
+
+    /** Returns the number of connections opened so far. */
+    long opened() {
+        return opened;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request, which is taken over
+     * @param requestId the id that its answer names, or null
+     * @param outcome learns what becomes of it
+     * @return gives the request up and closes its connection
+     */
+    Cancellable send(FullHttpRequest request, String requestId, Outcome outcome) {
+        HttpClientConnection reused = takeIdle();
+        if (reused != null) {
+            reused.send(request, requestId, outcome);
+            return reused::drop;
+        }
+        if (all.size() >= mostConnections) {
+            ReferenceCountUtil.release(request);
+            outcome.onLost(false, "connections in use");
+            return Cancellable.NONE;
+        }
+        return connect(request, requestId, outcome);
+    }
+
+    private Cancellable connect(FullHttpRequest request, String requestId, Outcome outcome) {
+        HttpClientConnection[] holder = new HttpClientConnection[1];
+        HttpClientConnection connection = new HttpClientConnection(answeredRequest, () -> putIdle(holder[0]));
+        holder[0] = connection;
+        all.add(connection);
+        opened++;
+        boolean[] cancelled = new boolean[1];
+        ChannelFuture connecting = traffic.connect(address, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES, false), connection);
+            }
+        });
+        connecting.channel().closeFuture().addListener(closed -> forget(connection));
+        connecting.addListener(done -> {
+            if (cancelled[0] || !done.isSuccess()) {
+                ReferenceCountUtil.release(request);
+                forget(connection);
+                connecting.channel().close();
+                if (!cancelled[0]) {
+                    outcome.onLost(false, "cannot connect: " + done.cause().getMessage());
+                }
+            } else {
+                connection.send(request, requestId, outcome);
+            }
+        });
+        return () -> {
+            cancelled[0] = true;
+            connection.drop();
+        };
+    }
+
+    private HttpClientConnection takeIdle() {
+        long nowMillis = clock.nowMillis();
+        while (!idle.isEmpty()) {
+            HttpClientConnection connection = idle.pop();
+            if (connection.isUsable() && nowMillis < idleEndMillis(connection)) {
+                return connection;
+            }
+            connection.drop();
+        }
+        return null;
+    }
+
+    private static long idleEndMillis(HttpClientConnection connection) {
+        long announced = connection.keepAliveMillis();
+        long allowed = announced > 0 ? (long) (announced * IDLE_SHARE) : DEFAULT_IDLE_MILLIS;
+        return connection.idleSinceMillis() + allowed;
+    }
+
+    private void putIdle(HttpClientConnection connection) {
+        connection.setIdleSince(clock.nowMillis());
+        idle.push(connection);
+    }
+
+    private void forget(HttpClientConnection connection) {
+        all.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** Closes all connections; requests under way are reported as lost. */
+    void close() {
+        List.copyOf(all).forEach(c -> c.abort("server ended"));
+        all.clear();
+        idle.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -0,0 +1,103 @@
+package org.siskindyke.runtime.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.siskindyke.kernel.route.CallerLimits;
+import org.siskindyke.kernel.time.MonotonicClock;
+
+/**
+ * An HTTP/1.1 server that reads ahead: requests that arrive behind another on a connection are worked on at once and
+ * answered in order, and a caller that leaves is noticed at once.
+ */
+public final class HttpListener {
+    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+    private static final long SWEEP_MILLIS = 500;
+
+    private final TrafficLoop traffic;
+    private final MonotonicClock clock;
+    private final HttpExchange.Handler handler;
+    private final Supplier<CallerLimits> limits;
+    private final Set<HttpServerConnection> connections = new HashSet<>();
+    private Channel channel;
+    private boolean closing;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param traffic the loop
+     * @param clock the clock
+     * @param limits bounds on callers, asked again for each connection
+     * @param handler answers requests
+     */
+    public HttpListener(
+            TrafficLoop traffic, MonotonicClock clock, Supplier<CallerLimits> limits, HttpExchange.Handler handler) {
+        this.traffic = traffic;
+        this.clock = clock;
+        this.limits = limits;
+        this.handler = handler;
+    }
+
+    /** Starts to listen. */
+    public void listen(InetSocketAddress address) {
+        channel = traffic.listen(address, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel accepted) {
+                setUp(accepted);
+            }
+        });
+        traffic.repeat(this::sweep, SWEEP_MILLIS);
+    }
+
+    private void setUp(Channel accepted) {
+        HttpDecoderConfig config = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+                .setMaxHeaderSize(limits.get().headerBytes())
+                .setValidateHeaders(true);
+        HttpServerConnection connection = new HttpServerConnection(this, clock, handler, accepted);
+        accepted.pipeline().addLast(new StrictRequestDecoder(config), new HttpResponseEncoder(), connection);
+        connections.add(connection);
+    }
+
+    CallerLimits limits() {
+        return limits.get();
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    void onClosed(HttpServerConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Returns the requests that were read and not answered. */
+    public int unanswered() {
+        return connections.stream().mapToInt(HttpServerConnection::unanswered).sum();
+    }
+
+    /** Ends each connection after its next answer; requests are still taken. */
+    public void startClosing() {
+        closing = true;
+    }
+
+    /** Stops listening and closes the connections on which nothing is unanswered. */
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+        List.copyOf(connections).forEach(HttpServerConnection::closeIfIdle);
+    }
+
+    private void sweep() {
+        long nowMillis = clock.nowMillis();
+        List.copyOf(connections).forEach(c -> c.checkProgress(nowMillis));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -0,0 +1,272 @@
+package org.siskindyke.runtime.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.call.Header;
+
+/** One caller's connection: reads requests ahead, within bounds, and writes answers in order. */
+final class HttpServerConnection extends ChannelInboundHandlerAdapter {
+    /** Requests that are read ahead on one connection; more wait in the socket. */
+    private static final int MOST_UNANSWERED = 32;
+
+    private static final int BAD_REQUEST = 400;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int TOO_LARGE = 413;
+    private static final int URI_TOO_LONG = 414;
+    private static final int HEADERS_TOO_LARGE = 431;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final HttpListener listener;
+    private final MonotonicClock clock;
+    private final HttpExchange.Handler handler;
+    private final Channel channel;
+    private final Deque<Exchange> exchanges = new ArrayDeque<>();
+    private HttpRequest head;
+    private CompositeByteBuf body;
+    private long headStartMillis;
+    private long quietSinceMillis;
+    private boolean ignoring;
+    private boolean closeAfterLast;
+
+    HttpServerConnection(HttpListener listener, MonotonicClock clock, HttpExchange.Handler handler, Channel channel) {
+        this.listener = listener;
+        this.clock = clock;
+        this.handler = handler;
+        this.channel = channel;
+        this.quietSinceMillis = clock.nowMillis();
+        this.headStartMillis = quietSinceMillis;
+    }
+
+    /** A request that was read, and its response once there is one. */
+    private static final class Exchange {
+        private final boolean keepAlive;
+        private final boolean headRequest;
+        private HttpExchange.Response response;
+        private Cancellable work = Cancellable.NONE;
+
+        private Exchange(boolean keepAlive, boolean headRequest) {
+            this.keepAlive = keepAlive;
+            this.headRequest = headRequest;
+        }
+    }
+
+    int unanswered() {
+        return exchanges.size();
+    }
+
+    void closeIfIdle() {
+        closeAfterLast = true;
+        if (exchanges.isEmpty() && head == null) {
+            channel.close();
+        }
+    }
+
+    /** Ends the connection if its caller is slower than the limits allow. */
+    void checkProgress(long nowMillis) {
+        if (!exchanges.isEmpty() || ignoring) {
+            return;
+        }
+        boolean reading = head != null;
+        long allowedMillis = reading
+                ? listener.limits().headerMillis() + listener.limits().idleMillis()
+                : listener.limits().idleMillis();
+        long sinceMillis = reading ? headStartMillis : quietSinceMillis;
+        if (nowMillis - sinceMillis > allowedMillis) {
+            if (reading) {
+                reject(REQUEST_TIMEOUT);
+            } else {
+                channel.close();
+            }
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (ignoring) {
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                onHead(context, request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                onContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onHead(ChannelHandlerContext context, HttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            reject(statusOf(request.decoderResult()));
+            return;
+        }
+        headStartMillis = clock.nowMillis();
+        if (HttpUtil.getContentLength(request, 0L) > listener.limits().bodyBytes()) {
+            reject(TOO_LARGE);
+            return;
+        }
+        head = request;
+        body = Unpooled.compositeBuffer(MOST_UNANSWERED * MOST_UNANSWERED);
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private static int statusOf(DecoderResult result) {
+        if (result.cause() instanceof TooLongHttpLineException) {
+            return URI_TOO_LONG;
+        }
+        return result.cause() instanceof TooLongHttpHeaderException ? HEADERS_TOO_LARGE : BAD_REQUEST;
+    }
+
+    private void onContent(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            reject(BAD_REQUEST);
+            return;
+        }
+        ByteBuf bytes = content.content();
+        if (body.readableBytes() + (long) bytes.readableBytes()
+                > listener.limits().bodyBytes()) {
+            reject(TOO_LARGE);
+            return;
+        }
+        if (bytes.isReadable()) {
+            body.addComponent(true, bytes.retain());
+        }
+        if (content instanceof LastHttpContent) {
+            onWhole();
+        }
+    }
+
+    private void onWhole() {
+        HttpRequest request = head;
+        byte[] bytes = ByteBufUtil.getBytes(body);
+        dropPartial();
+        Exchange exchange = new Exchange(
+                HttpUtil.isKeepAlive(request), request.method().name().equals("HEAD"));
+        exchanges.add(exchange);
+        if (!exchange.keepAlive) {
+            ignoring = true;
+        }
+        List<Header> headers = new ArrayList<>(request.headers().size());
+        for (Map.Entry<String, String> field : request.headers()) {
+            headers.add(new Header(field.getKey(), field.getValue()));
+        }
+        HttpExchange.Request whole = new HttpExchange.Request(
+                request.method().name(), request.uri(), headers, bytes, (InetSocketAddress) channel.remoteAddress());
+        exchange.work = handler.handle(whole, response -> onResponse(exchange, response));
+        if (exchanges.size() >= MOST_UNANSWERED) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    /** Refuses what cannot be read as a request; answers to requests before it are still sent. */
+    private void reject(int status) {
+        ignoring = true;
+        dropPartial();
+        Exchange exchange = new Exchange(false, false);
+        exchanges.add(exchange);
+        onResponse(exchange, HttpExchange.Response.empty(status));
+    }
+
+    private void dropPartial() {
+        head = null;
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    private void onResponse(Exchange exchange, HttpExchange.Response response) {
+        if (exchange.response != null || !channel.isActive()) {
+            return;
+        }
+        exchange.response = response;
+        boolean wrote = false;
+        while (!exchanges.isEmpty() && exchanges.peek().response != null) {
+            write(exchanges.remove());
+            wrote = true;
+        }
+        if (wrote) {
+            channel.flush();
+            quietSinceMillis = clock.nowMillis();
+            if (exchanges.size() < MOST_UNANSWERED && !channel.config().isAutoRead()) {
+                channel.config().setAutoRead(true);
+            }
+        }
+    }
+
+    private void write(Exchange exchange) {
+        HttpExchange.Response response = exchange.response;
+        ByteBuf content = exchange.headRequest ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(response.body());
+        FullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), content);
+        for (Header header : response.headers()) {
+            message.headers().add(header.name(), header.value());
+        }
+        if (response.status() != NO_CONTENT && response.status() != NOT_MODIFIED) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+        }
+        boolean last = exchanges.isEmpty() && head == null;
+        boolean close = !exchange.keepAlive || last && (listener.isClosing() || closeAfterLast);
+        if (close) {
+            ignoring = true;
+            message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            channel.write(message).addListener(ChannelFutureListener.CLOSE);
+            abandonRest();
+        } else {
+            channel.write(message, channel.voidPromise());
+        }
+    }
+
+    private void abandonRest() {
+        List<Exchange> rest = List.copyOf(exchanges);
+        exchanges.clear();
+        rest.forEach(e -> e.work.cancel());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        ignoring = true;
+        dropPartial();
+        listener.onClosed(this);
+        abandonRest();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // Only the caller's end of the connection fails here; channelInactive gives the work up.
+        context.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -0,0 +1,237 @@
+package org.siskindyke.runtime.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.siskindyke.kernel.balance.TargetUsage;
+import org.siskindyke.kernel.call.Refusal;
+import org.siskindyke.kernel.control.ControlNode;
+import org.siskindyke.kernel.control.PeerPort;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.ControlThread;
+import org.siskindyke.runtime.EventLog;
+import org.siskindyke.runtime.call.Call;
+import org.siskindyke.runtime.call.Reply;
+import org.siskindyke.runtime.peer.WireMapper;
+
+/** Calls and control messages between routers, on one connection for each direction between two of them. */
+public final class PeerNetwork implements PeerPort {
+    /** Control messages that are not answered within this are lost; the kernel sends others. */
+    private static final long CONTROL_TIMEOUT_MILLIS = 1_000;
+    /** How much longer than its deadline a forwarded call is remembered. */
+    private static final long LATE_ANSWER_MILLIS = 2_000;
+
+    private static final long SWEEP_MILLIS = 100;
+    private static final byte[] NOTHING = {};
+
+    private final TrafficLoop traffic;
+    private final ControlThread control;
+    private final MonotonicClock clock;
+    private final LocalGate gate;
+    private final EventLog log;
+    private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
+    private ControlNode node;
+
+    /** Creates the network; {@link #attach} and {@link #listen} complete it. */
+    public PeerNetwork(TrafficLoop traffic, ControlThread control, MonotonicClock clock, LocalGate gate, EventLog log) {
+        this.traffic = traffic;
+        this.control = control;
+        this.clock = clock;
+        this.gate = gate;
+        this.log = log;
+    }
+
+    /** Gives control messages to a node; called on the control thread. */
+    public void attach(ControlNode controlNode) {
+        node = controlNode;
+    }
+
+    /** Starts to take messages of other routers. */
+    public void listen(InetSocketAddress address) {
+        traffic.listen(address, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new PeerFrameCodec(), new Inbound());
+            }
+        });
+        traffic.repeat(
+                () -> {
+                    long nowMillis = clock.nowMillis();
+                    links.values().forEach(link -> link.sweep(nowMillis));
+                },
+                SWEEP_MILLIS);
+    }
+
+    private PeerLink link(MemberAddress address) {
+        InetSocketAddress socket = new InetSocketAddress(address.host(), address.peerPort());
+        return links.computeIfAbsent(socket, a -> new PeerLink(traffic, clock, a));
+    }
+
+    /**
+     * Passes a call to the router beside its target; on the traffic loop.
+     *
+     * @param call the call
+     * @param to the router
+     * @param hops routers that the call has passed
+     * @param onReply takes what becomes of it
+     * @return gives it up
+     */
+    Cancellable forward(Call call, MemberRow to, int hops, Consumer<Reply> onReply) {
+        PeerLink link = link(to.address());
+        byte[] payload = WireMapper.encodeForward(call, to.id(), hops, clock.nowMillis());
+        long timeoutMillis = call.remainingMillis(clock.nowMillis()) + LATE_ANSWER_MILLIS;
+        long id = link.ask(
+                PeerFrame.Kind.FORWARD,
+                payload,
+                timeoutMillis,
+                frame -> onReply.accept(decodeReply(frame)),
+                sent -> onReply.accept(
+                        sent ? Reply.mayHaveRun(Refusal.ANSWER_LOST) : Reply.notRun(Refusal.OWNER_UNREACHABLE, 0)));
+        return () -> {
+            if (link.forget(id)) {
+                link.tell(PeerFrame.Kind.CANCEL, id, NOTHING);
+            }
+        };
+    }
+
+    private Reply decodeReply(PeerFrame frame) {
+        try {
+            return WireMapper.decodeForwardReply(frame.payload());
+        } catch (SiskindykeException e) {
+            log.event("peer-reply-unreadable", "cause", e.getMessage());
+            return Reply.mayHaveRun(Refusal.ANSWER_LOST);
+        }
+    }
+
+    @Override
+    public void renew(MemberRow to, Renewal renewal, Consumer<RenewalReply> onReply) {
+        ask(to, PeerFrame.Kind.RENEW, WireMapper.encode(renewal), frame -> {
+            RenewalReply reply = WireMapper.decodeRenewalReply(frame.payload());
+            control.execute(() -> onReply.accept(reply));
+        });
+    }
+
+    @Override
+    public void gossip(MemberRow to, Gossip gossip, Consumer<Gossip> onReply) {
+        ask(to, PeerFrame.Kind.GOSSIP, WireMapper.encodeRequest(gossip), frame -> {
+            Gossip reply = WireMapper.decodeGossip(to.id(), frame.payload());
+            control.execute(() -> onReply.accept(reply));
+        });
+    }
+
+    @Override
+    public void askUsage(MemberRow to, ServiceName service, Consumer<TargetUsage> onReply) {
+        ask(
+                to,
+                PeerFrame.Kind.USAGE,
+                WireMapper.encodeUsageQuestion(service),
+                frame -> WireMapper.decodeUsage(frame.payload())
+                        .ifPresent(u -> control.execute(() -> onReply.accept(u))));
+    }
+
+    @Override
+    public void release(MemberRow to, Release release) {
+        byte[] payload = WireMapper.encode(release);
+        traffic.execute(() -> link(to.address()).tell(PeerFrame.Kind.RELEASE, 0, payload));
+    }
+
+    private void ask(MemberRow to, PeerFrame.Kind kind, byte[] payload, Consumer<PeerFrame> onAnswer) {
+        traffic.execute(() -> link(to.address()).ask(kind, payload, CONTROL_TIMEOUT_MILLIS, onAnswer, sent -> {}));
+    }
+
+    /** Closes all connections to other routers. */
+    public void close() {
+        links.values().forEach(PeerLink::close);
+    }
+
+    /** Takes what another router asks on its connection to this one. */
+    private final class Inbound extends SimpleChannelInboundHandler<PeerFrame> {
+        private final Map<Long, Cancellable> running = new HashMap<>();
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+            switch (frame.kind()) {
+                case FORWARD -> onForward(context, frame);
+                case CANCEL -> {
+                    Cancellable work = running.remove(frame.id());
+                    if (work != null) {
+                        work.cancel();
+                    }
+                }
+                case PING -> reply(context, PeerFrame.Kind.PONG, frame.id(), NOTHING);
+                case RENEW, GOSSIP, RELEASE, USAGE -> control.execute(() -> onControl(context, frame));
+                default -> log.event("peer-frame-unexpected", "kind", frame.kind());
+            }
+        }
+
+        private void onForward(ChannelHandlerContext context, PeerFrame frame) {
+            Call call = WireMapper.decodeForward(frame.payload(), clock.nowMillis());
+            boolean[] done = new boolean[1];
+            Cancellable work = gate.submit(call, outcome -> {
+                done[0] = true;
+                running.remove(frame.id());
+                byte[] payload = WireMapper.encodeForwardReply(call.id(), outcome);
+                reply(context, PeerFrame.Kind.FORWARD_REPLY, frame.id(), payload);
+            });
+            if (!done[0]) {
+                running.put(frame.id(), work);
+            }
+        }
+
+        private void onControl(ChannelHandlerContext context, PeerFrame frame) {
+            if (node == null) {
+                return;
+            }
+            switch (frame.kind()) {
+                case RENEW ->
+                    reply(
+                            context,
+                            PeerFrame.Kind.RENEW_REPLY,
+                            frame.id(),
+                            WireMapper.encode(node.onRenewal(WireMapper.decodeRenewal(frame.payload()))));
+                case GOSSIP ->
+                    reply(
+                            context,
+                            PeerFrame.Kind.GOSSIP_REPLY,
+                            frame.id(),
+                            WireMapper.encodeResponse(node.onGossip(WireMapper.decodeGossip(frame.payload()))));
+                case USAGE ->
+                    reply(
+                            context,
+                            PeerFrame.Kind.USAGE_REPLY,
+                            frame.id(),
+                            WireMapper.encode(node.usage(WireMapper.decodeUsageQuestion(frame.payload()))));
+                default -> node.onRelease(WireMapper.decodeRelease(frame.payload()));
+            }
+        }
+
+        private void reply(ChannelHandlerContext context, PeerFrame.Kind kind, long id, byte[] payload) {
+            context.channel()
+                    .writeAndFlush(
+                            new PeerFrame(kind, id, payload), context.channel().voidPromise());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            Map<Long, Cancellable> abandoned = new HashMap<>(running);
+            running.clear();
+            abandoned.values().forEach(Cancellable::cancel);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            log.event("peer-connection-failed", "cause", String.valueOf(cause.getMessage()));
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -0,0 +1,129 @@
+package org.siskindyke.runtime.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+
+/** The thread of all traffic, and the sockets on it. */
+public final class TrafficLoop implements AutoCloseable {
+    /** Bytes sent and not confirmed for this long end a connection, in milliseconds; about three heartbeats. */
+    private static final int UNCONFIRMED_MILLIS = 2_500;
+    /** Idle seconds before the kernel probes a connection, between probes, and probes that may fail. */
+    private static final int PROBE_SECONDS = 1;
+
+    private static final int PROBES = 3;
+    /** A connection within a region is made within a few milliseconds; a lost packet adds up to 200. */
+    private static final int CONNECT_MILLIS = 600;
+
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoopGroup group = Epoll.isAvailable() ? new EpollEventLoopGroup(1) : new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+
+    /** Returns the event loop. */
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** Runs an action on the loop. */
+    public void execute(Runnable action) {
+        loop.execute(action);
+    }
+
+    /** Runs an action on the loop after a delay; the result gives it up. */
+    public Cancellable schedule(Runnable action, long delayMillis) {
+        io.netty.util.concurrent.ScheduledFuture<?> future =
+                loop.schedule(action, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+        return () -> future.cancel(false);
+    }
+
+    /** Runs an action on the loop at a fixed interval. */
+    public void repeat(Runnable action, long intervalMillis) {
+        loop.scheduleWithFixedDelay(action, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Listens.
+     *
+     * @param address where
+     * @param handler sets up each connection
+     * @return the listening channel
+     * @throws SiskindykeException with code {@code ADDRESS_UNAVAILABLE}
+     */
+    public Channel listen(InetSocketAddress address, ChannelHandler handler) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(Epoll.isAvailable() ? EpollServerSocketChannel.class : NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childHandler(handler);
+        if (Epoll.isAvailable()) {
+            bootstrap
+                    .childOption(EpollChannelOption.TCP_KEEPIDLE, PROBE_SECONDS)
+                    .childOption(EpollChannelOption.TCP_KEEPINTVL, PROBE_SECONDS)
+                    .childOption(EpollChannelOption.TCP_KEEPCNT, PROBES);
+        }
+        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "cannot listen at " + address, bound.cause());
+        }
+        return bound.channel();
+    }
+
+    /**
+     * Connects.
+     *
+     * @param address where to
+     * @param handler sets the connection up
+     * @return the connection, possibly not established yet
+     */
+    public ChannelFuture connect(InetSocketAddress address, ChannelHandler handler) {
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(Epoll.isAvailable() ? EpollSocketChannel.class : NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .handler(handler);
+        if (Epoll.isAvailable()) {
+            bootstrap
+                    .option(EpollChannelOption.TCP_USER_TIMEOUT, UNCONFIRMED_MILLIS)
+                    .option(EpollChannelOption.TCP_KEEPIDLE, PROBE_SECONDS)
+                    .option(EpollChannelOption.TCP_KEEPINTVL, PROBE_SECONDS)
+                    .option(EpollChannelOption.TCP_KEEPCNT, PROBES);
+        }
+        return bootstrap.connect(address);
+    }
+
+    @Override
+    public void close() {
+        try {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).get(2, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException | TimeoutException e) {
+            throw new SiskindykeException(ErrorCode.INTERNAL, "the traffic loop did not end", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between callers, routers and backend servers, on one event loop. */
+package org.siskindyke.runtime.traffic;
--- a/src/main/java/org/siskindyke/wire/ForwardRequest.java
+++ b/src/main/java/org/siskindyke/wire/ForwardRequest.java
@@ -25,6 +25,12 @@
   private static final org.apache.thrift.protocol.TField HOPS_FIELD_DESC = new org.apache.thrift.protocol.TField("hops", org.apache.thrift.protocol.TType.I32, (short)10);
   private static final org.apache.thrift.protocol.TField KEY_FIELD_DESC = new org.apache.thrift.protocol.TField("key", org.apache.thrift.protocol.TType.STRING, (short)11);
   private static final org.apache.thrift.protocol.TField TO_MEMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("toMember", org.apache.thrift.protocol.TType.STRING, (short)12);
+  private static final org.apache.thrift.protocol.TField PRIORITY_FIELD_DESC = new org.apache.thrift.protocol.TField("priority", org.apache.thrift.protocol.TType.I32, (short)13);
+  private static final org.apache.thrift.protocol.TField IDEMPOTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("idempotent", org.apache.thrift.protocol.TType.BOOL, (short)14);
+  private static final org.apache.thrift.protocol.TField OBJECTIVE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("objectiveMillis", org.apache.thrift.protocol.TType.I64, (short)15);
+  private static final org.apache.thrift.protocol.TField NESTED_FIELD_DESC = new org.apache.thrift.protocol.TField("nested", org.apache.thrift.protocol.TType.BOOL, (short)16);
+  private static final org.apache.thrift.protocol.TField MOVABLE_FIELD_DESC = new org.apache.thrift.protocol.TField("movable", org.apache.thrift.protocol.TType.BOOL, (short)17);
+  private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.STRING, (short)18);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ForwardRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ForwardRequestTupleSchemeFactory();
@@ -41,6 +47,27 @@
   public int hops; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String key; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String toMember; // required
+  /**
+   * Rank among the calls of a service; 0 is served first.
+   */
+  public int priority; // required
+  public boolean idempotent; // required
+  /**
+   * Time left within which the answer is worth most.
+   */
+  public long objectiveMillis; // required
+  /**
+   * Whether a running call waits for this one.
+   */
+  public boolean nested; // required
+  /**
+   * Whether the call may still go to another target, so that a long wait is better refused.
+   */
+  public boolean movable; // required
+  /**
+   * Names calls that take about as long.
+   */
+  public @org.apache.thrift.annotation.Nullable java.lang.String kind; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -55,7 +82,28 @@
     REMAINING_MILLIS((short)9, "remainingMillis"),
     HOPS((short)10, "hops"),
     KEY((short)11, "key"),
-    TO_MEMBER((short)12, "toMember");
+    TO_MEMBER((short)12, "toMember"),
+    /**
+     * Rank among the calls of a service; 0 is served first.
+     */
+    PRIORITY((short)13, "priority"),
+    IDEMPOTENT((short)14, "idempotent"),
+    /**
+     * Time left within which the answer is worth most.
+     */
+    OBJECTIVE_MILLIS((short)15, "objectiveMillis"),
+    /**
+     * Whether a running call waits for this one.
+     */
+    NESTED((short)16, "nested"),
+    /**
+     * Whether the call may still go to another target, so that a long wait is better refused.
+     */
+    MOVABLE((short)17, "movable"),
+    /**
+     * Names calls that take about as long.
+     */
+    KIND((short)18, "kind");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -95,6 +143,18 @@
           return KEY;
         case 12: // TO_MEMBER
           return TO_MEMBER;
+        case 13: // PRIORITY
+          return PRIORITY;
+        case 14: // IDEMPOTENT
+          return IDEMPOTENT;
+        case 15: // OBJECTIVE_MILLIS
+          return OBJECTIVE_MILLIS;
+        case 16: // NESTED
+          return NESTED;
+        case 17: // MOVABLE
+          return MOVABLE;
+        case 18: // KIND
+          return KIND;
         default:
           return null;
       }
@@ -142,7 +202,12 @@
   private static final int __GENERATION_ISSET_ID = 1;
   private static final int __REMAININGMILLIS_ISSET_ID = 2;
   private static final int __HOPS_ISSET_ID = 3;
-  private byte __isset_bitfield = 0;
+  private static final int __PRIORITY_ISSET_ID = 4;
+  private static final int __IDEMPOTENT_ISSET_ID = 5;
+  private static final int __OBJECTIVEMILLIS_ISSET_ID = 6;
+  private static final int __NESTED_ISSET_ID = 7;
+  private static final int __MOVABLE_ISSET_ID = 8;
+  private short __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -171,6 +236,18 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.TO_MEMBER, new org.apache.thrift.meta_data.FieldMetaData("toMember", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.PRIORITY, new org.apache.thrift.meta_data.FieldMetaData("priority", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.IDEMPOTENT, new org.apache.thrift.meta_data.FieldMetaData("idempotent", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.OBJECTIVE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("objectiveMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.NESTED, new org.apache.thrift.meta_data.FieldMetaData("nested", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.MOVABLE, new org.apache.thrift.meta_data.FieldMetaData("movable", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.KIND, new org.apache.thrift.meta_data.FieldMetaData("kind", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ForwardRequest.class, metaDataMap);
   }
@@ -190,7 +267,13 @@
     long remainingMillis,
     int hops,
     java.lang.String key,
-    java.lang.String toMember)
+    java.lang.String toMember,
+    int priority,
+    boolean idempotent,
+    long objectiveMillis,
+    boolean nested,
+    boolean movable,
+    java.lang.String kind)
   {
     this();
     this.callId = callId;
@@ -209,6 +292,17 @@
     setHopsIsSet(true);
     this.key = key;
     this.toMember = toMember;
+    this.priority = priority;
+    setPriorityIsSet(true);
+    this.idempotent = idempotent;
+    setIdempotentIsSet(true);
+    this.objectiveMillis = objectiveMillis;
+    setObjectiveMillisIsSet(true);
+    this.nested = nested;
+    setNestedIsSet(true);
+    this.movable = movable;
+    setMovableIsSet(true);
+    this.kind = kind;
   }
 
   /**
@@ -248,6 +342,14 @@
     if (other.isSetToMember()) {
       this.toMember = other.toMember;
     }
+    this.priority = other.priority;
+    this.idempotent = other.idempotent;
+    this.objectiveMillis = other.objectiveMillis;
+    this.nested = other.nested;
+    this.movable = other.movable;
+    if (other.isSetKind()) {
+      this.kind = other.kind;
+    }
   }
 
   @Override
@@ -273,6 +375,17 @@
     this.hops = 0;
     this.key = null;
     this.toMember = null;
+    setPriorityIsSet(false);
+    this.priority = 0;
+    setIdempotentIsSet(false);
+    this.idempotent = false;
+    setObjectiveMillisIsSet(false);
+    this.objectiveMillis = 0;
+    setNestedIsSet(false);
+    this.nested = false;
+    setMovableIsSet(false);
+    this.movable = false;
+    this.kind = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -592,6 +705,176 @@
     }
   }
 
+  /**
+   * Rank among the calls of a service; 0 is served first.
+   */
+  public int getPriority() {
+    return this.priority;
+  }
+
+  /**
+   * Rank among the calls of a service; 0 is served first.
+   */
+  public ForwardRequest setPriority(int priority) {
+    this.priority = priority;
+    setPriorityIsSet(true);
+    return this;
+  }
+
+  public void unsetPriority() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PRIORITY_ISSET_ID);
+  }
+
+  /** Returns true if field priority is set (has been assigned a value) and false otherwise */
+  public boolean isSetPriority() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PRIORITY_ISSET_ID);
+  }
+
+  public void setPriorityIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PRIORITY_ISSET_ID, value);
+  }
+
+  public boolean isIdempotent() {
+    return this.idempotent;
+  }
+
+  public ForwardRequest setIdempotent(boolean idempotent) {
+    this.idempotent = idempotent;
+    setIdempotentIsSet(true);
+    return this;
+  }
+
+  public void unsetIdempotent() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __IDEMPOTENT_ISSET_ID);
+  }
+
+  /** Returns true if field idempotent is set (has been assigned a value) and false otherwise */
+  public boolean isSetIdempotent() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __IDEMPOTENT_ISSET_ID);
+  }
+
+  public void setIdempotentIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __IDEMPOTENT_ISSET_ID, value);
+  }
+
+  /**
+   * Time left within which the answer is worth most.
+   */
+  public long getObjectiveMillis() {
+    return this.objectiveMillis;
+  }
+
+  /**
+   * Time left within which the answer is worth most.
+   */
+  public ForwardRequest setObjectiveMillis(long objectiveMillis) {
+    this.objectiveMillis = objectiveMillis;
+    setObjectiveMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetObjectiveMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OBJECTIVEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field objectiveMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetObjectiveMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OBJECTIVEMILLIS_ISSET_ID);
+  }
+
+  public void setObjectiveMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OBJECTIVEMILLIS_ISSET_ID, value);
+  }
+
+  /**
+   * Whether a running call waits for this one.
+   */
+  public boolean isNested() {
+    return this.nested;
+  }
+
+  /**
+   * Whether a running call waits for this one.
+   */
+  public ForwardRequest setNested(boolean nested) {
+    this.nested = nested;
+    setNestedIsSet(true);
+    return this;
+  }
+
+  public void unsetNested() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NESTED_ISSET_ID);
+  }
+
+  /** Returns true if field nested is set (has been assigned a value) and false otherwise */
+  public boolean isSetNested() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NESTED_ISSET_ID);
+  }
+
+  public void setNestedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NESTED_ISSET_ID, value);
+  }
+
+  /**
+   * Whether the call may still go to another target, so that a long wait is better refused.
+   */
+  public boolean isMovable() {
+    return this.movable;
+  }
+
+  /**
+   * Whether the call may still go to another target, so that a long wait is better refused.
+   */
+  public ForwardRequest setMovable(boolean movable) {
+    this.movable = movable;
+    setMovableIsSet(true);
+    return this;
+  }
+
+  public void unsetMovable() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MOVABLE_ISSET_ID);
+  }
+
+  /** Returns true if field movable is set (has been assigned a value) and false otherwise */
+  public boolean isSetMovable() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MOVABLE_ISSET_ID);
+  }
+
+  public void setMovableIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MOVABLE_ISSET_ID, value);
+  }
+
+  /**
+   * Names calls that take about as long.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getKind() {
+    return this.kind;
+  }
+
+  /**
+   * Names calls that take about as long.
+   */
+  public ForwardRequest setKind(@org.apache.thrift.annotation.Nullable java.lang.String kind) {
+    this.kind = kind;
+    return this;
+  }
+
+  public void unsetKind() {
+    this.kind = null;
+  }
+
+  /** Returns true if field kind is set (has been assigned a value) and false otherwise */
+  public boolean isSetKind() {
+    return this.kind != null;
+  }
+
+  public void setKindIsSet(boolean value) {
+    if (!value) {
+      this.kind = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -695,6 +978,54 @@
       }
       break;
 
+    case PRIORITY:
+      if (value == null) {
+        unsetPriority();
+      } else {
+        setPriority((java.lang.Integer)value);
+      }
+      break;
+
+    case IDEMPOTENT:
+      if (value == null) {
+        unsetIdempotent();
+      } else {
+        setIdempotent((java.lang.Boolean)value);
+      }
+      break;
+
+    case OBJECTIVE_MILLIS:
+      if (value == null) {
+        unsetObjectiveMillis();
+      } else {
+        setObjectiveMillis((java.lang.Long)value);
+      }
+      break;
+
+    case NESTED:
+      if (value == null) {
+        unsetNested();
+      } else {
+        setNested((java.lang.Boolean)value);
+      }
+      break;
+
+    case MOVABLE:
+      if (value == null) {
+        unsetMovable();
+      } else {
+        setMovable((java.lang.Boolean)value);
+      }
+      break;
+
+    case KIND:
+      if (value == null) {
+        unsetKind();
+      } else {
+        setKind((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -738,6 +1069,24 @@
     case TO_MEMBER:
       return getToMember();
 
+    case PRIORITY:
+      return getPriority();
+
+    case IDEMPOTENT:
+      return isIdempotent();
+
+    case OBJECTIVE_MILLIS:
+      return getObjectiveMillis();
+
+    case NESTED:
+      return isNested();
+
+    case MOVABLE:
+      return isMovable();
+
+    case KIND:
+      return getKind();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -774,6 +1123,18 @@
       return isSetKey();
     case TO_MEMBER:
       return isSetToMember();
+    case PRIORITY:
+      return isSetPriority();
+    case IDEMPOTENT:
+      return isSetIdempotent();
+    case OBJECTIVE_MILLIS:
+      return isSetObjectiveMillis();
+    case NESTED:
+      return isSetNested();
+    case MOVABLE:
+      return isSetMovable();
+    case KIND:
+      return isSetKind();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -899,6 +1260,60 @@
         return false;
     }
 
+    boolean this_present_priority = true;
+    boolean that_present_priority = true;
+    if (this_present_priority || that_present_priority) {
+      if (!(this_present_priority && that_present_priority))
+        return false;
+      if (this.priority != that.priority)
+        return false;
+    }
+
+    boolean this_present_idempotent = true;
+    boolean that_present_idempotent = true;
+    if (this_present_idempotent || that_present_idempotent) {
+      if (!(this_present_idempotent && that_present_idempotent))
+        return false;
+      if (this.idempotent != that.idempotent)
+        return false;
+    }
+
+    boolean this_present_objectiveMillis = true;
+    boolean that_present_objectiveMillis = true;
+    if (this_present_objectiveMillis || that_present_objectiveMillis) {
+      if (!(this_present_objectiveMillis && that_present_objectiveMillis))
+        return false;
+      if (this.objectiveMillis != that.objectiveMillis)
+        return false;
+    }
+
+    boolean this_present_nested = true;
+    boolean that_present_nested = true;
+    if (this_present_nested || that_present_nested) {
+      if (!(this_present_nested && that_present_nested))
+        return false;
+      if (this.nested != that.nested)
+        return false;
+    }
+
+    boolean this_present_movable = true;
+    boolean that_present_movable = true;
+    if (this_present_movable || that_present_movable) {
+      if (!(this_present_movable && that_present_movable))
+        return false;
+      if (this.movable != that.movable)
+        return false;
+    }
+
+    boolean this_present_kind = true && this.isSetKind();
+    boolean that_present_kind = true && that.isSetKind();
+    if (this_present_kind || that_present_kind) {
+      if (!(this_present_kind && that_present_kind))
+        return false;
+      if (!this.kind.equals(that.kind))
+        return false;
+    }
+
     return true;
   }
 
@@ -946,6 +1361,20 @@
     if (isSetToMember())
       hashCode = hashCode * 8191 + toMember.hashCode();
 
+    hashCode = hashCode * 8191 + priority;
+
+    hashCode = hashCode * 8191 + ((idempotent) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(objectiveMillis);
+
+    hashCode = hashCode * 8191 + ((nested) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + ((movable) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + ((isSetKind()) ? 131071 : 524287);
+    if (isSetKind())
+      hashCode = hashCode * 8191 + kind.hashCode();
+
     return hashCode;
   }
 
@@ -1077,6 +1506,66 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPriority(), other.isSetPriority());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPriority()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.priority, other.priority);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIdempotent(), other.isSetIdempotent());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIdempotent()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idempotent, other.idempotent);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetObjectiveMillis(), other.isSetObjectiveMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetObjectiveMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.objectiveMillis, other.objectiveMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetNested(), other.isSetNested());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetNested()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nested, other.nested);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMovable(), other.isSetMovable());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMovable()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.movable, other.movable);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetKind(), other.isSetKind());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetKind()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.kind, other.kind);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1180,6 +1669,34 @@
       sb.append(this.toMember);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("priority:");
+    sb.append(this.priority);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("idempotent:");
+    sb.append(this.idempotent);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("objectiveMillis:");
+    sb.append(this.objectiveMillis);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("nested:");
+    sb.append(this.nested);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("movable:");
+    sb.append(this.movable);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("kind:");
+    if (this.kind == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.kind);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1334,6 +1851,54 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 13: // PRIORITY
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.priority = iprot.readI32();
+              struct.setPriorityIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 14: // IDEMPOTENT
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.idempotent = iprot.readBool();
+              struct.setIdempotentIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 15: // OBJECTIVE_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.objectiveMillis = iprot.readI64();
+              struct.setObjectiveMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 16: // NESTED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.nested = iprot.readBool();
+              struct.setNestedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 17: // MOVABLE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.movable = iprot.readBool();
+              struct.setMovableIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 18: // KIND
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.kind = iprot.readString();
+              struct.setKindIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1409,6 +1974,26 @@
         oprot.writeString(struct.toMember);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(PRIORITY_FIELD_DESC);
+      oprot.writeI32(struct.priority);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(IDEMPOTENT_FIELD_DESC);
+      oprot.writeBool(struct.idempotent);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(OBJECTIVE_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.objectiveMillis);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(NESTED_FIELD_DESC);
+      oprot.writeBool(struct.nested);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(MOVABLE_FIELD_DESC);
+      oprot.writeBool(struct.movable);
+      oprot.writeFieldEnd();
+      if (struct.kind != null) {
+        oprot.writeFieldBegin(KIND_FIELD_DESC);
+        oprot.writeString(struct.kind);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1464,7 +2049,25 @@
       if (struct.isSetToMember()) {
         optionals.set(11);
       }
-      oprot.writeBitSet(optionals, 12);
+      if (struct.isSetPriority()) {
+        optionals.set(12);
+      }
+      if (struct.isSetIdempotent()) {
+        optionals.set(13);
+      }
+      if (struct.isSetObjectiveMillis()) {
+        optionals.set(14);
+      }
+      if (struct.isSetNested()) {
+        optionals.set(15);
+      }
+      if (struct.isSetMovable()) {
+        optionals.set(16);
+      }
+      if (struct.isSetKind()) {
+        optionals.set(17);
+      }
+      oprot.writeBitSet(optionals, 18);
       if (struct.isSetCallId()) {
         oprot.writeString(struct.callId);
       }
@@ -1507,12 +2110,30 @@
       if (struct.isSetToMember()) {
         oprot.writeString(struct.toMember);
       }
+      if (struct.isSetPriority()) {
+        oprot.writeI32(struct.priority);
+      }
+      if (struct.isSetIdempotent()) {
+        oprot.writeBool(struct.idempotent);
+      }
+      if (struct.isSetObjectiveMillis()) {
+        oprot.writeI64(struct.objectiveMillis);
+      }
+      if (struct.isSetNested()) {
+        oprot.writeBool(struct.nested);
+      }
+      if (struct.isSetMovable()) {
+        oprot.writeBool(struct.movable);
+      }
+      if (struct.isSetKind()) {
+        oprot.writeString(struct.kind);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ForwardRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(12);
+      java.util.BitSet incoming = iprot.readBitSet(18);
       if (incoming.get(0)) {
         struct.callId = iprot.readString();
         struct.setCallIdIsSet(true);
@@ -1571,6 +2192,30 @@
         struct.toMember = iprot.readString();
         struct.setToMemberIsSet(true);
       }
+      if (incoming.get(12)) {
+        struct.priority = iprot.readI32();
+        struct.setPriorityIsSet(true);
+      }
+      if (incoming.get(13)) {
+        struct.idempotent = iprot.readBool();
+        struct.setIdempotentIsSet(true);
+      }
+      if (incoming.get(14)) {
+        struct.objectiveMillis = iprot.readI64();
+        struct.setObjectiveMillisIsSet(true);
+      }
+      if (incoming.get(15)) {
+        struct.nested = iprot.readBool();
+        struct.setNestedIsSet(true);
+      }
+      if (incoming.get(16)) {
+        struct.movable = iprot.readBool();
+        struct.setMovableIsSet(true);
+      }
+      if (incoming.get(17)) {
+        struct.kind = iprot.readString();
+        struct.setKindIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/siskindyke/wire/ForwardResponse.java
+++ b/src/main/java/org/siskindyke/wire/ForwardResponse.java
@@ -20,6 +20,7 @@
   private static final org.apache.thrift.protocol.TField OWNER_HINT_FIELD_DESC = new org.apache.thrift.protocol.TField("ownerHint", org.apache.thrift.protocol.TType.STRING, (short)8);
   private static final org.apache.thrift.protocol.TField GENERATION_HINT_FIELD_DESC = new org.apache.thrift.protocol.TField("generationHint", org.apache.thrift.protocol.TType.I64, (short)9);
   private static final org.apache.thrift.protocol.TField RETRY_AFTER_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryAfterMillis", org.apache.thrift.protocol.TType.I64, (short)10);
+  private static final org.apache.thrift.protocol.TField LOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("load", org.apache.thrift.protocol.TType.STRUCT, (short)11);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ForwardResponseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ForwardResponseTupleSchemeFactory();
@@ -34,6 +35,10 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String ownerHint; // required
   public long generationHint; // required
   public long retryAfterMillis; // required
+  /**
+   * What the target is doing, for the choice of targets; absent where the answer does not come from its router.
+   */
+  public @org.apache.thrift.annotation.Nullable WireLoad load; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +51,11 @@
     DETAIL((short)7, "detail"),
     OWNER_HINT((short)8, "ownerHint"),
     GENERATION_HINT((short)9, "generationHint"),
-    RETRY_AFTER_MILLIS((short)10, "retryAfterMillis");
+    RETRY_AFTER_MILLIS((short)10, "retryAfterMillis"),
+    /**
+     * What the target is doing, for the choice of targets; absent where the answer does not come from its router.
+     */
+    LOAD((short)11, "load");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -82,6 +91,8 @@
           return GENERATION_HINT;
         case 10: // RETRY_AFTER_MILLIS
           return RETRY_AFTER_MILLIS;
+        case 11: // LOAD
+          return LOAD;
         default:
           return null;
       }
@@ -130,6 +141,7 @@
   private static final int __GENERATIONHINT_ISSET_ID = 2;
   private static final int __RETRYAFTERMILLIS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LOAD};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -154,6 +166,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.RETRY_AFTER_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("retryAfterMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LOAD, new org.apache.thrift.meta_data.FieldMetaData("load", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireLoad.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ForwardResponse.class, metaDataMap);
   }
@@ -221,6 +235,9 @@
     }
     this.generationHint = other.generationHint;
     this.retryAfterMillis = other.retryAfterMillis;
+    if (other.isSetLoad()) {
+      this.load = new WireLoad(other.load);
+    }
   }
 
   @Override
@@ -244,6 +261,7 @@
     this.generationHint = 0;
     setRetryAfterMillisIsSet(false);
     this.retryAfterMillis = 0;
+    this.load = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -513,6 +531,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETRYAFTERMILLIS_ISSET_ID, value);
   }
 
+  /**
+   * What the target is doing, for the choice of targets; absent where the answer does not come from its router.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public WireLoad getLoad() {
+    return this.load;
+  }
+
+  /**
+   * What the target is doing, for the choice of targets; absent where the answer does not come from its router.
+   */
+  public ForwardResponse setLoad(@org.apache.thrift.annotation.Nullable WireLoad load) {
+    this.load = load;
+    return this;
+  }
+
+  public void unsetLoad() {
+    this.load = null;
+  }
+
+  /** Returns true if field load is set (has been assigned a value) and false otherwise */
+  public boolean isSetLoad() {
+    return this.load != null;
+  }
+
+  public void setLoadIsSet(boolean value) {
+    if (!value) {
+      this.load = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -600,6 +649,14 @@
       }
       break;
 
+    case LOAD:
+      if (value == null) {
+        unsetLoad();
+      } else {
+        setLoad((WireLoad)value);
+      }
+      break;
+
     }
   }
 
@@ -637,6 +694,9 @@
     case RETRY_AFTER_MILLIS:
       return getRetryAfterMillis();
 
+    case LOAD:
+      return getLoad();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -669,6 +729,8 @@
       return isSetGenerationHint();
     case RETRY_AFTER_MILLIS:
       return isSetRetryAfterMillis();
+    case LOAD:
+      return isSetLoad();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -776,6 +838,15 @@
         return false;
     }
 
+    boolean this_present_load = true && this.isSetLoad();
+    boolean that_present_load = true && that.isSetLoad();
+    if (this_present_load || that_present_load) {
+      if (!(this_present_load && that_present_load))
+        return false;
+      if (!this.load.equals(that.load))
+        return false;
+    }
+
     return true;
   }
 
@@ -815,6 +886,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(retryAfterMillis);
 
+    hashCode = hashCode * 8191 + ((isSetLoad()) ? 131071 : 524287);
+    if (isSetLoad())
+      hashCode = hashCode * 8191 + load.hashCode();
+
     return hashCode;
   }
 
@@ -926,6 +1001,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLoad(), other.isSetLoad());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLoad()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.load, other.load);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1013,6 +1098,16 @@
     sb.append("retryAfterMillis:");
     sb.append(this.retryAfterMillis);
     first = false;
+    if (isSetLoad()) {
+      if (!first) sb.append(", ");
+      sb.append("load:");
+      if (this.load == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.load);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1020,6 +1115,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (load != null) {
+      load.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1151,6 +1249,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 11: // LOAD
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.load = new WireLoad();
+              struct.load.read(iprot);
+              struct.setLoadIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1216,6 +1323,13 @@
       oprot.writeFieldBegin(RETRY_AFTER_MILLIS_FIELD_DESC);
       oprot.writeI64(struct.retryAfterMillis);
       oprot.writeFieldEnd();
+      if (struct.load != null) {
+        if (struct.isSetLoad()) {
+          oprot.writeFieldBegin(LOAD_FIELD_DESC);
+          struct.load.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1265,7 +1379,10 @@
       if (struct.isSetRetryAfterMillis()) {
         optionals.set(9);
       }
-      oprot.writeBitSet(optionals, 10);
+      if (struct.isSetLoad()) {
+        optionals.set(10);
+      }
+      oprot.writeBitSet(optionals, 11);
       if (struct.isSetCallId()) {
         oprot.writeString(struct.callId);
       }
@@ -1302,12 +1419,15 @@
       if (struct.isSetRetryAfterMillis()) {
         oprot.writeI64(struct.retryAfterMillis);
       }
+      if (struct.isSetLoad()) {
+        struct.load.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ForwardResponse struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(10);
+      java.util.BitSet incoming = iprot.readBitSet(11);
       if (incoming.get(0)) {
         struct.callId = iprot.readString();
         struct.setCallIdIsSet(true);
@@ -1358,6 +1478,11 @@
         struct.retryAfterMillis = iprot.readI64();
         struct.setRetryAfterMillisIsSet(true);
       }
+      if (incoming.get(10)) {
+        struct.load = new WireLoad();
+        struct.load.read(iprot);
+        struct.setLoadIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/siskindyke/wire/GossipResponse.java
+++ b/src/main/java/org/siskindyke/wire/GossipResponse.java
@@ -12,17 +12,23 @@
 
   private static final org.apache.thrift.protocol.TField TABLE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("tableVersion", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField DELTA_FIELD_DESC = new org.apache.thrift.protocol.TField("delta", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField CONFIGURATION_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationRevision", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField CONFIGURATION_FIELD_DESC = new org.apache.thrift.protocol.TField("configuration", org.apache.thrift.protocol.TType.STRING, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GossipResponseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GossipResponseTupleSchemeFactory();
 
   public long tableVersion; // required
   public @org.apache.thrift.annotation.Nullable WireDelta delta; // required
+  public long configurationRevision; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String configuration; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     TABLE_VERSION((short)1, "tableVersion"),
-    DELTA((short)2, "delta");
+    DELTA((short)2, "delta"),
+    CONFIGURATION_REVISION((short)3, "configurationRevision"),
+    CONFIGURATION((short)4, "configuration");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +48,10 @@
           return TABLE_VERSION;
         case 2: // DELTA
           return DELTA;
+        case 3: // CONFIGURATION_REVISION
+          return CONFIGURATION_REVISION;
+        case 4: // CONFIGURATION
+          return CONFIGURATION;
         default:
           return null;
       }
@@ -86,7 +96,9 @@
 
   // isset id assignments
   private static final int __TABLEVERSION_ISSET_ID = 0;
+  private static final int __CONFIGURATIONREVISION_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.CONFIGURATION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -94,6 +106,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.DELTA, new org.apache.thrift.meta_data.FieldMetaData("delta", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireDelta.class)));
+    tmpMap.put(_Fields.CONFIGURATION_REVISION, new org.apache.thrift.meta_data.FieldMetaData("configurationRevision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CONFIGURATION, new org.apache.thrift.meta_data.FieldMetaData("configuration", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GossipResponse.class, metaDataMap);
   }
@@ -103,12 +119,15 @@
 
   public GossipResponse(
     long tableVersion,
-    WireDelta delta)
+    WireDelta delta,
+    long configurationRevision)
   {
     this();
     this.tableVersion = tableVersion;
     setTableVersionIsSet(true);
     this.delta = delta;
+    this.configurationRevision = configurationRevision;
+    setConfigurationRevisionIsSet(true);
   }
 
   /**
@@ -120,6 +139,10 @@
     if (other.isSetDelta()) {
       this.delta = new WireDelta(other.delta);
     }
+    this.configurationRevision = other.configurationRevision;
+    if (other.isSetConfiguration()) {
+      this.configuration = other.configuration;
+    }
   }
 
   @Override
@@ -132,6 +155,9 @@
     setTableVersionIsSet(false);
     this.tableVersion = 0;
     this.delta = null;
+    setConfigurationRevisionIsSet(false);
+    this.configurationRevision = 0;
+    this.configuration = null;
   }
 
   public long getTableVersion() {
@@ -182,6 +208,54 @@
     }
   }
 
+  public long getConfigurationRevision() {
+    return this.configurationRevision;
+  }
+
+  public GossipResponse setConfigurationRevision(long configurationRevision) {
+    this.configurationRevision = configurationRevision;
+    setConfigurationRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetConfigurationRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CONFIGURATIONREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field configurationRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetConfigurationRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CONFIGURATIONREVISION_ISSET_ID);
+  }
+
+  public void setConfigurationRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONFIGURATIONREVISION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getConfiguration() {
+    return this.configuration;
+  }
+
+  public GossipResponse setConfiguration(@org.apache.thrift.annotation.Nullable java.lang.String configuration) {
+    this.configuration = configuration;
+    return this;
+  }
+
+  public void unsetConfiguration() {
+    this.configuration = null;
+  }
+
+  /** Returns true if field configuration is set (has been assigned a value) and false otherwise */
+  public boolean isSetConfiguration() {
+    return this.configuration != null;
+  }
+
+  public void setConfigurationIsSet(boolean value) {
+    if (!value) {
+      this.configuration = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -201,6 +275,22 @@
       }
       break;
 
+    case CONFIGURATION_REVISION:
+      if (value == null) {
+        unsetConfigurationRevision();
+      } else {
+        setConfigurationRevision((java.lang.Long)value);
+      }
+      break;
+
+    case CONFIGURATION:
+      if (value == null) {
+        unsetConfiguration();
+      } else {
+        setConfiguration((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -214,6 +304,12 @@
     case DELTA:
       return getDelta();
 
+    case CONFIGURATION_REVISION:
+      return getConfigurationRevision();
+
+    case CONFIGURATION:
+      return getConfiguration();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -230,6 +326,10 @@
       return isSetTableVersion();
     case DELTA:
       return isSetDelta();
+    case CONFIGURATION_REVISION:
+      return isSetConfigurationRevision();
+    case CONFIGURATION:
+      return isSetConfiguration();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -265,6 +365,24 @@
         return false;
     }
 
+    boolean this_present_configurationRevision = true;
+    boolean that_present_configurationRevision = true;
+    if (this_present_configurationRevision || that_present_configurationRevision) {
+      if (!(this_present_configurationRevision && that_present_configurationRevision))
+        return false;
+      if (this.configurationRevision != that.configurationRevision)
+        return false;
+    }
+
+    boolean this_present_configuration = true && this.isSetConfiguration();
+    boolean that_present_configuration = true && that.isSetConfiguration();
+    if (this_present_configuration || that_present_configuration) {
+      if (!(this_present_configuration && that_present_configuration))
+        return false;
+      if (!this.configuration.equals(that.configuration))
+        return false;
+    }
+
     return true;
   }
 
@@ -278,6 +396,12 @@
     if (isSetDelta())
       hashCode = hashCode * 8191 + delta.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(configurationRevision);
+
+    hashCode = hashCode * 8191 + ((isSetConfiguration()) ? 131071 : 524287);
+    if (isSetConfiguration())
+      hashCode = hashCode * 8191 + configuration.hashCode();
+
     return hashCode;
   }
 
@@ -309,6 +433,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetConfigurationRevision(), other.isSetConfigurationRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetConfigurationRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.configurationRevision, other.configurationRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetConfiguration(), other.isSetConfiguration());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetConfiguration()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.configuration, other.configuration);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -344,6 +488,20 @@
       sb.append(this.delta);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("configurationRevision:");
+    sb.append(this.configurationRevision);
+    first = false;
+    if (isSetConfiguration()) {
+      if (!first) sb.append(", ");
+      sb.append("configuration:");
+      if (this.configuration == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.configuration);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -411,6 +569,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // CONFIGURATION_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.configurationRevision = iprot.readI64();
+              struct.setConfigurationRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // CONFIGURATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.configuration = iprot.readString();
+              struct.setConfigurationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -435,6 +609,16 @@
         struct.delta.write(oprot);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(CONFIGURATION_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.configurationRevision);
+      oprot.writeFieldEnd();
+      if (struct.configuration != null) {
+        if (struct.isSetConfiguration()) {
+          oprot.writeFieldBegin(CONFIGURATION_FIELD_DESC);
+          oprot.writeString(struct.configuration);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -460,19 +644,31 @@
       if (struct.isSetDelta()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetConfigurationRevision()) {
+        optionals.set(2);
+      }
+      if (struct.isSetConfiguration()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetTableVersion()) {
         oprot.writeI64(struct.tableVersion);
       }
       if (struct.isSetDelta()) {
         struct.delta.write(oprot);
       }
+      if (struct.isSetConfigurationRevision()) {
+        oprot.writeI64(struct.configurationRevision);
+      }
+      if (struct.isSetConfiguration()) {
+        oprot.writeString(struct.configuration);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, GossipResponse struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.tableVersion = iprot.readI64();
         struct.setTableVersionIsSet(true);
@@ -482,6 +678,14 @@
         struct.delta.read(iprot);
         struct.setDeltaIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.configurationRevision = iprot.readI64();
+        struct.setConfigurationRevisionIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.configuration = iprot.readString();
+        struct.setConfigurationIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -37,11 +37,15 @@
   1: string member,
   2: i64 tableVersion,
   3: WireDelta delta,
+  4: i64 configurationRevision,
+  5: optional string configuration,
 }
 
 struct GossipResponse {
   1: i64 tableVersion,
   2: WireDelta delta,
+  3: i64 configurationRevision,
+  4: optional string configuration,
 }
 
 struct WireHeader {
@@ -63,6 +67,25 @@
   10: i32 hops,
   11: string key,
   12: string toMember,
+  /** Rank among the calls of a service; 0 is served first. */
+  13: i32 priority,
+  14: bool idempotent,
+  /** Time left within which the answer is worth most. */
+  15: i64 objectiveMillis,
+  /** Whether a running call waits for this one. */
+  16: bool nested,
+  /** Whether the call may still go to another target, so that a long wait is better refused. */
+  17: bool movable,
+  /** Names calls that take about as long. */
+  18: string kind,
+}
+
+/** How busy a target is. */
+struct WireLoad {
+  1: i32 slots,
+  2: i32 busy,
+  3: i32 waiting,
+  4: i32 millisPerCall,
 }
 
 struct ForwardResponse {
@@ -76,8 +99,12 @@
   8: string ownerHint,
   9: i64 generationHint,
   10: i64 retryAfterMillis,
+  /** What the target is doing, for the choice of targets; absent where the answer does not come from its router. */
+  11: optional WireLoad load,
 }
 
+
+
 /** Asks an owner to hand slices of a service to another member. */
 struct ReleaseRequest {
   1: string serviceName,
