--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -148,7 +148,7 @@
                 peers,
                 gate,
                 new CallDirector.Policies(
-                        new NearbyFirst(settings.failureDomain()), this::newBudget, requests::onEnded));
+                        settings.service(), new NearbyFirst(settings.failureDomain()), this::newBudget, requests::onEnded));
         this.targets = new TargetKeeper(settings, clock, traffic, gate, log, SLICES, longestHoldMillis());
         this.callers = new HttpListener(traffic, clock, () -> limits, director);
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
@@ -66,9 +66,7 @@
     private final Supplier<MemberId> self;
     private final PeerNetwork peers;
     private final LocalGate gate;
-    private final NearbyFirst chooser;
-    private final DirectorListener listener;
-    private final Budgets budgets;
+    private final Policies policies;
     private final Map<MemberId, TargetView> views = new HashMap<>();
     private RouteTable routes;
 
@@ -128,19 +126,18 @@
         this.self = self;
         this.peers = peers;
         this.gate = gate;
-        this.chooser = policies.chooser();
-        this.budgets = policies.budgets();
-        this.listener = policies.listener();
+        this.policies = policies;
     }
 
     /**
      * What varies between directors.
      *
+     * @param ownService the service of the backend server beside this router, from which requests come
      * @param chooser chooses targets of undivided services
      * @param budgets limits repeated sends
      * @param listener learns what became of requests
      */
-    public record Policies(NearbyFirst chooser, Budgets budgets, DirectorListener listener) {}
+    public record Policies(ServiceName ownService, NearbyFirst chooser, Budgets budgets, DirectorListener listener) {}
 
     /** Takes a newer configuration into force. */
     public void setRoutes(RouteTable table) {
@@ -201,10 +198,6 @@
         return settings != null && settings.divided();
     }
 
-    private Optional<ServiceName> callerService() {
-        return Optional.ofNullable(gate.target()).map(LocalTarget::service);
-    }
-
     private boolean isFromTarget(HttpExchange.Request request) {
         LocalTarget target = gate.target();
         return target != null
@@ -214,7 +207,7 @@
 
     private SendBudget budget(ServiceName service) {
         int routers = Math.max(1, view.get().members().serving().size());
-        return budgetByService.computeIfAbsent(service, s -> budgets.create(routers));
+        return budgetByService.computeIfAbsent(service, s -> policies.budgets().create(routers));
     }
 
     private TargetView viewOf(MemberId member) {
@@ -268,7 +261,7 @@
                     sliceOf(service, fields),
                     request.method(),
                     request.target(),
-                    dialect.passOn(Headers.endToEnd(request.headers()), callerService()),
+                    dialect.passOn(Headers.endToEnd(request.headers()), Optional.of(policies.ownService())),
                     request.body(),
                     startMillis + patienceMillis,
                     route.kind() == RouteKind.SAFE,
@@ -320,7 +313,7 @@
             List<MemberRow> candidates = view.get().members().withTarget(service);
             long leftMillis = call.urgency().objectiveMillis() - nowMillis;
             Optional<MemberRow> chosen =
-                    chooser.choose(candidates, tried, CallDirector.this::viewOf, leftMillis, nowMillis);
+                    policies.chooser().choose(candidates, tried, CallDirector.this::viewOf, leftMillis, nowMillis);
             if (chosen.isEmpty()) {
                 endWithoutTarget();
                 return;
@@ -507,7 +500,7 @@
         }
 
         private void report(int status, Refusal cause, Verdict finalVerdict) {
-            listener.onEnded(new Outcome(
+            policies.listener().onEnded(new Outcome(
                     requestId,
                     route == null ? null : route.name(),
                     service,
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/call/AdmissionQueueTest.java
@@ -0,0 +1,103 @@
+package org.siskindyke.kernel.call;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.Example;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class AdmissionQueueTest {
+    private final List<String> events = new ArrayList<>();
+    private final ServiceTimes times = new ServiceTimes();
+    private final AdmissionQueue queue = new AdmissionQueue(1, times);
+
+    private AdmissionQueue.Entry entry(
+            String name, int priority, long objectiveMillis, long deadlineMillis, boolean nested, boolean movable) {
+        CallUrgency urgency = new CallUrgency("k", priority, objectiveMillis, nested, movable);
+        return new AdmissionQueue.Entry(
+                urgency,
+                deadlineMillis,
+                () -> events.add(name),
+                (cause, retryAfterMillis) -> events.add(name + " " + cause));
+    }
+
+    @Example
+    void nestedCallsGoFirstThenPriorityThenTheNearestObjective() {
+        queue.enter(entry("first", 2, 500, 9_000, false, false), 0);
+        queue.enter(entry("late", 2, 900, 9_000, false, false), 0);
+        queue.enter(entry("soon", 2, 800, 9_000, false, false), 0);
+        queue.enter(entry("order", 1, 999, 9_000, false, false), 0);
+        queue.enter(entry("nested", 5, 999, 9_000, true, false), 0);
+        for (int i = 0; i < 4; i++) {
+            queue.leave(10);
+        }
+        assertEquals(List.of("first", "nested", "order", "soon", "late"), events);
+    }
+
+    @Example
+    void aCallThatCannotEndBeforeItsDeadlineIsRefusedAtOnce() {
+        queue.enter(entry("running", 1, 500, 9_000, false, false), 0);
+        queue.enter(entry("hopeless", 1, 100, 120, false, false), 0);
+        assertEquals(List.of("running", "hopeless QUEUE_FULL"), events);
+    }
+
+    @Example
+    void aCallThatMayGoElsewhereIsRefusedWhereItWouldMissItsObjective() {
+        queue.enter(entry("running", 1, 500, 9_000, false, false), 0);
+        queue.enter(entry("movable", 1, 150, 9_000, false, true), 0);
+        queue.enter(entry("staying", 1, 150, 9_000, false, false), 0);
+        assertEquals(List.of("running", "movable QUEUE_FULL"), events);
+        assertEquals(1, queue.waiting());
+    }
+
+    @Example
+    void callsThatMoreUrgentOnesHavePushedBackAreRefusedBeforeTheirDeadline() {
+        queue.enter(entry("running", 1, 500, 9_000, false, false), 0);
+        queue.enter(entry("patient", 2, 400, 320, false, false), 0);
+        for (int i = 0; i < 4; i++) {
+            queue.enter(entry("urgent" + i, 0, 500, 9_000, false, false), 0);
+        }
+        queue.refuseHopeless(10);
+        assertTrue(events.contains("patient QUEUE_TIMEOUT"));
+        assertEquals(4, queue.waiting());
+    }
+
+    /** Pattern: a target of six slots is offered twice what it can do; it must stay busy and answer who waits. */
+    @Example
+    void underTwiceItsLoadATargetServesItsCapacityAndNobodyIsHeldToTheDeadline() {
+        AdmissionQueue loaded = new AdmissionQueue(6, times);
+        int[] served = new int[1];
+        long[] latestRefusal = new long[1];
+        List<Long> ends = new ArrayList<>();
+        long nowMillis = 0;
+        for (; nowMillis < 10_000; nowMillis++) {
+            long present = nowMillis;
+            while (ends.remove(present)) {
+                times.onEnded("k", 100);
+                loaded.leave(present);
+            }
+            if (nowMillis % 50 == 0) {
+                loaded.refuseHopeless(nowMillis);
+            }
+            if (nowMillis % 25 == 0) {
+                for (int i = 0; i < 3; i++) {
+                    CallUrgency urgency = new CallUrgency("k", 1, present + 300, false, false);
+                    loaded.enter(
+                            new AdmissionQueue.Entry(
+                                    urgency,
+                                    present + 600,
+                                    () -> {
+                                        served[0]++;
+                                        ends.add(present + 100);
+                                    },
+                                    (cause, retry) -> latestRefusal[0] = Math.max(latestRefusal[0], retry)),
+                            nowMillis);
+                }
+            }
+        }
+        assertTrue(served[0] >= 570, "served " + served[0] + " of 600");
+        assertTrue(latestRefusal[0] <= 700, "retry after " + latestRefusal[0]);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/platform/PlatformDecodersTest.java
@@ -0,0 +1,104 @@
+package org.siskindyke.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.siskindyke.kernel.control.ConfigurationText;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.route.Route;
+import org.siskindyke.kernel.route.RouteKind;
+import org.siskindyke.kernel.route.RoutingConfiguration;
+import org.siskindyke.runtime.InstanceSettings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class PlatformDecodersTest {
+    private static final String SETTINGS = "{\"node_name\":\"n-1\",\"zone\":\"kalna\",\"service\":\"s\",\"new\":1,"
+            + "\"listen\":{\"inbound\":\"10.1.0.8:1\",\"outbound\":\"10.1.0.8:2\",\"ready\":\"10.1.0.8:3\","
+            + "\"control\":\"10.1.0.8:4\"},\"platform\":{\"address\":\"10.2.0.7:5\"},\"heartbeat_ms\":870,"
+            + "\"bounds\":{\"drain_ms\":2000,\"grace_s\":6,\"hold_max_ms\":10000,\"retry_budget_ratio\":0.2,"
+            + "\"budget_extra\":60,\"budget_window_s\":10}}";
+    private static final String HEARTBEAT = "{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"slots\":6,"
+            + "\"state\":\"ready\",\"cold_left_ms\":0,\"born\":12,\"seq_num\":4,\"holds\":[[0,9,7]],"
+            + "\"freed\":[[10,19,\"5c\"]]}";
+    private static final String CONFIGURATION = "{\"version\":\"r7\",\"services\":[{\"name\":\"s\","
+            + "\"max_connections\":9,\"sharded\":true}],\"limits\":{\"max_body_bytes\":100},\"virtual_hosts\":["
+            + "{\"hostname\":\"H.example\",\"paths\":[{\"name\":\"r\",\"prefix\":\"/x/\",\"route_type\":\"unsafe\","
+            + "\"timeout_ms\":1500,\"aim_ms\":500,\"priority\":1,\"max_attempts\":2,\"traffic_split\":["
+            + "{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}]}]}]}";
+
+    @Example
+    void settingsAreReadAndUnknownFieldsIgnored() {
+        InstanceSettings settings = SettingsReader.parse(SETTINGS);
+        assertEquals("n-1", settings.instance().value());
+        assertEquals(6_000, settings.bounds().grace().toMillis());
+    }
+
+    @Example
+    void aMissingSettingIsNamed() {
+        SiskindykeException error = assertThrows(
+                SiskindykeException.class, () -> SettingsReader.parse(SETTINGS.replace("heartbeat_ms", "other")));
+        assertEquals(ErrorCode.INVALID_SETTING, error.code());
+        assertTrue(error.getMessage().contains("/heartbeat_ms"));
+    }
+
+    @Example
+    void aConfigurationIsRead() {
+        RoutingConfiguration read = ConfigurationReader.read(new ConfigurationText(3, CONFIGURATION));
+        Route route = read.routes().get(0);
+        assertEquals(7, read.version());
+        assertEquals("h.example", route.host());
+        assertEquals(RouteKind.UNSAFE, route.kind());
+        assertEquals(2, route.shares().size());
+        assertTrue(read.services().get(ServiceName.of("s")).divided());
+    }
+
+    @Example
+    void aHeartbeatIsReadAndItsAcknowledgementWritten() {
+        HeartbeatCodec.Received received = HeartbeatCodec.read("i-1", HEARTBEAT.getBytes(StandardCharsets.UTF_8));
+        assertEquals(7, received.heartbeat().held().get(0).token());
+        assertEquals("5c", received.heartbeat().released().get(0).handover());
+    }
+
+    /** Pattern: another writer's bytes; each decoder refuses them with a code and nothing else. */
+    @Property(tries = 3_000, seed = "41")
+    void damagedInputIsRefusedWithACode(@ForAll long seed) {
+        Random random = new Random(seed);
+        decode(() -> SettingsReader.parse(damaged(SETTINGS, random)));
+        decode(() -> HeartbeatCodec.read("i-1", damaged(HEARTBEAT, random).getBytes(StandardCharsets.UTF_8)));
+        decode(() -> ConfigurationReader.read(new ConfigurationText(1, damaged(CONFIGURATION, random))));
+    }
+
+    private static void decode(Runnable decoder) {
+        try {
+            decoder.run();
+        } catch (SiskindykeException e) {
+            assertTrue(e.code() != ErrorCode.INTERNAL);
+        }
+    }
+
+    private static String damaged(String text, Random random) {
+        StringBuilder damaged = new StringBuilder(text);
+        int changes = 1 + random.nextInt(4);
+        for (int i = 0; i < changes; i++) {
+            if (damaged.length() == 0) {
+                break;
+            }
+            int at = random.nextInt(damaged.length());
+            switch (random.nextInt(4)) {
+                case 0 -> damaged.deleteCharAt(at);
+                case 1 -> damaged.setCharAt(at, (char) random.nextInt(256));
+                case 2 -> damaged.insert(at, "{}[]\",:-9e".charAt(random.nextInt(10)));
+                default -> damaged.setLength(Math.max(1, at));
+            }
+        }
+        return damaged.toString();
+    }
+}
