Let readers of the table wait for changes; stop taking calls well before the end of a planned stop

Ruled out: changes of the table waking the watches; the same version came back to nine watches of one reader at once. Store calls are counted in the log.

--- a/src/main/java/org/siskindyke/platform/PlatformMain.java
+++ b/src/main/java/org/siskindyke/platform/PlatformMain.java
@@ -16,6 +16,7 @@
 /** Runs the router beside one backend server on the users' platform; a class of its own so that it starts quickly. */
 public final class PlatformMain {
     private static final int EXIT_BAD_USAGE = 2;
+    private static final long STORE_LOG_MILLIS = 5_000;
 
     private PlatformMain() {}
 
@@ -43,6 +44,7 @@
                 settings, traffic, new PlatformTable(store), new PlatformDialect(), ConfigurationReader::read, log);
         router.start();
         new ConfigurationWatch(store, traffic, router::offerConfiguration, log).start();
+        traffic.repeat(() -> store.logCalls(log), STORE_LOG_MILLIS);
         listen(settings, traffic, clock, router, log);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router, log), "shutdown"));
     }
--- a/src/main/java/org/siskindyke/platform/StoreClient.java
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -6,11 +6,13 @@
 import java.util.Base64;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.LongAdder;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.runtime.EventLog;
 import org.siskindyke.runtime.traffic.HttpCaller;
 import org.siskindyke.runtime.traffic.HttpExchange;
 
@@ -29,6 +31,9 @@
     private static final byte[] NO_BODY = {};
 
     private final HttpCaller caller;
+    private final LongAdder transactions = new LongAdder();
+    private final LongAdder reads = new LongAdder();
+    private final LongAdder watches = new LongAdder();
 
     StoreClient(HttpCaller caller) {
         this.caller = caller;
@@ -42,8 +47,14 @@
      */
     record Answer(int status, JsonNode body) {}
 
+    /** Logs the calls made so far; each is paid for. */
+    void logCalls(EventLog log) {
+        log.event("store-calls", "transactions", transactions.sum(), "reads", reads.sum(), "watches", watches.sum());
+    }
+
     /** Sends a transaction; answers with status 200 or 412. */
     CompletionStage<Answer> transact(JsonNode transaction) {
+        transactions.increment();
         return caller.call(
                         "POST",
                         "/rows-tx",
@@ -54,6 +65,7 @@
 
     /** Reads rows of a table, from a key on; {@code to} is the first key left out, null for none. */
     CompletionStage<Answer> rows(String table, String from, String to, int limit) {
+        reads.increment();
         String target = "/rows-get?table=" + table + "&part=&limit=" + limit;
         target += from == null ? "" : "&from=" + encode(from);
         target += to == null ? "" : "&target=" + encode(to);
@@ -62,6 +74,7 @@
 
     /** Waits for changes of a table after a version; answers with status 200, or 410 where the history is gone. */
     CompletionStage<Answer> watch(String table, long after) {
+        watches.increment();
         String target = "/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + WATCH_MILLIS;
         return caller.call("GET", target, NO_BODY, WATCH_TIMEOUT_MILLIS).thenCompose(r -> decode(r, HISTORY_GONE));
     }
--- a/src/main/java/org/siskindyke/runtime/ControlThread.java
+++ b/src/main/java/org/siskindyke/runtime/ControlThread.java
@@ -117,6 +117,11 @@
             return confine(table.commit(transaction));
         }
 
+        @Override
+        public long longestPollMillis() {
+            return table.longestPollMillis();
+        }
+
         private <T> CompletionStage<T> confine(CompletionStage<T> stage) {
             CompletableFuture<T> confined = new CompletableFuture<>();
             stage.whenComplete((value, failure) -> execute(() -> {
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -148,7 +148,10 @@
                 peers,
                 gate,
                 new CallDirector.Policies(
-                        settings.service(), new NearbyFirst(settings.failureDomain()), this::newBudget, requests::onEnded));
+                        settings.service(),
+                        new NearbyFirst(settings.failureDomain()),
+                        this::newBudget,
+                        requests::onEnded));
         this.targets = new TargetKeeper(settings, clock, traffic, gate, log, SLICES, longestHoldMillis());
         this.callers = new HttpListener(traffic, clock, () -> limits, director);
     }
@@ -359,24 +362,14 @@
         log.event("router-stopping");
         traffic.execute(callers::startClosing);
         control.execute(() -> targets.onStopping(node));
-        boolean gateClosed = false;
-        while (clock.nowMillis() < endMillis) {
-            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
-            boolean noticed = clock.nowMillis() - startMillis >= NOTICED_NOT_READY_MILLIS;
-            if (noticed && !gateClosed) {
-                gateClosed = true;
-                traffic.execute(() -> gate.setAccepting(false));
-            }
-            if (noticed && unanswered() == 0) {
-                break;
-            }
-        }
-        CountDownLatch closed = new CountDownLatch(1);
+        TimeUnit.MILLISECONDS.sleep(NOTICED_NOT_READY_MILLIS);
         traffic.execute(() -> {
             callers.close();
-            closed.countDown();
+            gate.setAccepting(false);
         });
-        closed.await(STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        while (clock.nowMillis() < endMillis && unanswered() > 0) {
+            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+        }
         log.event("router-stopped", "tookMillis", clock.nowMillis() - startMillis, "unanswered", unanswered());
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
@@ -500,16 +500,17 @@
         }
 
         private void report(int status, Refusal cause, Verdict finalVerdict) {
-            policies.listener().onEnded(new Outcome(
-                    requestId,
-                    route == null ? null : route.name(),
-                    service,
-                    status,
-                    cause,
-                    finalVerdict,
-                    sends,
-                    lastMember,
-                    clock.nowMillis() - startMillis));
+            policies.listener()
+                    .onEnded(new Outcome(
+                            requestId,
+                            route == null ? null : route.name(),
+                            service,
+                            status,
+                            cause,
+                            finalVerdict,
+                            sends,
+                            lastMember,
+                            clock.nowMillis() - startMillis));
         }
 
         @Override
