--- /dev/null
+++ b/src/main/java/org/siskindyke/platform/PlatformRouter.java
@@ -0,0 +1,34 @@
+package org.siskindyke.platform;
+
+import org.siskindyke.kernel.route.CallerLimits;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.EventLog;
+import org.siskindyke.runtime.InstanceRouter;
+import org.siskindyke.runtime.InstanceSettings;
+import org.siskindyke.runtime.SystemMonotonicClock;
+import org.siskindyke.runtime.traffic.HttpCaller;
+import org.siskindyke.runtime.traffic.HttpListener;
+import org.siskindyke.runtime.traffic.TrafficLoop;
+
+/** Puts a router and its translations to the platform together. */
+final class PlatformRouter {
+    private static final long STORE_LOG_MILLIS = 5_000;
+
+    private PlatformRouter() {}
+
+    /** Starts a router; returns before it has joined. */
+    static InstanceRouter start(InstanceSettings settings, TrafficLoop traffic, EventLog log) {
+        MonotonicClock clock = SystemMonotonicClock.INSTANCE;
+        StoreClient store = new StoreClient(new HttpCaller(traffic, clock, settings.table()));
+        InstanceRouter router = new InstanceRouter(
+                settings, traffic, new PlatformTable(store), new PlatformDialect(), ConfigurationReader::read, log);
+        router.start();
+        new ConfigurationWatch(store, traffic, router::offerConfiguration, log).start();
+        traffic.repeat(() -> store.logCalls(log), STORE_LOG_MILLIS);
+        InstanceSettings.Addresses addresses = settings.addresses();
+        new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, new HeartbeatEndpoint(router, log))
+                .listen(addresses.heartbeats());
+        new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, router.readiness()).listen(addresses.readiness());
+        return router;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/standin/StoreStandin.java
@@ -0,0 +1,234 @@
+package org.siskindyke.standin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.siskindyke.kernel.route.CallerLimits;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.call.Header;
+import org.siskindyke.runtime.traffic.Cancellable;
+import org.siskindyke.runtime.traffic.HttpExchange;
+import org.siskindyke.runtime.traffic.HttpListener;
+import org.siskindyke.runtime.traffic.TrafficLoop;
+
+/**
+ * Stands in for the store of the users' platform: rows with versions, conditional transactions and watches, with its
+ * faults. All state belongs to the traffic loop.
+ */
+public final class StoreStandin {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int GONE = 410;
+    private static final int CONDITION_FAILED = 412;
+    private static final int BUSY = 503;
+    private static final Header JSON = new Header("Content-Type", "application/json");
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private final TrafficLoop traffic;
+    private final MonotonicClock clock;
+    private final Map<String, TreeMap<String, StoredRow>> tables = new TreeMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private volatile Fault fault = Fault.NONE;
+    private volatile int calls;
+    private long version;
+
+    /** What is wrong with the store. */
+    public enum Fault {
+        /** Nothing. */
+        NONE,
+        /** It refuses each call and does nothing. */
+        BUSY,
+        /** It never answers and does nothing. */
+        SILENT,
+        /** It does what it is asked and never answers. */
+        ANSWER_LOST,
+        /** It has dropped the history that watches need. */
+        HISTORY_GONE
+    }
+
+    private record StoredRow(String value, long version, boolean removed) {}
+
+    /** A watch that waits for a change. */
+    private record Watch(String table, long after, HttpExchange.Responder responder) {}
+
+    /** Creates a store without rows. */
+    public StoreStandin(TrafficLoop traffic, MonotonicClock clock) {
+        this.traffic = traffic;
+        this.clock = clock;
+    }
+
+    /** Starts to listen. */
+    public void listen(InetSocketAddress address) {
+        new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, this::handle).listen(address);
+    }
+
+    /** Starts or ends a fault. */
+    public void setFault(Fault present) {
+        fault = present;
+    }
+
+    /** Returns the calls received so far. */
+    public int calls() {
+        return calls;
+    }
+
+    /** Writes a row as the operator does, whatever the fault. */
+    public void put(String table, String key, String value) {
+        traffic.execute(() -> {
+            version++;
+            write(table, key, StoreText.encode(value), false);
+            answerWatches();
+        });
+    }
+
+    private Cancellable handle(HttpExchange.Request request, HttpExchange.Responder responder) {
+        calls++;
+        if (fault == Fault.SILENT) {
+            return Cancellable.NONE;
+        }
+        if (fault == Fault.BUSY) {
+            responder.respond(HttpExchange.Response.empty(BUSY));
+            return Cancellable.NONE;
+        }
+        HttpExchange.Responder answering = fault == Fault.ANSWER_LOST ? response -> {} : responder;
+        QueryStringDecoder query = new QueryStringDecoder(request.target());
+        switch (query.path()) {
+            case "/rows-tx" -> transact(request.body(), answering);
+            case "/rows-get" -> read(query, answering);
+            case "/rows-feed" -> watch(query, answering);
+            default -> answering.respond(HttpExchange.Response.empty(NOT_FOUND));
+        }
+        return Cancellable.NONE;
+    }
+
+    private void transact(byte[] body, HttpExchange.Responder responder) {
+        JsonNode transaction;
+        try {
+            transaction = MAPPER.readTree(body);
+        } catch (IOException e) {
+            responder.respond(HttpExchange.Response.empty(BUSY));
+            return;
+        }
+        for (JsonNode condition : transaction.path("precondition")) {
+            if (versionOf(condition) != condition.path("ver").asLong()) {
+                responder.respond(json(CONDITION_FAILED, answer()));
+                return;
+            }
+        }
+        version++;
+        transaction
+                .path("writes")
+                .forEach(w -> write(
+                        w.path("table").asText(),
+                        w.path("key").asText(),
+                        w.path("value").asText(),
+                        false));
+        transaction
+                .path("remove")
+                .forEach(r -> write(r.path("table").asText(), r.path("key").asText(), "", true));
+        responder.respond(json(OK, answer()));
+        answerWatches();
+    }
+
+    private long versionOf(JsonNode name) {
+        StoredRow row = table(name.path("table").asText()).get(name.path("key").asText());
+        return row == null || row.removed() ? 0 : row.version();
+    }
+
+    private TreeMap<String, StoredRow> table(String name) {
+        return tables.computeIfAbsent(name, n -> new TreeMap<>());
+    }
+
+    private void write(String table, String key, String value, boolean removed) {
+        table(table).put(key, new StoredRow(value, version, removed));
+    }
+
+    private void read(QueryStringDecoder query, HttpExchange.Responder responder) {
+        String from = parameter(query, "from", "");
+        String to = parameter(query, "target", "\uffff");
+        int limit = Integer.parseInt(parameter(query, "limit", "500"));
+        ObjectNode answer = answer();
+        ArrayNode rows = answer.putArray("rows");
+        String table = parameter(query, "table", "");
+        for (Map.Entry<String, StoredRow> row : table(table).subMap(from, to).entrySet()) {
+            if (rows.size() < limit && !row.getValue().removed()) {
+                append(rows, table, row.getKey(), row.getValue());
+            }
+        }
+        answer.put("has_more", false);
+        responder.respond(json(OK, answer));
+    }
+
+    private void watch(QueryStringDecoder query, HttpExchange.Responder responder) {
+        if (fault == Fault.HISTORY_GONE) {
+            responder.respond(json(GONE, answer()));
+            return;
+        }
+        Watch watch =
+                new Watch(parameter(query, "table", ""), Long.parseLong(parameter(query, "after", "0")), responder);
+        watches.add(watch);
+        long waitMillis = Long.parseLong(parameter(query, "wait_ms", "0"));
+        traffic.schedule(
+                () -> {
+                    if (watches.remove(watch)) {
+                        responder.respond(json(OK, changes(watch)));
+                    }
+                },
+                waitMillis);
+        answerWatches();
+    }
+
+    private void answerWatches() {
+        for (Watch watch : List.copyOf(watches)) {
+            ObjectNode changes = changes(watch);
+            if (!changes.path("rows").isEmpty()) {
+                watches.remove(watch);
+                watch.responder().respond(json(OK, changes));
+            }
+        }
+    }
+
+    private ObjectNode changes(Watch watch) {
+        ObjectNode answer = answer();
+        ArrayNode rows = answer.putArray("rows");
+        table(watch.table()).forEach((key, row) -> {
+            if (row.version() > watch.after()) {
+                append(rows, watch.table(), key, row);
+            }
+        });
+        return answer;
+    }
+
+    private static void append(ArrayNode rows, String table, String key, StoredRow row) {
+        ObjectNode node = rows.addObject();
+        node.put("table", table).put("part", "").put("key", key).put("ver", row.version());
+        if (row.removed()) {
+            node.put("tombstone", true);
+        } else {
+            node.put("value", row.value());
+        }
+    }
+
+    private ObjectNode answer() {
+        return MAPPER.createObjectNode().put("ver", version).put("now_ms", clock.nowMillis());
+    }
+
+    private static String parameter(QueryStringDecoder query, String name, String otherwise) {
+        List<String> values = query.parameters().get(name);
+        return values == null ? otherwise : values.get(0);
+    }
+
+    private static HttpExchange.Response json(int status, ObjectNode body) {
+        return new HttpExchange.Response(status, List.of(JSON), body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -0,0 +1,122 @@
+package org.siskindyke.runtime.traffic;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.siskindyke.kernel.route.CallerLimits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** The two trials in which a server of one request at a time failed, and requests that could be read in two ways. */
+class HttpListenerTest {
+    private static final int WAIT_SECONDS = 10;
+    private final TrafficLoop traffic = new TrafficLoop();
+    private final LinkedBlockingQueue<HttpExchange.Responder> started = new LinkedBlockingQueue<>();
+    private final CountDownLatch cancelled = new CountDownLatch(1);
+    private int port;
+
+    private Socket connect() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        new HttpListener(
+                        traffic,
+                        () -> System.nanoTime() / 1_000_000,
+                        () -> CallerLimits.DEFAULT,
+                        (request, responder) -> {
+                            started.add(responder);
+                            return cancelled::countDown;
+                        })
+                .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+        return socket;
+    }
+
+    @AfterTry
+    void closeLoop() {
+        traffic.close();
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().flush();
+    }
+
+    @Example
+    void pipelinedRequestsRunSideBySideAndAreAnsweredInOrder() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            HttpExchange.Responder first = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            HttpExchange.Responder second = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            assertNotNull(second);
+            traffic.execute(() -> second.respond(HttpExchange.Response.empty(202)));
+            traffic.execute(() -> first.respond(HttpExchange.Response.empty(201)));
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            List<String> statuses = new ArrayList<>();
+            while (statuses.size() < 2) {
+                String line = reader.readLine();
+                if (line.startsWith("HTTP/1.1")) {
+                    statuses.add(line.substring(9, 12));
+                }
+            }
+            assertEquals(List.of("201", "202"), statuses);
+        }
+    }
+
+    @Example
+    void aCallerThatLeavesStopsTheWork() throws Exception {
+        Socket socket = connect();
+        send(socket, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        assertNotNull(started.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+        socket.close();
+        assertTrue(cancelled.await(WAIT_SECONDS, TimeUnit.SECONDS));
+    }
+
+    @Example
+    void requestsOfTwoLengthsAreRefusedAndNothingBehindThemRuns() throws Exception {
+        List<String> bad = List.of(
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+                "nonsense\r\n\r\n");
+        for (String request : bad) {
+            try (Socket socket = connect()) {
+                send(socket, request + "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+                String status = new BufferedReader(
+                                new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+                        .readLine();
+                assertTrue(status.startsWith("HTTP/1.1 400"), status);
+            }
+        }
+        assertEquals(0, started.size());
+    }
+
+    @Example
+    void aHeaderSectionBeyondTheLimitIsRefused() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET / HTTP/1.1\r\nHost: h\r\nX: " + "a".repeat(20_000) + "\r\n\r\n");
+            String status = new BufferedReader(
+                            new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
+            assertTrue(status.startsWith("HTTP/1.1 431"), status);
+        }
+    }
+}
