Serve first what running calls wait for; refuse rather than cut at a stop; drop answers without a signature

Every request counted as made by a backend server, since callers share its address; and a kind of call never seen was taken for as long as the average of all. Change: a call counts as nested where its id begins with that of a request at work beside its router; the queue serves nested calls, then priority, then what can still meet its objective; estimates start short and fade without samples; routers withdraw what no target has begun 0.3 s before the end of a stop; a 2xx without signature is a lost answer. ServiceTimesTest and AdmissionQueueTest failed before.

--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -1,16 +1,17 @@
 package org.siskindyke.kernel.call;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
-import java.util.TreeSet;
 import java.util.function.BiConsumer;
 
 /**
  * Admits calls to the slots of one target and orders those that wait. Confined to one thread.
  *
- * <p>Calls that a running call waits for go first, then those of higher priority, then those whose objective ends
- * sooner. A call that cannot be served in time is refused at once, so that its caller can come back or go elsewhere.
+ * <p>Calls that a running call waits for go first, then those of higher priority. Of one priority, those that can still
+ * meet their objective go before those that have missed it, and those whose time ends sooner go first. A call that
+ * cannot be served in time is refused at once, so that its caller can come back or go elsewhere.
  */
 public final class AdmissionQueue {
     /** Waiting calls for each slot beyond which more are refused; bounds memory, not the wait. */
@@ -18,10 +19,7 @@
     /** Part of a call's expected time that must be left at its start; calls differ around the average. */
     private static final double LEAST_TIME_SHARE = 0.6;
 
-    private final TreeSet<Entry> waiting = new TreeSet<>(Comparator.comparing((Entry e) -> !e.urgency.nested())
-            .thenComparingInt(e -> e.urgency.priority())
-            .thenComparingLong(e -> e.urgency.objectiveMillis())
-            .thenComparingLong(e -> e.number));
+    private final List<Entry> waiting = new ArrayList<>();
     private final ServiceTimes times;
     private int slots;
     private int used;
@@ -91,8 +89,8 @@
             entry.onAdmitted.run();
             return;
         }
-        double waitMillis = waitMillis(entry);
-        double ownMillis = times.millis(entry.urgency.kind());
+        double waitMillis = waitMillis(entry, nowMillis);
+        double ownMillis = times.millis(entry.urgency.kind(), nowMillis);
         boolean tooLate = nowMillis + waitMillis + ownMillis * LEAST_TIME_SHARE > entry.deadlineMillis;
         boolean betterElsewhere =
                 entry.urgency.movable() && nowMillis + waitMillis + ownMillis > entry.urgency.objectiveMillis();
@@ -104,12 +102,29 @@
     }
 
     /** Returns how long a call that came now would wait for a slot. */
-    private double waitMillis(Entry entry) {
+    private double waitMillis(Entry entry, long nowMillis) {
+        Comparator<Entry> order = order(nowMillis);
         double aheadMillis = 0;
-        for (Entry ahead : waiting.headSet(entry)) {
-            aheadMillis += times.millis(ahead.urgency.kind());
+        for (Entry ahead : waiting) {
+            if (order.compare(ahead, entry) < 0) {
+                aheadMillis += times.millis(ahead.urgency.kind(), nowMillis);
+            }
         }
-        return (aheadMillis + times.averageMillis()) / Math.max(1, slots);
+        return (aheadMillis + times.averageMillis(nowMillis)) / Math.max(1, slots);
+    }
+
+    private Comparator<Entry> order(long nowMillis) {
+        return Comparator.comparing((Entry e) -> !e.urgency.nested())
+                .thenComparingInt(e -> e.urgency.priority())
+                .thenComparing(e -> !meetsObjective(e, nowMillis))
+                .thenComparingLong(e -> meetsObjective(e, nowMillis) ? e.urgency.objectiveMillis() : e.deadlineMillis)
+                .thenComparingLong(e -> e.number);
+    }
+
+    /** Tells whether a call that started now would meet its objective; one that is waited for counts till its end. */
+    private boolean meetsObjective(Entry entry, long nowMillis) {
+        return !entry.urgency.nested()
+                && nowMillis + times.millis(entry.urgency.kind(), nowMillis) <= entry.urgency.objectiveMillis();
     }
 
     /** Takes a waiting call out, so that it is neither admitted nor refused; tells whether it was waiting. */
@@ -126,8 +141,9 @@
     /** Admits waiting calls to free slots. */
     public void admit(long nowMillis) {
         while (used < slots && !waiting.isEmpty()) {
-            Entry next = waiting.pollFirst();
-            double leastMillis = times.millis(next.urgency.kind()) * LEAST_TIME_SHARE;
+            Entry next = Collections.min(waiting, order(nowMillis));
+            waiting.remove(next);
+            double leastMillis = times.millis(next.urgency.kind(), nowMillis) * LEAST_TIME_SHARE;
             if (nowMillis + leastMillis > next.deadlineMillis) {
                 next.onRefused.accept(Refusal.QUEUE_TIMEOUT, 0L);
             } else {
@@ -139,10 +155,12 @@
 
     /** Refuses the waiting calls that more urgent ones have pushed back too far. */
     public void refuseHopeless(long nowMillis) {
-        double aheadMillis = times.averageMillis();
+        double aheadMillis = times.averageMillis(nowMillis);
         List<Entry> hopeless = new ArrayList<>();
-        for (Entry entry : waiting) {
-            double ownMillis = times.millis(entry.urgency.kind());
+        List<Entry> ordered = new ArrayList<>(waiting);
+        ordered.sort(order(nowMillis));
+        for (Entry entry : ordered) {
+            double ownMillis = times.millis(entry.urgency.kind(), nowMillis);
             double startMillis = nowMillis + aheadMillis / Math.max(1, slots);
             if (startMillis + ownMillis * LEAST_TIME_SHARE > entry.deadlineMillis) {
                 hopeless.add(entry);
--- a/src/main/java/org/siskindyke/platform/PlatformDialect.java
+++ b/src/main/java/org/siskindyke/platform/PlatformDialect.java
@@ -22,7 +22,10 @@
     private static final String CALLER_SERVICE = "X-Siskindyke-Caller-Service";
     private static final String EXPECTED_TARGET = "X-Siskindyke-Expected-Instance";
     private static final String NOT_RUN = "X-Siskindyke-Not-Executed";
+    private static final String SIGNATURE = "X-Siskindyke-Response-Signature";
     private static final int MISDIRECTED = 421;
+    private static final int FIRST_SUCCESS = 200;
+    private static final int LAST_SUCCESS = 299;
 
     @Override
     public CallerFields read(List<Header> headers) {
@@ -79,11 +82,24 @@
         return status == MISDIRECTED || Headers.firstIgnoringCase(headers, NOT_RUN) != null;
     }
 
+    @Override
+    public boolean isGenuine(int status, List<Header> headers) {
+        boolean success = status >= FIRST_SUCCESS && status <= LAST_SUCCESS;
+        return !success || Headers.firstIgnoringCase(headers, SIGNATURE) != null;
+    }
+
     @Override
     public String answeredRequest(List<Header> headers) {
         return Headers.firstIgnoringCase(headers, REQUEST_ID);
     }
 
+    /** A call's id begins with the id of the request that makes it, and a full stop; seen, and asked in docs. */
+    @Override
+    public Optional<String> parentRequest(String requestId) {
+        int end = requestId.lastIndexOf('.');
+        return end <= 0 ? Optional.empty() : Optional.of(requestId.substring(0, end));
+    }
+
     @Override
     public Header requestIdField(String requestId) {
         return new Header(REQUEST_ID, requestId);
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -76,6 +76,9 @@
     private static final long NOTICED_NOT_READY_MILLIS = 2_300;
 
     private static final long STOP_MARGIN_MILLIS = 700;
+    /** Time before the end at which calls that no target has begun are refused; two round trips between regions. */
+    private static final long WITHDRAW_MILLIS = 300;
+
     private static final long STOP_POLL_MILLIS = 20;
 
     private final InstanceSettings settings;
@@ -367,10 +370,16 @@
             callers.close();
             gate.setAccepting(false);
         });
-        while (clock.nowMillis() < endMillis && unanswered() > 0) {
+        waitUntilAnswered(endMillis - WITHDRAW_MILLIS);
+        traffic.execute(director::withdrawAll);
+        waitUntilAnswered(endMillis);
+        log.event("router-stopped", "tookMillis", clock.nowMillis() - startMillis, "unanswered", unanswered());
+    }
+
+    private void waitUntilAnswered(long untilMillis) throws InterruptedException {
+        while (clock.nowMillis() < untilMillis && unanswered() > 0) {
             TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
         }
-        log.event("router-stopped", "tookMillis", clock.nowMillis() - startMillis, "unanswered", unanswered());
     }
 
     private int unanswered() throws InterruptedException {
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -64,6 +64,8 @@
                 outcome.refusal(),
                 "verdict",
                 outcome.verdict(),
+                "nested",
+                outcome.nested(),
                 "attempts",
                 outcome.attempts(),
                 "lastMember",
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
@@ -37,9 +37,15 @@
     /** Tells whether an answer says that the request did not run and will not run. */
     boolean saysNotRun(int status, List<Header> headers);
 
+    /** Tells whether an answer bears what a backend server's own answers of this status bear. */
+    boolean isGenuine(int status, List<Header> headers);
+
     /** Returns the id of the request that an answer belongs to, or null. */
     String answeredRequest(List<Header> headers);
 
+    /** Returns the id of the request whose run made this one, as far as its id tells. */
+    Optional<String> parentRequest(String requestId);
+
     /** Returns the field that names the request in a response of the router's own. */
     Header requestIdField(String requestId);
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
@@ -68,7 +68,9 @@
     private final LocalGate gate;
     private final Policies policies;
     private final Map<MemberId, TargetView> views = new HashMap<>();
+    private final Set<Tries> active = new HashSet<>();
     private RouteTable routes;
+    private boolean withdrawing;
 
     /** Tells what became of requests. */
     public interface DirectorListener {
@@ -85,6 +87,7 @@
      * @param status the answer's status
      * @param refusal the cause where the answer is the router's own; else null
      * @param verdict whether it may have run
+     * @param nested whether it came from the backend server beside this router
      * @param attempts sends to routers
      * @param lastMember where it was sent last, or null
      * @param tookMillis how long it took
@@ -96,6 +99,7 @@
             int status,
             Refusal refusal,
             Verdict verdict,
+            boolean nested,
             int attempts,
             MemberId lastMember,
             long tookMillis) {}
@@ -149,6 +153,12 @@
         return routes;
     }
 
+    /** Takes back each request that no target has begun, because the router is about to end. */
+    public void withdrawAll() {
+        withdrawing = true;
+        List.copyOf(active).forEach(Tries::withdraw);
+    }
+
     /** Forgets what was seen of members that have ended. */
     public void forgetAllBut(Set<MemberId> serving) {
         views.keySet().retainAll(serving);
@@ -198,11 +208,9 @@
         return settings != null && settings.divided();
     }
 
-    private boolean isFromTarget(HttpExchange.Request request) {
-        LocalTarget target = gate.target();
-        return target != null
-                && request.remote() != null
-                && request.remote().getAddress().equals(target.address().getAddress());
+    /** Tells whether a call running at the backend server beside this router made the request and waits for it. */
+    private boolean isNested(String requestId) {
+        return dialect.parentRequest(requestId).filter(gate::isRunning).isPresent();
     }
 
     private SendBudget budget(ServiceName service) {
@@ -249,11 +257,7 @@
             long patienceMillis =
                     Math.min(route.timeoutMillis(), fields.timeoutMillis().orElse(route.timeoutMillis()));
             CallUrgency urgency = new CallUrgency(
-                    route.name(),
-                    route.priority(),
-                    startMillis + route.objectiveMillis(),
-                    isFromTarget(request),
-                    false);
+                    route.name(), route.priority(), startMillis + route.objectiveMillis(), isNested(requestId), false);
             call = new Call(
                     requestId,
                     service,
@@ -266,6 +270,7 @@
                     startMillis + patienceMillis,
                     route.kind() == RouteKind.SAFE,
                     urgency);
+            active.add(this);
             budget(service).onRequest(startMillis);
             timer = traffic.schedule(this::onDeadline, patienceMillis);
             attempt();
@@ -298,6 +303,15 @@
             }
         }
 
+        @Override
+        public void withdraw() {
+            if (sending == Cancellable.NONE) {
+                refuse(Refusal.LEAVING, statusOf(verdict), 0);
+            } else {
+                sending.withdraw();
+            }
+        }
+
         private void waitForOwner(Refusal cause) {
             long nowMillis = clock.nowMillis();
             long untilMillis = startMillis + Math.min(OWNER_WAIT_MILLIS, (call.deadlineMillis() - startMillis) / 2);
@@ -344,11 +358,19 @@
                     ? gate.submit(attempt, reply -> onReply(member, load, reply, replied))
                     : peers.forward(attempt, member, 1, reply -> onReply(member, load, reply, replied));
             if (!replied[0]) {
-                sending = () -> {
-                    if (!replied[0]) {
-                        replied[0] = true;
-                        load.onEnded();
-                        work.cancel();
+                sending = new Cancellable() {
+                    @Override
+                    public void cancel() {
+                        if (!replied[0]) {
+                            replied[0] = true;
+                            load.onEnded();
+                            work.cancel();
+                        }
+                    }
+
+                    @Override
+                    public void withdraw() {
+                        work.withdraw();
                     }
                 };
             }
@@ -417,7 +439,9 @@
             boolean arrived = reply.refusal() == Refusal.TARGET_REFUSED;
             arrivals += arrived ? 1 : 0;
             lastFailure = reply;
-            boolean hopeless = call.remainingMillis(nowMillis) < LEAST_TRY_MILLIS || arrived && !mayRepeat(nowMillis);
+            boolean hopeless = withdrawing
+                    || call.remainingMillis(nowMillis) < LEAST_TRY_MILLIS
+                    || arrived && !mayRepeat(nowMillis);
             if (hopeless) {
                 conclude(reply);
             } else if (!isDivided(service)) {
@@ -494,6 +518,7 @@
                 return false;
             }
             ended = true;
+            active.remove(this);
             timer.cancel();
             pause.cancel();
             return true;
@@ -508,6 +533,7 @@
                             status,
                             cause,
                             finalVerdict,
+                            call != null && call.urgency().nested(),
                             sends,
                             lastMember,
                             clock.nowMillis() - startMillis));
--- a/src/main/java/org/siskindyke/runtime/traffic/Cancellable.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/Cancellable.java
@@ -8,4 +8,7 @@
 
     /** Gives the work up; its outcome is not reported any more. */
     void cancel();
+
+    /** Asks for a refusal if the work has not begun; its outcome is still reported. */
+    default void withdraw() {}
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
@@ -49,6 +51,7 @@
     private final ServiceTimes times = new ServiceTimes();
     private final AdmissionQueue queue = new AdmissionQueue(0, times);
     private final List<Task> parked = new ArrayList<>();
+    private final Set<String> running = new HashSet<>();
     private volatile LocalTarget target;
     private HttpClientPool pool;
     private boolean accepting;
@@ -139,6 +142,11 @@
         return lastAnswerMillis;
     }
 
+    /** Tells whether the backend server is at work on a request. */
+    boolean isRunning(String requestId) {
+        return running.contains(requestId);
+    }
+
     /** Returns the calls that wait or run. */
     public int unanswered() {
         return queue.used() + queue.waiting() + parked.size();
@@ -179,7 +187,8 @@
     }
 
     private TargetReport report() {
-        return new TargetReport(queue.slots(), queue.used(), queue.waiting(), (int) times.averageMillis());
+        return new TargetReport(
+                queue.slots(), queue.used(), queue.waiting(), (int) times.averageMillis(clock.nowMillis()));
     }
 
     /** One call on its way to the backend server. */
@@ -191,7 +200,7 @@
         private Cancellable timer = Cancellable.NONE;
         private long sentMillis;
         private long parkedUntilMillis;
-        private boolean running;
+        private boolean holdsSlot;
         private boolean ended;
 
         private Task(Call call, Consumer<Reply> onReply) {
@@ -234,7 +243,8 @@
         }
 
         private void onAdmitted() {
-            running = true;
+            holdsSlot = true;
+            running.add(call.id());
             long nowMillis = clock.nowMillis();
             if (call.slice() != null && !isGranted()) {
                 leaveSlot();
@@ -272,17 +282,20 @@
             boolean notRun = dialect.saysNotRun(status, headers);
             if (!notRun) {
                 lastAnswerMillis = nowMillis;
-                times.onEnded(call.urgency().kind(), nowMillis - sentMillis);
+                times.onEnded(call.urgency().kind(), nowMillis - sentMillis, nowMillis);
                 if (call.slice() != null) {
                     meter.onCall(
                             call.slice(), java.util.concurrent.TimeUnit.MILLISECONDS.toNanos(nowMillis - sentMillis));
                 }
             }
             leaveSlot();
-            end(
-                    notRun
-                            ? Reply.notRun(Refusal.TARGET_REFUSED, LEAST_RETRY_AFTER_MILLIS)
-                            : Reply.answer(status, Headers.endToEnd(headers), body));
+            if (notRun) {
+                end(Reply.notRun(Refusal.TARGET_REFUSED, LEAST_RETRY_AFTER_MILLIS));
+            } else if (dialect.isGenuine(status, headers)) {
+                end(Reply.answer(status, Headers.endToEnd(headers), body));
+            } else {
+                end(Reply.mayHaveRun(Refusal.ANSWER_LOST));
+            }
         }
 
         @Override
@@ -301,14 +314,14 @@
             if (call.idempotent()) {
                 sending.cancel();
                 leaveSlot();
-            } else if (running) {
+            } else if (holdsSlot) {
                 timer = traffic.schedule(this::onStray, STRAY_MILLIS);
             }
             end(Reply.mayHaveRun(Refusal.DEADLINE));
         }
 
         private void onStray() {
-            if (running) {
+            if (holdsSlot) {
                 sending.cancel();
                 leaveSlot();
             }
@@ -319,8 +332,9 @@
         }
 
         private void leaveSlot() {
-            if (running) {
-                running = false;
+            if (holdsSlot) {
+                holdsSlot = false;
+                running.remove(call.id());
                 timer.cancel();
                 queue.leave(clock.nowMillis());
             }
@@ -333,6 +347,13 @@
             }
         }
 
+        @Override
+        public void withdraw() {
+            if (parked.remove(this) || queue.remove(entry)) {
+                refuse(Refusal.LEAVING, LEAST_RETRY_AFTER_MILLIS);
+            }
+        }
+
         @Override
         public void cancel() {
             if (ended) {
@@ -341,7 +362,7 @@
             ended = true;
             parked.remove(this);
             queue.remove(entry);
-            if (running && call.idempotent()) {
+            if (holdsSlot && call.idempotent()) {
                 sending.cancel();
                 leaveSlot();
             }
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerFrame.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerFrame.java
@@ -26,6 +26,7 @@
         RELEASE,
         USAGE,
         USAGE_REPLY,
+        WITHDRAW,
         PING,
         PONG;
 
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -97,9 +97,17 @@
                 frame -> onReply.accept(decodeReply(frame)),
                 sent -> onReply.accept(
                         sent ? Reply.mayHaveRun(Refusal.ANSWER_LOST) : Reply.notRun(Refusal.OWNER_UNREACHABLE, 0)));
-        return () -> {
-            if (link.forget(id)) {
-                link.tell(PeerFrame.Kind.CANCEL, id, NOTHING);
+        return new Cancellable() {
+            @Override
+            public void cancel() {
+                if (link.forget(id)) {
+                    link.tell(PeerFrame.Kind.CANCEL, id, NOTHING);
+                }
+            }
+
+            @Override
+            public void withdraw() {
+                link.tell(PeerFrame.Kind.WITHDRAW, id, NOTHING);
             }
         };
     }
@@ -168,6 +176,12 @@
                         work.cancel();
                     }
                 }
+                case WITHDRAW -> {
+                    Cancellable work = running.get(frame.id());
+                    if (work != null) {
+                        work.withdraw();
+                    }
+                }
                 case PING -> reply(context, PeerFrame.Kind.PONG, frame.id(), NOTHING);
                 case RENEW, GOSSIP, RELEASE, USAGE -> control.execute(() -> onControl(context, frame));
                 default -> log.event("peer-frame-unexpected", "kind", frame.kind());
--- a/src/test/java/org/siskindyke/kernel/call/AdmissionQueueTest.java
+++ b/src/test/java/org/siskindyke/kernel/call/AdmissionQueueTest.java
@@ -13,6 +13,10 @@
     private final ServiceTimes times = new ServiceTimes();
     private final AdmissionQueue queue = new AdmissionQueue(1, times);
 
+    AdmissionQueueTest() {
+        times.onEnded("k", 100, 0);
+    }
+
     private AdmissionQueue.Entry entry(
             String name, int priority, long objectiveMillis, long deadlineMillis, boolean nested, boolean movable) {
         CallUrgency urgency = new CallUrgency("k", priority, objectiveMillis, nested, movable);
@@ -36,6 +40,15 @@
         assertEquals(List.of("first", "nested", "order", "soon", "late"), events);
     }
 
+    @Example
+    void callsThatHaveMissedTheirObjectiveWaitBehindThoseThatCanMeetIt() {
+        queue.enter(entry("first", 2, 500, 9_000, false, false), 0);
+        queue.enter(entry("missed", 2, 150, 9_000, false, false), 0);
+        queue.enter(entry("meets", 2, 900, 9_000, false, false), 0);
+        queue.leave(200);
+        assertEquals(List.of("first", "meets"), events);
+    }
+
     @Example
     void aCallThatCannotEndBeforeItsDeadlineIsRefusedAtOnce() {
         queue.enter(entry("running", 1, 500, 9_000, false, false), 0);
@@ -75,7 +88,7 @@
         for (; nowMillis < 10_000; nowMillis++) {
             long present = nowMillis;
             while (ends.remove(present)) {
-                times.onEnded("k", 100);
+                times.onEnded("k", 100, present);
                 loaded.leave(present);
             }
             if (nowMillis % 50 == 0) {
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/call/ServiceTimesTest.java
@@ -0,0 +1,45 @@
+package org.siskindyke.kernel.call;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.Example;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ServiceTimesTest {
+    /**
+     * Pattern: after a restart long calls end first; short ones with a short deadline, which running calls wait for,
+     * were taken for as long and refused for good, so that all those running calls failed.
+     */
+    @Example
+    void shortCallsOfAnUnknownKindAreLetInBesideLongOnes() {
+        ServiceTimes times = new ServiceTimes();
+        for (int i = 0; i < 100; i++) {
+            times.onEnded("booking", 1_200, 0);
+        }
+        AdmissionQueue queue = new AdmissionQueue(6, times);
+        List<String> events = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            queue.enter(entry("booking", 5_000, false, events), 0);
+        }
+        queue.enter(entry("slots", 600, true, events), 0);
+        queue.leave(10);
+        assertEquals("slots", events.get(6));
+    }
+
+    @Example
+    void anEstimateFadesWhileItsKindIsRefused() {
+        ServiceTimes times = new ServiceTimes();
+        times.onEnded("slots", 2_000, 0);
+        assertTrue(times.millis("slots", 100) > 1_000);
+        assertTrue(times.millis("slots", 8_000) < 100);
+    }
+
+    private static AdmissionQueue.Entry entry(String kind, long deadlineMillis, boolean nested, List<String> events) {
+        CallUrgency urgency = new CallUrgency(kind, 1, deadlineMillis / 2, nested, false);
+        return new AdmissionQueue.Entry(
+                urgency, deadlineMillis, () -> events.add(kind), (cause, retry) -> events.add(kind + " " + cause));
+    }
+}
