--- a/src/main/java/org/siskindyke/platform/SelfCheck.java
+++ b/src/main/java/org/siskindyke/platform/SelfCheck.java
@@ -33,6 +33,11 @@
     private static final int ROUNDS = 100;
     private static final int KEY_STEP = 601;
     private static final String HOST = "127.0.0.1";
+    private static final String SETTINGS = "{\"node_name\":\"n\",\"zone\":\"z\",\"service\":\"s\",\"listen\":{"
+            + "\"inbound\":\"127.0.0.1:1\",\"outbound\":\"127.0.0.1:2\",\"ready\":\"127.0.0.1:3\","
+            + "\"control\":\"127.0.0.1:4\"},\"platform\":{\"address\":\"127.0.0.1:5\"},\"heartbeat_ms\":100,"
+            + "\"bounds\":{\"drain_ms\":2000,\"grace_s\":6,\"hold_max_ms\":10000,\"retry_budget_ratio\":0.2,"
+            + "\"budget_extra\":60,\"budget_window_s\":10}}";
     private static final String CONFIGURATION = "{\"version\":\"r1\",\"services\":[{\"name\":\"keyed\","
             + "\"max_connections\":20,\"sharded\":true},{\"name\":\"plain\",\"max_connections\":20}],"
             + "\"virtual_hosts\":[{\"hostname\":\"127.0.0.1\",\"paths\":["
@@ -50,6 +55,7 @@
      * @return whether all requests were answered
      */
     static boolean run(PrintStream out) throws InterruptedException {
+        SettingsReader.parse(SETTINGS);
         TrafficLoop traffic = new TrafficLoop();
         EventLog log = new EventLog("self-check", new PrintStream(PrintStream.nullOutputStream()));
         StoreStandin store = new StoreStandin(traffic, SystemMonotonicClock.INSTANCE);
