Keep metrics, name the cause of lost answers, test what faulty backend servers send

Change: counters and latency histograms on port 9464; the gate logs why an answer was lost (the cause was dropped before) and says NOT_GRANTED where its backend server holds no grant; a nested call waits for its key's owner while it can still end in time.

--- a/src/main/java/org/siskindyke/kernel/call/Refusal.java
+++ b/src/main/java/org/siskindyke/kernel/call/Refusal.java
@@ -18,6 +18,9 @@
     NOT_OWNER(503),
     /** The owner holds no valid lease. */
     NO_LEASE(503),
+    /** The owner's backend server has not been granted the slice yet, or its grant has lapsed. */
+    NOT_GRANTED(503),
+
     /** The slice is being handed to another owner. */
     MOVING(503),
     /** The target's slots are used and its queue is full. */
@@ -64,6 +67,7 @@
                     OWNER_UNREACHABLE,
                     NOT_OWNER,
                     NO_LEASE,
+                    NOT_GRANTED,
                     MOVING,
                     TARGET_REFUSED,
                     TARGET_UNREACHABLE,
--- a/src/main/java/org/siskindyke/platform/PlatformRouter.java
+++ b/src/main/java/org/siskindyke/platform/PlatformRouter.java
@@ -29,6 +29,12 @@
         new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, new HeartbeatEndpoint(router, log))
                 .listen(addresses.heartbeats());
         new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, router.readiness()).listen(addresses.readiness());
+        new HttpListener(
+                        traffic,
+                        clock,
+                        () -> CallerLimits.DEFAULT,
+                        router.metrics().handler())
+                .listen(addresses.metrics());
         return router;
     }
 }
--- a/src/main/java/org/siskindyke/platform/SelfCheck.java
+++ b/src/main/java/org/siskindyke/platform/SelfCheck.java
@@ -82,7 +82,8 @@
                 InstanceName.of("instance-" + service),
                 FailureDomain.of(domain),
                 ServiceName.of(service),
-                new InstanceSettings.Addresses(freeAddress(), freeAddress(), freeAddress(), freeAddress()),
+                new InstanceSettings.Addresses(
+                        freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()),
                 store,
                 HEARTBEAT,
                 new InstanceSettings.Bounds(
--- a/src/main/java/org/siskindyke/platform/SettingsReader.java
+++ b/src/main/java/org/siskindyke/platform/SettingsReader.java
@@ -21,6 +21,9 @@
     /** The variable that holds the path of the settings file. */
     static final String PATH_VARIABLE = "SISKINDYKE_NODE_FILE";
 
+    /** Where metrics are collected; {@code deploy/system.toml} names it too. */
+    private static final int METRICS_PORT = 9464;
+
     private SettingsReader() {}
 
     /**
@@ -62,7 +65,8 @@
                         address(root, "/listen/outbound"),
                         address(root, "/listen/inbound"),
                         address(root, "/listen/ready"),
-                        address(root, "/listen/control")),
+                        address(root, "/listen/control"),
+                        new InetSocketAddress(address(root, "/listen/inbound").getAddress(), METRICS_PORT)),
                 address(root, "/platform/address"),
                 Duration.ofMillis((long) number(root, "/heartbeat_ms")),
                 bounds(root));
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -12,8 +12,8 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
-import org.siskindyke.kernel.balance.LevelUsagePolicy;
 import org.siskindyke.kernel.balance.NearbyFirst;
+import org.siskindyke.kernel.balance.RelieveOverloadPolicy;
 import org.siskindyke.kernel.call.SendBudget;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.ConfigurationText;
@@ -59,6 +59,9 @@
     private static final int SLICES = 128;
 
     private static final long TICK_MILLIS = 50;
+    /** Time after a start from which metrics are kept; a router serves within two seconds. */
+    private static final long METRICS_AFTER_MILLIS = 4_000;
+
     private static final long REJOIN_MILLIS = 200;
     /** Lease beyond two heartbeats, so that a hold outlasts one that is lost and a renewal that is late. */
     private static final long LEASE_BEYOND_HEARTBEATS_MILLIS = 1_500;
@@ -95,6 +98,7 @@
     private final CallDirector director;
     private final TargetKeeper targets;
     private final RequestLog requests;
+    private final RouterMetrics metrics = new RouterMetrics();
     private final HttpListener callers;
     private final SuspensionDetector suspension;
     private volatile ControlNode node;
@@ -139,7 +143,8 @@
                         .owner(slice)
                         .filter(owner -> node.row().id().equals(owner.member()))
                         .isPresent(),
-                () -> control.execute(() -> targets().onUnreachable(clock.nowMillis())));
+                () -> control.execute(() -> targets().onUnreachable(clock.nowMillis())),
+                log);
         this.peers = new PeerNetwork(traffic, control, clock, gate, log);
         this.requests = new RequestLog(log, clock);
         this.director = new CallDirector(
@@ -190,6 +195,7 @@
         control.repeat(this::tick, TICK_MILLIS);
         traffic.repeat(gate::tick, TICK_MILLIS);
         traffic.repeat(requests::flush, TimeUnit.SECONDS.toMillis(5));
+        traffic.schedule(() -> metrics.start(gate::slotsUsed, gate::waiting, log::dropped), METRICS_AFTER_MILLIS);
         log.event(
                 "router-started",
                 "failureDomain",
@@ -200,6 +206,16 @@
                 settings.addresses().callers());
     }
 
+    private void onEnded(CallDirector.Outcome outcome) {
+        requests.onEnded(outcome);
+        metrics.onEnded(outcome);
+    }
+
+    /** Returns the metrics of this router. */
+    public RouterMetrics metrics() {
+        return metrics;
+    }
+
     /** Tells whether callers may be sent here. */
     public boolean isReady() {
         return configured && !stopping;
@@ -286,7 +302,8 @@
                 targets.announcements(),
                 null,
                 null);
-        ControlNode made = new ControlNode(context, template, targets.sliceTraffic(), meter, new LevelUsagePolicy());
+        ControlNode made =
+                new ControlNode(context, template, targets.sliceTraffic(), meter, new RelieveOverloadPolicy());
         made.setPredecessor(view -> predecessor(view, self, address));
         return made;
     }
--- a/src/main/java/org/siskindyke/runtime/InstanceSettings.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceSettings.java
@@ -33,12 +33,14 @@
      * @param peers for other routers
      * @param readiness for the question whether it takes requests
      * @param heartbeats for the backend server beside it
+     * @param metrics for whoever collects metrics
      */
     public record Addresses(
             InetSocketAddress callers,
             InetSocketAddress peers,
             InetSocketAddress readiness,
-            InetSocketAddress heartbeats) {}
+            InetSocketAddress heartbeats,
+            InetSocketAddress metrics) {}
 
     /**
      * Bounds that operators set.
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -14,15 +14,12 @@
     /** Failures that are logged one by one in each second; more are counted. */
     private static final int FAILURES_PER_SECOND = 50;
 
-    private static final long SECOND_MILLIS = 1_000;
     private static final int FIRST_FAILURE_STATUS = 400;
 
     private final EventLog log;
     private final MonotonicClock clock;
     private final Map<String, long[]> countsByRoute = new TreeMap<>();
-    private long secondStartMillis;
-    private int failuresThisSecond;
-    private long failuresNotLogged;
+    private final EventRate rate = new EventRate(FAILURES_PER_SECOND);
 
     RequestLog(EventLog log, MonotonicClock clock) {
         this.log = log;
@@ -40,14 +37,7 @@
     }
 
     private void onFailure(Outcome outcome) {
-        long nowMillis = clock.nowMillis();
-        if (nowMillis - secondStartMillis >= SECOND_MILLIS) {
-            secondStartMillis = nowMillis;
-            failuresThisSecond = 0;
-        }
-        failuresThisSecond++;
-        if (failuresThisSecond > FAILURES_PER_SECOND) {
-            failuresNotLogged++;
+        if (!rate.tryEvent(clock.nowMillis())) {
             return;
         }
         log.event(
@@ -79,9 +69,9 @@
         countsByRoute.forEach((route, counts) -> log.event(
                 "requests", "route", route, "answered", counts[0], "failed", counts[1], "millisInAll", counts[2]));
         countsByRoute.clear();
-        if (failuresNotLogged > 0 || log.dropped() > 0) {
-            log.event("log-limits", "failuresNotLogged", failuresNotLogged, "eventsDropped", log.dropped());
-            failuresNotLogged = 0;
+        long notLogged = rate.takeSuppressed();
+        if (notLogged > 0 || log.dropped() > 0) {
+            log.event("log-limits", "failuresNotLogged", notLogged, "eventsDropped", log.dropped());
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -0,0 +1,61 @@
+package org.siskindyke.runtime;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.siskindyke.runtime.call.Header;
+import org.siskindyke.runtime.traffic.CallDirector.Outcome;
+import org.siskindyke.runtime.traffic.Cancellable;
+import org.siskindyke.runtime.traffic.HttpExchange;
+
+/**
+ * Counters and latency histograms of a router. The registry is made some seconds after a start, since it takes a
+ * noticeable part of one; what ended before is not in the histograms. Confined to the traffic loop.
+ */
+public final class RouterMetrics {
+    private static final int OK = 200;
+    private static final Header TEXT = new Header("Content-Type", "text/plain; version=0.0.4; charset=utf-8");
+
+    private PrometheusMeterRegistry registry;
+
+    /** Makes the registry. */
+    void start(Supplier<Number> slotsUsed, Supplier<Number> callsWaiting, Supplier<Number> eventsDropped) {
+        registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        Gauge.builder("siskindyke.slots.used", slotsUsed).register(registry);
+        Gauge.builder("siskindyke.calls.waiting", callsWaiting).register(registry);
+        Gauge.builder("siskindyke.log.events.dropped", eventsDropped).register(registry);
+    }
+
+    /** Counts and times a request that has ended. */
+    void onEnded(Outcome outcome) {
+        if (registry == null) {
+            return;
+        }
+        Timer.builder("siskindyke.requests")
+                .tags(
+                        "route",
+                        String.valueOf(outcome.route()),
+                        "status",
+                        Integer.toString(outcome.status()),
+                        "cause",
+                        String.valueOf(outcome.refusal()))
+                .publishPercentileHistogram()
+                .register(registry)
+                .record(outcome.tookMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns a handler that writes all metrics as text. */
+    public HttpExchange.Handler handler() {
+        return (request, responder) -> {
+            String text = registry == null ? "" : registry.scrape();
+            responder.respond(new HttpExchange.Response(OK, List.of(TEXT), text.getBytes(StandardCharsets.UTF_8)));
+            return Cancellable.NONE;
+        };
+    }
+}
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDirector.java
@@ -314,7 +314,9 @@
 
         private void waitForOwner(Refusal cause) {
             long nowMillis = clock.nowMillis();
-            long untilMillis = startMillis + Math.min(OWNER_WAIT_MILLIS, (call.deadlineMillis() - startMillis) / 2);
+            long timeMillis = call.deadlineMillis() - startMillis;
+            long patienceMillis = call.urgency().nested() ? timeMillis - LEAST_TRY_MILLIS : timeMillis / 2;
+            long untilMillis = startMillis + Math.min(OWNER_WAIT_MILLIS, patienceMillis);
             if (nowMillis + OWNER_LOOK_MILLIS > untilMillis) {
                 refuse(cause, statusOf(verdict), NO_OWNER_RETRY_MILLIS);
                 return;
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -35,7 +35,6 @@
     private final Function<List<Header>, String> answeredRequest;
     private final Deque<HttpClientConnection> idle = new ArrayDeque<>();
     private final Set<HttpClientConnection> all = new HashSet<>();
-    private long opened;
 
     /** Learns what became of a request. */
     interface Outcome {
@@ -64,11 +63,6 @@
         this.answeredRequest = answeredRequest;
     }
 
-    /** Returns the number of connections opened so far. */
-    long opened() {
-        return opened;
-    }
-
     /**
      * Sends a request.
      *
@@ -96,7 +90,6 @@
         HttpClientConnection connection = new HttpClientConnection(answeredRequest, () -> putIdle(holder[0]));
         holder[0] = connection;
         all.add(connection);
-        opened++;
         boolean[] cancelled = new boolean[1];
         ChannelFuture connecting = traffic.connect(address, new ChannelInitializer<Channel>() {
             @Override
--- a/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
@@ -22,6 +22,8 @@
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.EventLog;
+import org.siskindyke.runtime.EventRate;
 import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.Header;
 import org.siskindyke.runtime.call.Headers;
@@ -39,6 +41,8 @@
     private static final long LATE_ANSWER_MILLIS = 150;
     /** How long a non-idempotent request may stay with the backend server after its deadline. */
     private static final long STRAY_MILLIS = 5_000;
+    /** Lost answers that are logged in each second. */
+    private static final int LOSSES_PER_SECOND = 20;
     /** When a refused caller may come back at the soonest. */
     private static final long LEAST_RETRY_AFTER_MILLIS = 100;
 
@@ -48,6 +52,8 @@
     private final SliceMeter meter;
     private final BiPredicate<ServiceName, SliceRef> owns;
     private final Runnable onUnreachable;
+    private final EventLog log;
+    private final EventRate lossRate = new EventRate(LOSSES_PER_SECOND);
     private final ServiceTimes times = new ServiceTimes();
     private final AdmissionQueue queue = new AdmissionQueue(0, times);
     private final List<Task> parked = new ArrayList<>();
@@ -58,7 +64,6 @@
     private BitSet granted = new BitSet();
     private long holdEndMillis;
     private long lastAnswerMillis = Long.MIN_VALUE / 2;
-    private long dispatched;
 
     /**
      * Creates a gate without a backend server.
@@ -69,6 +74,7 @@
      * @param meter counts calls by slice
      * @param owns tells whether this router owns a slice as far as it knows
      * @param onUnreachable runs when the backend server refuses connections
+     * @param log takes the causes of lost answers
      */
     public LocalGate(
             TrafficLoop traffic,
@@ -76,13 +82,15 @@
             CallDialect dialect,
             SliceMeter meter,
             BiPredicate<ServiceName, SliceRef> owns,
-            Runnable onUnreachable) {
+            Runnable onUnreachable,
+            EventLog log) {
         this.traffic = traffic;
         this.clock = clock;
         this.dialect = dialect;
         this.meter = meter;
         this.owns = owns;
         this.onUnreachable = onUnreachable;
+        this.log = log;
     }
 
     /** Takes over what the backend server announces; another name or address ends what was sent to the one before. */
@@ -147,19 +155,19 @@
         return running.contains(requestId);
     }
 
-    /** Returns the calls that wait or run. */
-    public int unanswered() {
-        return queue.used() + queue.waiting() + parked.size();
+    /** Returns the slots in use. */
+    public int slotsUsed() {
+        return queue.used();
     }
 
-    /** Returns the connections to backend servers that were opened and the requests that were sent. */
-    public long dispatched() {
-        return dispatched;
+    /** Returns the calls that wait for a slot or for a grant. */
+    public int waiting() {
+        return queue.waiting() + parked.size();
     }
 
-    /** Returns the connections opened to the present backend server. */
-    public long connectionsOpened() {
-        return pool == null ? 0 : pool.opened();
+    /** Returns the calls that wait or run. */
+    public int unanswered() {
+        return queue.used() + queue.waiting() + parked.size();
     }
 
     /** Refuses calls that have waited for too long. Called every few tens of milliseconds. */
@@ -170,7 +178,7 @@
                 .filter(t -> nowMillis >= t.parkedUntilMillis || !t.isOwned())
                 .toList();
         parked.removeAll(late);
-        late.forEach(t -> t.refuse(t.isOwned() ? Refusal.NO_LEASE : Refusal.NOT_OWNER, GRANT_WAIT_MILLIS / 2));
+        late.forEach(t -> t.refuse(t.isOwned() ? Refusal.NOT_GRANTED : Refusal.NOT_OWNER, GRANT_WAIT_MILLIS / 2));
     }
 
     /**
@@ -236,12 +244,18 @@
         private void park() {
             long nowMillis = clock.nowMillis();
             if (parkedUntilMillis == 0) {
-                long halfLeftMillis = call.remainingMillis(nowMillis) / 2;
-                parkedUntilMillis = nowMillis + Math.min(GRANT_WAIT_MILLIS, halfLeftMillis);
+                parkedUntilMillis = nowMillis + Math.min(GRANT_WAIT_MILLIS, patienceMillis(nowMillis));
             }
             parked.add(this);
         }
 
+        /** Returns how long to wait; a call that a running one waits for takes that one down when it is refused. */
+        private long patienceMillis(long nowMillis) {
+            long leftMillis = call.remainingMillis(nowMillis);
+            double ownMillis = times.millis(call.urgency().kind(), nowMillis);
+            return call.urgency().nested() ? (long) (leftMillis - ownMillis) : leftMillis / 2;
+        }
+
         private void onAdmitted() {
             holdsSlot = true;
             running.add(call.id());
@@ -253,7 +267,6 @@
             }
             long remainingMillis = call.remainingMillis(nowMillis);
             sentMillis = nowMillis;
-            dispatched++;
             timer = traffic.schedule(this::onDeadline, remainingMillis + LATE_ANSWER_MILLIS);
             sending = pool.send(request(remainingMillis), call.id(), this);
         }
@@ -294,6 +307,7 @@
             } else if (dialect.isGenuine(status, headers)) {
                 end(Reply.answer(status, Headers.endToEnd(headers), body));
             } else {
+                logLoss("a success without a signature");
                 end(Reply.mayHaveRun(Refusal.ANSWER_LOST));
             }
         }
@@ -301,6 +315,7 @@
         @Override
         public void onLost(boolean sent, String cause) {
             leaveSlot();
+            logLoss(cause);
             if (!sent) {
                 onUnreachable.run();
             }
@@ -310,6 +325,12 @@
                             : Reply.notRun(Refusal.TARGET_UNREACHABLE, LEAST_RETRY_AFTER_MILLIS));
         }
 
+        private void logLoss(String cause) {
+            if (lossRate.tryEvent(clock.nowMillis())) {
+                log.event("target-answer-lost", "request", call.id(), "target", target.name(), "cause", cause);
+            }
+        }
+
         private void onDeadline() {
             if (call.idempotent()) {
                 sending.cancel();
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/balance/NearbyFirstTest.java
@@ -0,0 +1,78 @@
+package org.siskindyke.kernel.balance;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.Example;
+import org.siskindyke.kernel.id.FailureDomain;
+import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberAddress;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class NearbyFirstTest {
+    private static final long NOW_MILLIS = 10_000;
+    private final Map<MemberId, TargetView> views = new HashMap<>();
+    private final NearbyFirst choice = new NearbyFirst(FailureDomain.of("here"));
+    private final MemberRow near = member("near", "here");
+    private final MemberRow far = member("far", "there");
+
+    private static MemberRow member(String name, String domain) {
+        MemberId id = MemberId.of(InstanceName.of(name), 1);
+        MemberAddress address = new MemberAddress("127.0.0.1", 1, 2, 3);
+        return new MemberRow(
+                id,
+                InstanceName.of(name),
+                FailureDomain.of(domain),
+                address,
+                MemberState.ALIVE,
+                1,
+                MemberId.TABLE,
+                List.of(),
+                null,
+                null);
+    }
+
+    private TargetView view(MemberId id) {
+        return views.computeIfAbsent(id, i -> new TargetView());
+    }
+
+    private MemberRow choose(long leftMillis, Set<MemberId> tried) {
+        return choice.choose(List.of(far, near), tried, this::view, leftMillis, NOW_MILLIS)
+                .orElseThrow();
+    }
+
+    @Example
+    void callsStayNearbyWhileTheyEndInTime() {
+        view(near.id()).onReport(new TargetReport(4, 4, 2, 100), NOW_MILLIS);
+        view(far.id()).onReport(new TargetReport(4, 0, 0, 100), NOW_MILLIS);
+        assertEquals(near, choose(300, Set.of()));
+    }
+
+    /** Pattern: the nearby target is full and others are free; calls that would be late there go elsewhere. */
+    @Example
+    void callsThatWouldBeLateNearbyGoElsewhere() {
+        view(near.id()).onReport(new TargetReport(4, 4, 20, 100), NOW_MILLIS);
+        view(far.id()).onReport(new TargetReport(4, 0, 0, 100), NOW_MILLIS);
+        assertEquals(far, choose(300, Set.of()));
+    }
+
+    @Example
+    void aTargetThatCouldNotBeReachedIsTheLastChoice() {
+        view(near.id()).avoidUntil(NOW_MILLIS + 1_000);
+        assertEquals(far, choose(300, Set.of()));
+        assertEquals(near, choose(300, Set.of(far.id())));
+    }
+
+    @Example
+    void aTargetThatWasTriedIsNotChosenAgain() {
+        assertTrue(choice.choose(List.of(near), Set.of(near.id()), this::view, 300, NOW_MILLIS)
+                .isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -0,0 +1,119 @@
+package org.siskindyke.runtime.traffic;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import net.jqwik.api.Example;
+import org.siskindyke.runtime.call.Header;
+import org.siskindyke.runtime.call.Headers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What faulty backend servers send: other answers, more bytes, no length, an end in the middle. */
+class HttpClientConnectionTest {
+    private final List<String> outcomes = new ArrayList<>();
+    private int idle;
+    private final HttpClientConnection connection =
+            new HttpClientConnection(headers -> Headers.firstIgnoringCase(headers, "Id"), () -> idle++);
+    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+
+    private void send(String id) {
+        connection.send(
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                id,
+                new HttpClientPool.Outcome() {
+                    @Override
+                    public void onAnswer(int status, List<Header> headers, byte[] body) {
+                        outcomes.add(status + " " + new String(body, StandardCharsets.US_ASCII));
+                    }
+
+                    @Override
+                    public void onLost(boolean sent, String cause) {
+                        outcomes.add("lost " + sent);
+                    }
+                });
+    }
+
+    private void receive(String bytes) {
+        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+    }
+
+    @Example
+    void aWholeAnswerFreesTheConnection() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nhi");
+        assertEquals(List.of("200 hi"), outcomes);
+        assertEquals(1, idle);
+        assertTrue(connection.isUsable());
+    }
+
+    @Example
+    void anAnswerToAnotherRequestIsDroppedAndTheOwnOneStillTaken() {
+        send("b");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nold");
+        receive("HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 3\r\n\r\nnew");
+        assertEquals(List.of("200 new"), outcomes);
+        assertEquals(0, idle);
+        assertFalse(connection.isUsable());
+    }
+
+    @Example
+    void bytesBehindAnAnswerEndTheConnection() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+        assertEquals(List.of("200 hi"), outcomes);
+        assertEquals(0, idle);
+        assertFalse(connection.isUsable());
+    }
+
+    @Example
+    void anAnswerCutShortIsLost() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nhi");
+        channel.close();
+        assertEquals(List.of("lost true"), outcomes);
+    }
+
+    @Example
+    void aHeaderSectionCutShortIsLost() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\n");
+        channel.close();
+        assertEquals(List.of("lost true"), outcomes);
+    }
+
+    @Example
+    void anAnswerWithoutLengthEndsWithItsConnection() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole");
+        channel.close();
+        assertEquals(List.of("200 whole"), outcomes);
+        assertFalse(connection.isUsable());
+    }
+
+    @Example
+    void anAnswerWithoutLengthWhoseConnectionIsResetIsLost() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\n\r\npart");
+        channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+        channel.close();
+        assertEquals(List.of("lost true"), outcomes);
+    }
+
+    @Example
+    void bytesThatAreNoAnswerLoseTheRequest() {
+        send("a");
+        receive("nonsense\r\n\r\n");
+        assertEquals(List.of("lost true"), outcomes);
+    }
+}
