--- a/src/main/java/org/siskindyke/kernel/balance/TargetUsage.java
+++ b/src/main/java/org/siskindyke/kernel/balance/TargetUsage.java
@@ -25,6 +25,11 @@
         return (callsPerSecond + IDLE_SLICE_CALLS_PER_SECOND * sliceCount) * costPerCall();
     }
 
+    /** Returns the share of the slots that calls used. */
+    public double busyShare() {
+        return callsPerSecond * costPerCall();
+    }
+
     /** Returns the calls each second that a slice stands for. */
     static double weight(double sliceCallsPerSecond) {
         return sliceCallsPerSecond + IDLE_SLICE_CALLS_PER_SECOND;
--- /dev/null
+++ b/src/test/java/org/siskindyke/kernel/balance/RelieveOverloadPolicyTest.java
@@ -0,0 +1,54 @@
+package org.siskindyke.kernel.balance;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.Example;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RelieveOverloadPolicyTest {
+    private final RelieveOverloadPolicy policy = new RelieveOverloadPolicy();
+
+    private static TargetUsage usage(double callsPerSecond, int sliceCount) {
+        return new TargetUsage(callsPerSecond, 100, 12, sliceCount);
+    }
+
+    private static List<SliceLoad> slices(int count, double each, double hottest) {
+        List<SliceLoad> slices = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            slices.add(new SliceLoad(i, i == 0 ? hottest : each));
+        }
+        return slices;
+    }
+
+    /** Pattern: a calm day with targets of different speed; every move left keys unserved and helped nobody. */
+    @Example
+    void anUnevenLoadThatBothHaveRoomForMovesNothing() {
+        assertEquals(List.of(), policy.choose(null, usage(80, 32), slices(32, 2.5, 2.5), usage(20, 32)));
+    }
+
+    /** Pattern: one hot key fills a target; the key stays and the rest goes, in one move. */
+    @Example
+    void aTargetFilledByOneHotSliceGivesItsOtherSlicesAway() {
+        List<Integer> moved = policy.choose(null, usage(115, 32), slices(32, 1.2, 78), usage(40, 32));
+        assertFalse(moved.contains(0));
+        assertEquals(8, moved.size());
+    }
+
+    @Example
+    void aTargetWithNextToNoSlicesGetsHalfOfTheDifference() {
+        assertEquals(
+                16,
+                policy.choose(null, usage(30, 32), slices(32, 1, 1), usage(0, 0))
+                        .size());
+    }
+
+    @Example
+    void noMoreIsMovedThanTheDifferenceCallsFor() {
+        List<Integer> moved = policy.choose(null, usage(110, 4), slices(4, 27, 27), usage(80, 4));
+        assertTrue(moved.size() <= 1);
+    }
+}
