Keep a restarted router's slices while its backend server may still hold them

In the log: joined and TAKEOVER of 24 slices at 26.97 s, target-started after it, the heirs' grants at 27.55 s, the hold until 28.6 s. Ruled out: leases that overlap (no lease-ended, no suspension-noticed); moves (each was committed by its owner). Change: a joining router names its predecessor's targets until it hears its own; grants of an earlier life count as held for the longest hold; a backend server that is not heard by then is handed over. Conclusion: what was granted outlives its grantor; the table alone does not tell.

--- a/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/HolderDuty.java
@@ -149,7 +149,17 @@
         search.start();
     }
 
+    /**
+     * Returns the targets to join with. A router that has not heard its backend server yet names those of its
+     * predecessor, which may still hold their keys: without a target the keys would go to others at once.
+     */
+    static List<TargetAnnouncement> targetsAtJoin(List<TargetAnnouncement> heard, Optional<MemberRow> predecessor) {
+        return heard.isEmpty() ? predecessor.map(MemberRow::targets).orElse(heard) : heard;
+    }
+
     private void join(MemberId grantor) {
+        Optional<MemberRow> gone = predecessor.find(context.view());
+        wantedTargets = targetsAtJoin(wantedTargets, gone);
         MemberRow joining = new MemberRow(
                 row.id(),
                 row.instance(),
@@ -163,7 +173,6 @@
                 null);
         Transaction.Builder transaction =
                 Transaction.builder().replace(RowPath.member(row.id()), 0, RowCodec.encode(joining));
-        Optional<MemberRow> gone = predecessor.find(context.view());
         Optional<TakeoverPlan> takeover = gone.map(g -> TakeoverPlan.declareDead(context.view(), g, row.id(), joining));
         takeover.ifPresent(plan -> transaction.addAll(plan.transaction().build()));
         writing = true;
--- a/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
+++ b/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
@@ -44,18 +44,21 @@
     private long bornMillis = Long.MIN_VALUE;
     private long sequence;
     private long life;
-    private long holdEndMillis = Long.MIN_VALUE;
+    private long holdEndMillis;
     private BitSet granted = new BitSet();
 
     /**
-     * Creates the grants of one service.
+     * Creates the grants of one service. Until the longest hold has passed, the backend server may hold what an earlier
+     * life of this router granted.
      *
      * @param slices number of slices of the service
      * @param longestHoldMillis longest hold to grant
+     * @param nowMillis the present
      */
-    public TargetGrants(int slices, long longestHoldMillis) {
+    public TargetGrants(int slices, long longestHoldMillis, long nowMillis) {
         this.slices = slices;
         this.longestHoldMillis = longestHoldMillis;
+        this.holdEndMillis = nowMillis + (long) (longestHoldMillis * SLOW_CLOCK);
     }
 
     /** A slice that is being taken back. */
--- a/src/main/java/org/siskindyke/runtime/TargetKeeper.java
+++ b/src/main/java/org/siskindyke/runtime/TargetKeeper.java
@@ -51,6 +51,7 @@
     private boolean leaving;
     private boolean lost;
     private long heardMillis;
+    private final long startedMillis;
 
     TargetKeeper(
             InstanceSettings settings,
@@ -65,7 +66,8 @@
         this.traffic = traffic;
         this.gate = gate;
         this.log = log;
-        this.grants = new TargetGrants(slices, longestHoldMillis);
+        this.startedMillis = clock.nowMillis();
+        this.grants = new TargetGrants(slices, longestHoldMillis, clock.nowMillis());
     }
 
     /** Returns what other routers are told of the backend server. */
@@ -183,10 +185,11 @@
 
     void tick(ControlNode node) {
         long nowMillis = clock.nowMillis();
+        grants.tick(nowMillis);
         if (last == null) {
+            giveUpUnheard(node, nowMillis);
             return;
         }
-        grants.tick(nowMillis);
         boolean silent = nowMillis - heardMillis > settings.heartbeat().toMillis() * MISSING_HEARTBEATS;
         if (silent && !lost && isUseless(nowMillis)) {
             markLost("no heartbeats");
@@ -196,6 +199,19 @@
         }
     }
 
+    /** Hands over what a predecessor left where its backend server does not return. */
+    private void giveUpUnheard(ControlNode node, long nowMillis) {
+        boolean announced = node.row().targets().stream().anyMatch(TargetAnnouncement::accepting);
+        if (announced && !lost && nowMillis >= grants.holdEndMillis()) {
+            lost = true;
+            log.event("target-unheard", "sinceMillis", nowMillis - startedMillis);
+            node.setTargets(node.row().targets().stream()
+                    .map(t -> new TargetAnnouncement(
+                            t.service(), t.target(), t.host(), t.port(), false, t.checksGrants()))
+                    .toList());
+        }
+    }
+
     private boolean isUseless(long nowMillis) {
         if (divided) {
             return nowMillis >= grants.holdEndMillis();
--- a/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
+++ b/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
@@ -26,7 +26,7 @@
     private static final int KEYS_PER_SLICE = KeyRange.KEYS / SLICES;
     private static final long LONG_LEASE = 1_000_000;
     private static final long HOLD_MILLIS = 3_000;
-    private final TargetGrants grants = new TargetGrants(SLICES, HOLD_MILLIS);
+    private final TargetGrants grants = new TargetGrants(SLICES, HOLD_MILLIS, 0);
 
     private static TargetHeartbeat heartbeat(long born, long sequence, List<HeldRange> held) {
         return heartbeat(born, sequence, held, List.of());
@@ -83,7 +83,7 @@
     @Example
     void aRestartedRouterGoesOnWithTheTokenThatItsPredecessorGranted() {
         GrantReply before = grants.onHeartbeat(heartbeat(1, 1, List.of()), slices(3, 0, 1), LONG_LEASE, 0);
-        TargetGrants restarted = new TargetGrants(SLICES, HOLD_MILLIS);
+        TargetGrants restarted = new TargetGrants(SLICES, HOLD_MILLIS, 0);
         GrantReply after = restarted.onHeartbeat(heartbeat(1, 2, holding(before)), slices(4, 0, 1), LONG_LEASE, 0);
         assertEquals(before.ranges(), after.ranges());
     }
@@ -114,6 +114,17 @@
         assertEquals(1, released[0]);
     }
 
+    /** Pattern: a router restarts and its slices move before it has heard its backend server, which holds them. */
+    @Example
+    void whatAPredecessorMayHaveGrantedIsNotFreeBeforeItHasLapsed() {
+        int[] released = new int[1];
+        grants.revoke(List.of(0), 100, () -> released[0]++);
+        grants.tick(HOLD_MILLIS);
+        assertEquals(0, released[0]);
+        grants.tick((long) (HOLD_MILLIS * 1.03) + 1);
+        assertEquals(1, released[0]);
+    }
+
     @Example
     void theHandoverOfTheLastHolderComesWithTheFirstGrantOnly() {
         List<HeldSlice> owned = List.of(new HeldSlice(2, 5, 0, "warm"));
@@ -146,7 +157,7 @@
                 routers.remove(owner);
                 generation++;
             }
-            TargetGrants router = routers.computeIfAbsent(owner, o -> new TargetGrants(SLICES, HOLD_MILLIS));
+            TargetGrants router = routers.computeIfAbsent(owner, o -> new TargetGrants(SLICES, HOLD_MILLIS, 0));
             long born = births.computeIfAbsent(owner, o -> 1L);
             long sequence = sequences.merge(owner, 1L, Long::sum);
             String life = owner + "/" + born;
@@ -164,7 +175,7 @@
     /** Pattern: many slices with a handover each; the acknowledgement must fit into 4 KiB. */
     @Example
     void manyHandoversStillFitIntoTheAcknowledgement() {
-        TargetGrants many = new TargetGrants(128, HOLD_MILLIS);
+        TargetGrants many = new TargetGrants(128, HOLD_MILLIS, 0);
         List<HeldSlice> owned = new ArrayList<>();
         for (int i = 0; i < 128; i++) {
             owned.add(new HeldSlice(i, 100 + i % 2, 0, "0123456789abcdef"));
