Read no further request on a connection once a stopping router has closed its listener

Ruled out: the listener itself (new connections were refused); forwards of other routers (refused as not run). Change: at the close a connection reads no further request and ends after the answers it owes. HttpListenerTest holds the pattern.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -88,12 +88,12 @@
         closing = true;
     }
 
-    /** Stops listening and closes the connections on which nothing is unanswered. */
+    /** Stops listening, reads no further requests and closes each connection after its last answer. */
     public void close() {
         if (channel != null) {
             channel.close();
         }
-        List.copyOf(connections).forEach(HttpServerConnection::closeIfIdle);
+        List.copyOf(connections).forEach(HttpServerConnection::closeAfterAnswers);
     }
 
     private void sweep() {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -83,9 +83,12 @@
         return exchanges.size();
     }
 
-    void closeIfIdle() {
+    /** Reads no further request and ends the connection after the answers to those that were read. */
+    void closeAfterAnswers() {
+        ignoring = true;
         closeAfterLast = true;
-        if (exchanges.isEmpty() && head == null) {
+        dropPartial();
+        if (exchanges.isEmpty()) {
             channel.close();
         }
     }
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -25,24 +25,25 @@
 /** The two trials in which a server of one request at a time failed, and requests that could be read in two ways. */
 class HttpListenerTest {
     private static final int WAIT_SECONDS = 10;
+    /** Rounds of the loop after which it has read what lies in the socket. */
+    private static final int LOOP_ROUNDS = 4;
+
     private final TrafficLoop traffic = new TrafficLoop();
     private final LinkedBlockingQueue<HttpExchange.Responder> started = new LinkedBlockingQueue<>();
     private final CountDownLatch cancelled = new CountDownLatch(1);
     private int port;
+    private HttpListener listener;
 
     private Socket connect() throws IOException {
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
-        new HttpListener(
-                        traffic,
-                        () -> System.nanoTime() / 1_000_000,
-                        () -> CallerLimits.DEFAULT,
-                        (request, responder) -> {
-                            started.add(responder);
-                            return cancelled::countDown;
-                        })
-                .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        listener = new HttpListener(
+                traffic, () -> System.nanoTime() / 1_000_000, () -> CallerLimits.DEFAULT, (request, responder) -> {
+                    started.add(responder);
+                    return cancelled::countDown;
+                });
+        listener.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
         return socket;
@@ -53,6 +54,15 @@
         traffic.close();
     }
 
+    private void runOnLoop(Runnable action) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        traffic.execute(() -> {
+            action.run();
+            done.countDown();
+        });
+        assertTrue(done.await(WAIT_SECONDS, TimeUnit.SECONDS));
+    }
+
     private static void send(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
         socket.getOutputStream().flush();
@@ -89,6 +99,24 @@
         assertTrue(cancelled.await(WAIT_SECONDS, TimeUnit.SECONDS));
     }
 
+    /** Pattern: a caller that always has one more request on its connection kept a stopping router from ending. */
+    @Example
+    void aClosingServerReadsNoFurtherRequestOnABusyConnection() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            HttpExchange.Responder first = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            runOnLoop(listener::close);
+            send(socket, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            for (int round = 0; round < LOOP_ROUNDS; round++) {
+                runOnLoop(() -> {});
+            }
+            traffic.execute(() -> first.respond(HttpExchange.Response.empty(201)));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 201") && answer.contains("connection: close"), answer);
+            assertEquals(0, started.size());
+        }
+    }
+
     @Example
     void requestsOfTwoLengthsAreRefusedAndNothingBehindThemRuns() throws Exception {
         List<String> bad = List.of(
