--- a/src/main/java/org/siskindyke/kernel/balance/TargetView.java
+++ b/src/main/java/org/siskindyke/kernel/balance/TargetView.java
@@ -45,11 +45,6 @@
         return nowMillis < avoidedUntilMillis;
     }
 
-    /** Returns the calls of this router that have not ended. */
-    public int inFlight() {
-        return inFlight;
-    }
-
     /** Returns how long a call that is sent now is expected to take, in milliseconds. */
     public double expectedMillis(long nowMillis) {
         boolean fresh = nowMillis - reportedMillis < REPORT_MILLIS;
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -1,8 +1,10 @@
 package org.siskindyke.runtime;
 
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -47,6 +49,7 @@
 import org.siskindyke.runtime.call.SliceMeter;
 import org.siskindyke.runtime.traffic.CallDialect;
 import org.siskindyke.runtime.traffic.CallDirector;
+import org.siskindyke.runtime.traffic.Cancellable;
 import org.siskindyke.runtime.traffic.HttpExchange;
 import org.siskindyke.runtime.traffic.HttpListener;
 import org.siskindyke.runtime.traffic.LocalGate;
@@ -164,7 +167,7 @@
         this.callers = new HttpListener(traffic, clock, () -> limits, director);
     }
 
-    private java.util.OptionalInt gateSlots(ServiceName service) {
+    private OptionalInt gateSlots(ServiceName service) {
         return gate.slots(service);
     }
 
@@ -233,8 +236,7 @@
      * @param address where the backend server takes requests
      * @param onReply takes the answer, on the traffic loop
      */
-    public void onHeartbeat(
-            TargetHeartbeat heartbeat, java.net.InetSocketAddress address, Consumer<GrantReply> onReply) {
+    public void onHeartbeat(TargetHeartbeat heartbeat, InetSocketAddress address, Consumer<GrantReply> onReply) {
         control.execute(() -> {
             checkSuspension();
             GrantReply reply = targets.onHeartbeat(heartbeat, address, node, settingsOf(heartbeat.service()));
@@ -413,7 +415,7 @@
     public HttpExchange.Handler readiness() {
         return (request, responder) -> {
             responder.respond(HttpExchange.Response.empty(isReady() ? 200 : 503));
-            return org.siskindyke.runtime.traffic.Cancellable.NONE;
+            return Cancellable.NONE;
         };
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
@@ -167,7 +168,7 @@
 
     /** Returns the calls that wait or run. */
     public int unanswered() {
-        return queue.used() + queue.waiting() + parked.size();
+        return slotsUsed() + waiting();
     }
 
     /** Refuses calls that have waited for too long. Called every few tens of milliseconds. */
@@ -297,8 +298,7 @@
                 lastAnswerMillis = nowMillis;
                 times.onEnded(call.urgency().kind(), nowMillis - sentMillis, nowMillis);
                 if (call.slice() != null) {
-                    meter.onCall(
-                            call.slice(), java.util.concurrent.TimeUnit.MILLISECONDS.toNanos(nowMillis - sentMillis));
+                    meter.onCall(call.slice(), TimeUnit.MILLISECONDS.toNanos(nowMillis - sentMillis));
                 }
             }
             leaveSlot();
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerFrame.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerFrame.java
@@ -8,12 +8,6 @@
  * @param payload a Thrift message in the compact protocol; empty for some kinds
  */
 record PeerFrame(Kind kind, long id, byte[] payload) {
-    private static final byte[] NOTHING = {};
-
-    static PeerFrame of(Kind kind, long id) {
-        return new PeerFrame(kind, id, NOTHING);
-    }
-
     /** Kinds of messages; the position is the code on the wire. */
     enum Kind {
         FORWARD,
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
@@ -21,6 +21,8 @@
     /** Silence after that question which ends the connection; a busy peer answers within its scheduling delay. */
     private static final long DEAD_AFTER_MILLIS = 700;
 
+    private static final byte[] NOTHING = {};
+
     private final TrafficLoop traffic;
     private final MonotonicClock clock;
     private final InetSocketAddress address;
@@ -127,7 +129,7 @@
             pingMillis = 0;
         } else if (pingMillis == 0) {
             pingMillis = nowMillis;
-            tell(PeerFrame.Kind.PING, 0, PeerFrame.of(PeerFrame.Kind.PING, 0).payload());
+            tell(PeerFrame.Kind.PING, 0, NOTHING);
         } else if (nowMillis - pingMillis > DEAD_AFTER_MILLIS) {
             channel.close();
         }
--- a/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -1,6 +1,7 @@
 package org.siskindyke.runtime.traffic;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -20,6 +21,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
 
@@ -51,8 +53,7 @@
 
     /** Runs an action on the loop after a delay; the result gives it up. */
     public Cancellable schedule(Runnable action, long delayMillis) {
-        io.netty.util.concurrent.ScheduledFuture<?> future =
-                loop.schedule(action, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> future = loop.schedule(action, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
         return () -> future.cancel(false);
     }
 
@@ -122,7 +123,7 @@
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).get(2, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (java.util.concurrent.ExecutionException | TimeoutException e) {
+        } catch (ExecutionException | TimeoutException e) {
             throw new SiskindykeException(ErrorCode.INTERNAL, "the traffic loop did not end", e);
         }
     }
