--- a/src/main/java/org/siskindyke/standin/StoreStandin.java
+++ b/src/main/java/org/siskindyke/standin/StoreStandin.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -31,6 +32,11 @@
     private static final int GONE = 410;
     private static final int CONDITION_FAILED = 412;
     private static final int BUSY = 503;
+    /** How late a slow store answers; a platform's is tens of times slower than its usual few milliseconds. */
+    private static final long SLOW_MILLIS = 250;
+    /** How late a late write takes effect; shorter than the one to six seconds of the users' platform. */
+    private static final long LATE_MILLIS = 1_000;
+
     private static final Header JSON = new Header("Content-Type", "application/json");
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
@@ -38,7 +44,7 @@
     private final MonotonicClock clock;
     private final Map<String, TreeMap<String, StoredRow>> tables = new TreeMap<>();
     private final List<Watch> watches = new ArrayList<>();
-    private volatile Fault fault = Fault.NONE;
+    private final Map<InetSocketAddress, Fault> faultByAddress = new ConcurrentHashMap<>();
     private volatile int calls;
     private long version;
 
@@ -50,8 +56,12 @@
         BUSY,
         /** It never answers and does nothing. */
         SILENT,
+        /** It answers each call late. */
+        SLOW,
         /** It does what it is asked and never answers. */
         ANSWER_LOST,
+        /** It does what it is asked some time later, while its conditions hold, and never answers. */
+        LATE_WRITE,
         /** It has dropped the history that watches need. */
         HISTORY_GONE
     }
@@ -67,14 +77,21 @@
         this.clock = clock;
     }
 
-    /** Starts to listen. */
+    /** Starts to listen; several addresses let a fault meet only some of the callers. */
     public void listen(InetSocketAddress address) {
-        new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, this::handle).listen(address);
+        faultByAddress.put(address, Fault.NONE);
+        HttpExchange.Handler handler = (request, responder) -> handle(address, request, responder);
+        new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, handler).listen(address);
     }
 
-    /** Starts or ends a fault. */
+    /** Starts or ends a fault for all callers. */
     public void setFault(Fault present) {
-        fault = present;
+        faultByAddress.replaceAll((address, before) -> present);
+    }
+
+    /** Starts or ends a fault for the callers of one address. */
+    public void setFault(InetSocketAddress address, Fault present) {
+        faultByAddress.put(address, present);
     }
 
     /** Returns the calls received so far. */
@@ -91,24 +108,29 @@
         });
     }
 
-    private Cancellable handle(HttpExchange.Request request, HttpExchange.Responder responder) {
+    private Cancellable handle(
+            InetSocketAddress address, HttpExchange.Request request, HttpExchange.Responder responder) {
         calls++;
-        if (fault == Fault.SILENT) {
-            return Cancellable.NONE;
-        }
-        if (fault == Fault.BUSY) {
-            responder.respond(HttpExchange.Response.empty(BUSY));
-            return Cancellable.NONE;
+        Fault fault = faultByAddress.get(address);
+        switch (fault) {
+            case SILENT -> {}
+            case BUSY -> responder.respond(HttpExchange.Response.empty(BUSY));
+            case SLOW -> traffic.schedule(() -> serve(request, fault, responder), SLOW_MILLIS);
+            case ANSWER_LOST -> serve(request, fault, response -> {});
+            case LATE_WRITE -> traffic.schedule(() -> serve(request, fault, response -> {}), LATE_MILLIS);
+            default -> serve(request, fault, responder);
         }
-        HttpExchange.Responder answering = fault == Fault.ANSWER_LOST ? response -> {} : responder;
+        return Cancellable.NONE;
+    }
+
+    private void serve(HttpExchange.Request request, Fault fault, HttpExchange.Responder responder) {
         QueryStringDecoder query = new QueryStringDecoder(request.target());
         switch (query.path()) {
-            case "/rows-tx" -> transact(request.body(), answering);
-            case "/rows-get" -> read(query, answering);
-            case "/rows-feed" -> watch(query, answering);
-            default -> answering.respond(HttpExchange.Response.empty(NOT_FOUND));
+            case "/rows-tx" -> transact(request.body(), responder);
+            case "/rows-get" -> read(query, responder);
+            case "/rows-feed" -> watch(query, fault, responder);
+            default -> responder.respond(HttpExchange.Response.empty(NOT_FOUND));
         }
-        return Cancellable.NONE;
     }
 
     private void transact(byte[] body, HttpExchange.Responder responder) {
@@ -169,7 +191,7 @@
         responder.respond(json(OK, answer));
     }
 
-    private void watch(QueryStringDecoder query, HttpExchange.Responder responder) {
+    private void watch(QueryStringDecoder query, Fault fault, HttpExchange.Responder responder) {
         if (fault == Fault.HISTORY_GONE) {
             responder.respond(json(GONE, answer()));
             return;
