Split the director of calls; count requests in the metrics again

Cause: CallDirector had grown to 551 lines with four jobs (routes, choice of members, counting sends in flight, the life of one request). Reading it showed that InstanceRouter handed the request log alone to it as listener, so no request was ever counted in the metrics; the private method that feeds both was called by nobody.

Ruled out: a change of what is sent or refused. The parts were moved, not rewritten; only the guard against late replies lies in one place now.

Change: RequestTries is the life of one request, SendTargets knows where to, CallSender counts what is in flight, RepeatBudgets keeps the budgets, CallOutcome is the report. The director keeps routes and services: 169 lines. The listener feeds log and metrics. PlatformPathTest asks the metrics endpoint for the count of answered requests; it found none before the mend.

Conclusion: a clean-up with one mend of the metrics.

--- a/src/main/java/org/siskindyke/platform/LoopbackPath.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackPath.java
@@ -116,6 +116,20 @@
         }
     }
 
+    /** Returns what a router's metrics endpoint says. */
+    String metrics(Instance of) throws InterruptedException {
+        InetSocketAddress address = of.settings().addresses().metrics();
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + HOST + ":" + address.getPort() + "/metrics"))
+                .timeout(ANSWER_LIMIT)
+                .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        } catch (IOException e) {
+            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "no answer of the metrics endpoint", e);
+        }
+    }
+
     private static InetSocketAddress freeAddress() {
         try (ServerSocket socket = new ServerSocket(0)) {
             return new InetSocketAddress(HOST, socket.getLocalPort());
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -49,6 +49,7 @@
 import org.siskindyke.runtime.call.SliceMeter;
 import org.siskindyke.runtime.traffic.CallDialect;
 import org.siskindyke.runtime.traffic.CallDirector;
+import org.siskindyke.runtime.traffic.CallOutcome;
 import org.siskindyke.runtime.traffic.Cancellable;
 import org.siskindyke.runtime.traffic.HttpExchange;
 import org.siskindyke.runtime.traffic.HttpListener;
@@ -159,10 +160,7 @@
                 peers,
                 gate,
                 new CallDirector.Policies(
-                        settings.service(),
-                        new NearbyFirst(settings.failureDomain()),
-                        this::newBudget,
-                        requests::onEnded));
+                        settings.service(), new NearbyFirst(settings.failureDomain()), this::newBudget, this::onEnded));
         this.targets = new TargetKeeper(settings, clock, traffic, gate, log, SLICES, longestHoldMillis());
         this.callers = new HttpListener(traffic, clock, () -> limits, director);
     }
@@ -209,7 +207,7 @@
                 settings.addresses().callers());
     }
 
-    private void onEnded(CallDirector.Outcome outcome) {
+    private void onEnded(CallOutcome outcome) {
         requests.onEnded(outcome);
         metrics.onEnded(outcome);
     }
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -4,7 +4,7 @@
 import java.util.TreeMap;
 
 import org.siskindyke.kernel.time.MonotonicClock;
-import org.siskindyke.runtime.traffic.CallDirector.Outcome;
+import org.siskindyke.runtime.traffic.CallOutcome;
 
 /**
  * Logs what became of requests: each failure, up to a number a second, and successes as counts. Confined to the
@@ -26,7 +26,7 @@
         this.clock = clock;
     }
 
-    void onEnded(Outcome outcome) {
+    void onEnded(CallOutcome outcome) {
         boolean failed = outcome.status() >= FIRST_FAILURE_STATUS;
         long[] counts = countsByRoute.computeIfAbsent(String.valueOf(outcome.route()), r -> new long[3]);
         counts[failed ? 1 : 0]++;
@@ -36,7 +36,7 @@
         }
     }
 
-    private void onFailure(Outcome outcome) {
+    private void onFailure(CallOutcome outcome) {
         if (!rate.tryEvent(clock.nowMillis())) {
             return;
         }
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -10,7 +10,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.siskindyke.runtime.call.Header;
-import org.siskindyke.runtime.traffic.CallDirector.Outcome;
+import org.siskindyke.runtime.traffic.CallOutcome;
 import org.siskindyke.runtime.traffic.Cancellable;
 import org.siskindyke.runtime.traffic.HttpExchange;
 
@@ -33,7 +33,7 @@
     }
 
     /** Counts and times a request that has ended. */
-    void onEnded(Outcome outcome) {
+    void onEnded(CallOutcome outcome) {
         if (registry == null) {
             return;
         }
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallSender.java
@@ -0,0 +1,75 @@
+package org.siskindyke.runtime.traffic;
+
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.siskindyke.kernel.balance.TargetView;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.runtime.call.Call;
+import org.siskindyke.runtime.call.Reply;
+
+/** Sends calls to the gate of this router or of another, and counts those in flight. Confined to the traffic loop. */
+final class CallSender {
+    private final Supplier<MemberId> self;
+    private final PeerNetwork peers;
+    private final LocalGate gate;
+
+    CallSender(Supplier<MemberId> self, PeerNetwork peers, LocalGate gate) {
+        this.self = self;
+        this.peers = peers;
+        this.gate = gate;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param call the call
+     * @param member where to
+     * @param load counts it until it has ended
+     * @param onReply takes the reply, possibly before this method returns
+     * @return gives the call up; {@link Cancellable#NONE} where the reply is there already
+     */
+    Cancellable send(Call call, MemberRow member, TargetView load, Consumer<Reply> onReply) {
+        load.onSent();
+        Sending sending = new Sending(load, onReply);
+        boolean local = member.id().equals(self.get());
+        sending.work = local ? gate.submit(call, sending::onReply) : peers.forward(call, member, 1, sending::onReply);
+        return sending.ended ? Cancellable.NONE : sending;
+    }
+
+    /** A call in flight; a reply after it was given up is dropped. */
+    private static final class Sending implements Cancellable {
+        private final TargetView load;
+        private final Consumer<Reply> onReply;
+        private Cancellable work = Cancellable.NONE;
+        private boolean ended;
+
+        private Sending(TargetView load, Consumer<Reply> onReply) {
+            this.load = load;
+            this.onReply = onReply;
+        }
+
+        private void onReply(Reply reply) {
+            if (!ended) {
+                ended = true;
+                load.onEnded();
+                onReply.accept(reply);
+            }
+        }
+
+        @Override
+        public void cancel() {
+            if (!ended) {
+                ended = true;
+                load.onEnded();
+                work.cancel();
+            }
+        }
+
+        @Override
+        public void withdraw() {
+            work.withdraw();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/RepeatBudgets.java
@@ -0,0 +1,39 @@
+package org.siskindyke.runtime.traffic;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.IntFunction;
+import java.util.function.IntSupplier;
+
+import org.siskindyke.kernel.call.SendBudget;
+import org.siskindyke.kernel.id.ServiceName;
+
+/** The budgets of repeated sends of all services. Confined to the traffic loop. */
+final class RepeatBudgets {
+    private final IntFunction<SendBudget> create;
+    private final IntSupplier routers;
+    private final Map<ServiceName, SendBudget> budgetByService = new HashMap<>();
+
+    /**
+     * Creates the budgets.
+     *
+     * @param create makes a budget for a number of routers
+     * @param routers returns the number of routers that share a budget
+     */
+    RepeatBudgets(IntFunction<SendBudget> create, IntSupplier routers) {
+        this.create = create;
+        this.routers = routers;
+    }
+
+    void onRequest(ServiceName service, long nowMillis) {
+        budget(service).onRequest(nowMillis);
+    }
+
+    boolean tryRepeat(ServiceName service, long nowMillis) {
+        return budget(service).tryRepeat(nowMillis);
+    }
+
+    private SendBudget budget(ServiceName service) {
+        return budgetByService.computeIfAbsent(service, s -> create.apply(routers.getAsInt()));
+    }
+}
