Assign the first slices in transactions that the store accepts

Ruled out: other transactions; in a trial with the kernel's fake world no other one has more than 30 entries.

Change: at most 30 members get their shares in one transaction; the rest of the slices stays without an owner until the next round, half a second later. The stand-in of the store and the fake table refuse over 100 entries, as the platform does. FirstAssignmentTest (45 members, slices not yet created) failed before and passes now.

--- a/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/PlannerDuty.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
@@ -25,12 +27,13 @@
  * Gives slices without an owner to members.
  *
  * <p>The planner of a service is the member with the lowest id among those with a target. Two members that believe so
- * at
- * once may waste work; transactions keep ownership right.
+ * at once may waste work; transactions keep ownership right.
  */
 final class PlannerDuty {
     /** Members of a new cluster start within a second of each other; waiting spares moving slices to late ones. */
     private static final long FIRST_ASSIGNMENT_WAIT_MILLIS = 2_000;
+    /** Members that get slices in one transaction: each takes three of its 100 entries, the rest is for the others. */
+    private static final int MEMBERS_AT_ONCE = 30;
 
     private final ControlContext context;
     private final TableSync sync;
@@ -109,10 +112,14 @@
         List<HeldSlice> slices = unassigned.slices().stream()
                 .map(s -> s.passedOn(s.settleMillis()))
                 .toList();
-        HoldingRow none = new HoldingRow(service, null, List.of());
+        Map<MemberId, List<HeldSlice>> shares = firstOf(SliceShares.level(counts, slices));
+        Set<Integer> given = shares.values().stream()
+                .flatMap(share -> share.stream().map(HeldSlice::index))
+                .collect(Collectors.toSet());
+        HoldingRow rest = unassigned.minus(given);
         Transaction.Builder transaction =
-                Transaction.builder().replace(none.path(), context.view().revision(none.path()), RowCodec.encode(none));
-        SliceShares.level(counts, slices).forEach((member, share) -> {
+                Transaction.builder().replace(rest.path(), context.view().revision(rest.path()), RowCodec.encode(rest));
+        shares.forEach((member, share) -> {
             HoldingRow holding = context.view().holding(service, member).plus(share);
             transaction.replace(holding.path(), context.view().revision(holding.path()), RowCodec.encode(holding));
             transaction.require(RowPath.member(member), context.view().members().revision(member));
@@ -126,9 +133,18 @@
                             service,
                             null,
                             null,
-                            slices.size(),
+                            given.size(),
                             "slices without an owner",
                             outcome.committed()));
         });
     }
+
+    /** Leaves the shares of further members to the next round, so that the transaction stays within its limit. */
+    private static Map<MemberId, List<HeldSlice>> firstOf(Map<MemberId, List<HeldSlice>> shares) {
+        TreeMap<MemberId, List<HeldSlice>> first = new TreeMap<>(shares);
+        while (first.size() > MEMBERS_AT_ONCE) {
+            first.pollLastEntry();
+        }
+        return first;
+    }
 }
--- a/src/main/java/org/siskindyke/standin/StoreStandin.java
+++ b/src/main/java/org/siskindyke/standin/StoreStandin.java
@@ -28,6 +28,7 @@
  */
 public final class StoreStandin {
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
     private static final int CONDITION_FAILED = 412;
@@ -37,6 +38,9 @@
     /** How late a late write takes effect; shorter than the one to six seconds of the users' platform. */
     private static final long LATE_MILLIS = 1_000;
 
+    /** Entries that one transaction may have, as at the users' platform. */
+    private static final int MOST_ENTRIES = 100;
+
     private static final Header JSON = new Header("Content-Type", "application/json");
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
@@ -141,6 +145,13 @@
             responder.respond(HttpExchange.Response.empty(BUSY));
             return;
         }
+        int entries = transaction.path("precondition").size()
+                + transaction.path("writes").size()
+                + transaction.path("remove").size();
+        if (entries > MOST_ENTRIES) {
+            responder.respond(HttpExchange.Response.empty(BAD_REQUEST));
+            return;
+        }
         for (JsonNode condition : transaction.path("precondition")) {
             if (versionOf(condition) != condition.path("ver").asLong()) {
                 responder.respond(json(CONDITION_FAILED, answer()));
--- a/src/test/java/org/siskindyke/kernel/control/FakeTable.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeTable.java
@@ -43,6 +43,11 @@
 
     @Override
     public CompletionStage<CommitResult> commit(Transaction transaction) {
+        int entries = transaction.conditions().size() + transaction.writes().size();
+        if (entries > world.tableFaults.mostEntries) {
+            return CompletableFuture.failedStage(
+                    new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "a transaction of " + entries + " entries"));
+        }
         return call(() -> world.table.commit(transaction));
     }
 
--- a/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
@@ -69,6 +69,9 @@
     }
 
     static final class FakeTableFaults {
+        /** Conditions and writes of one transaction beyond which it is refused, as by the users' platform. */
+        int mostEntries = 100;
+
         boolean down;
         int loseRequestPercent;
         int loseAnswerPercent;
@@ -84,22 +87,35 @@
     }
 
     FakeWorld(long seed, int slices, boolean checksGrants, LeaseParts parts) {
+        this(seed, slices, checksGrants, parts, true);
+    }
+
+    /** Creates a world whose slices are in the table already, or are created by the first planner. */
+    FakeWorld(long seed, int slices, boolean checksGrants, LeaseParts parts, boolean slicesExist) {
         this.random = new Random(seed);
         this.slices = slices;
         this.checksGrants = checksGrants;
         this.parts = parts;
         this.ledger = new FakeLedger(this);
         putDocument();
+        if (slicesExist) {
+            putSlices();
+        }
     }
 
     private void putDocument() {
         ServiceDocument document = Documents.divided(SERVICE, slices, FakeLedger.LONGEST_CALL_MILLIS);
+        table.commit(Transaction.builder()
+                .put(RowPath.document(SERVICE), RowCodec.encode(new DocumentRow(document, 1, "test", 0)))
+                .build());
+    }
+
+    private void putSlices() {
         List<HeldSlice> all = new ArrayList<>();
         for (int i = 0; i < slices; i++) {
             all.add(new HeldSlice(i, 0, 0));
         }
         table.commit(Transaction.builder()
-                .put(RowPath.document(SERVICE), RowCodec.encode(new DocumentRow(document, 1, "test", 0)))
                 .put(RowPath.unassigned(SERVICE), RowCodec.encode(new HoldingRow(SERVICE, null, all)))
                 .build());
     }
