Compress the fields of calls between routers with HPACK

Bodies do not compress, but each forwarded call carried some hundred bytes of texts beside them: header names, host, service, route, target, and the request id four times over both directions.

Ruled out: a deflate stream for each connection (300 KB of native memory for each of up to 87 peers); a fixed table of names (does not help with values that repeat, such as host and service).

Change: frames between routers have fields, compressed by Netty's HPACK for each connection in the order of writing. Numbers and bodies stay Thrift. The router beside the backend server sets the request's id, time and key, and the caller's router the answer's id, so these do not travel twice. Tests: order and spelling of fields, a forwarded call under 100 bytes beside its body once fields are known, damaged frames end the connection and nothing else.

--- a/src/main/java/org/siskindyke/platform/PlatformDialect.java
+++ b/src/main/java/org/siskindyke/platform/PlatformDialect.java
@@ -6,10 +6,12 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.ownership.KeyRange;
+import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.Header;
 import org.siskindyke.runtime.call.Headers;
 import org.siskindyke.runtime.traffic.CallDialect;
@@ -23,6 +25,13 @@
     private static final String EXPECTED_TARGET = "X-Siskindyke-Expected-Instance";
     private static final String NOT_RUN = "X-Siskindyke-Not-Executed";
     private static final String SIGNATURE = "X-Siskindyke-Response-Signature";
+    private static final Set<String> SET_AT_THE_TARGET = Set.of(
+            REQUEST_ID.toLowerCase(Locale.ROOT),
+            TIMEOUT_MILLIS.toLowerCase(Locale.ROOT),
+            KEY.toLowerCase(Locale.ROOT),
+            CALLER_SERVICE.toLowerCase(Locale.ROOT),
+            EXPECTED_TARGET.toLowerCase(Locale.ROOT),
+            "expect");
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SUCCESS = 200;
     private static final int LAST_SUCCESS = 299;
@@ -56,25 +65,36 @@
 
     @Override
     public List<Header> passOn(List<Header> headers, Optional<ServiceName> callerService) {
-        List<Header> passed = new ArrayList<>(headers.size() + 1);
+        List<Header> passed = without(headers, SET_AT_THE_TARGET);
+        callerService.ifPresent(service -> passed.add(new Header(CALLER_SERVICE, service.value())));
+        return passed;
+    }
+
+    private static List<Header> without(List<Header> headers, Set<String> lowerCaseNames) {
+        List<Header> kept = new ArrayList<>(headers.size() + 1);
         for (Header header : headers) {
-            String name = header.name().toLowerCase(Locale.ROOT);
-            boolean own = name.equals(CALLER_SERVICE.toLowerCase(Locale.ROOT))
-                    || name.equals(EXPECTED_TARGET.toLowerCase(Locale.ROOT))
-                    || name.equals("expect");
-            if (!own) {
-                passed.add(header);
+            if (!lowerCaseNames.contains(header.name().toLowerCase(Locale.ROOT))) {
+                kept.add(header);
             }
         }
-        callerService.ifPresent(service -> passed.add(new Header(CALLER_SERVICE, service.value())));
-        return passed;
+        return kept;
+    }
+
+    @Override
+    public List<Header> forTarget(TargetName target, Call call, long remainingMillis) {
+        List<Header> fields = new ArrayList<>();
+        fields.add(requestIdField(call.id()));
+        fields.add(new Header(EXPECTED_TARGET, target.value()));
+        fields.add(new Header(TIMEOUT_MILLIS, Long.toString(Math.max(1, remainingMillis))));
+        if (call.key() != null) {
+            fields.add(new Header(KEY, call.key()));
+        }
+        return fields;
     }
 
     @Override
-    public List<Header> forTarget(TargetName target, long remainingMillis) {
-        return List.of(
-                new Header(EXPECTED_TARGET, target.value()),
-                new Header(TIMEOUT_MILLIS, Long.toString(Math.max(1, remainingMillis))));
+    public List<Header> passBack(List<Header> headers) {
+        return without(headers, Set.of(REQUEST_ID.toLowerCase(Locale.ROOT)));
     }
 
     @Override
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -164,7 +164,8 @@
         return new TableChanges(wire.getUpToVersion(), rows);
     }
 
-    static ForwardRequest toWire(Call call, MemberId to, int hops, long nowMillis) {
+    /** Converts a call to its wire form; times count from {@code nowMillis}. */
+    public static ForwardRequest toWire(Call call, MemberId to, int hops, long nowMillis) {
         ForwardRequest wire = new ForwardRequest();
         wire.setCallId(call.id());
         wire.setServiceName(call.service().value());
@@ -186,13 +187,14 @@
         return wire;
     }
 
-    static Call fromWire(ForwardRequest wire, boolean idempotent, long nowMillis) {
+    /** Converts the wire form of a call; times count from {@code nowMillis}. */
+    public static Call fromWire(ForwardRequest wire, boolean idempotent, long nowMillis) {
         ServiceName service = ServiceName.of(wire.getServiceName());
         boolean divided = wire.getSliceIndex() != NO_SLICE;
         return new Call(
                 wire.getCallId(),
                 service,
-                divided ? wire.getKey() : null,
+                wire.getKey().isEmpty() ? null : wire.getKey(),
                 divided ? new SliceRef(service, wire.getSliceIndex()) : null,
                 wire.getMethod(),
                 wire.getTarget(),
@@ -208,7 +210,8 @@
                         wire.isMovable()));
     }
 
-    static ForwardResponse toWire(String callId, Reply reply) {
+    /** Converts what became of a call to its wire form. */
+    public static ForwardResponse toWire(String callId, Reply reply) {
         ForwardResponse wire = new ForwardResponse();
         wire.setCallId(callId);
         wire.setStatus(reply.status());
@@ -230,7 +233,8 @@
         return wire;
     }
 
-    static Reply fromWire(ForwardResponse wire) {
+    /** Converts the wire form of what became of a call. */
+    public static Reply fromWire(ForwardResponse wire) {
         int verdict = wire.getVerdict();
         if (verdict < 0 || verdict >= Verdict.values().length) {
             throw new SiskindykeException(ErrorCode.INVALID_REQUEST, "unknown verdict " + verdict);
@@ -251,7 +255,8 @@
         return new TargetReport(load.getSlots(), load.getBusy(), load.getWaiting(), load.getMillisPerCall());
     }
 
-    private static List<WireHeader> toWire(List<Header> headers) {
+    /** Converts header fields to their wire form. */
+    public static List<WireHeader> toWire(List<Header> headers) {
         return headers.stream().map(h -> new WireHeader(h.name(), h.value())).toList();
     }
 
@@ -308,27 +313,6 @@
         return fromWire(sender, WireCodec.decode(bytes, new GossipResponse()));
     }
 
-    /** Encodes a call that is passed to another router. */
-    public static byte[] encodeForward(Call call, MemberId to, int hops, long nowMillis) {
-        return WireCodec.encode(toWire(call, to, hops, nowMillis));
-    }
-
-    /** Decodes a call that another router passes on; times count from {@code nowMillis}. */
-    public static Call decodeForward(byte[] bytes, long nowMillis) {
-        ForwardRequest wire = WireCodec.decode(bytes, new ForwardRequest());
-        return fromWire(wire, wire.isIdempotent(), nowMillis);
-    }
-
-    /** Encodes what became of a call. */
-    public static byte[] encodeForwardReply(String callId, Reply reply) {
-        return WireCodec.encode(toWire(callId, reply));
-    }
-
-    /** Decodes what became of a call. */
-    public static Reply decodeForwardReply(byte[] bytes) {
-        return fromWire(WireCodec.decode(bytes, new ForwardResponse()));
-    }
-
     /** Encodes a request to release slices. */
     public static byte[] encode(PeerPort.Release release) {
         return WireCodec.encode(toWire(release));
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
@@ -7,6 +7,7 @@
 
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.TargetName;
+import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.Header;
 
 /** The header fields by which callers and backend servers say what a router needs to know. */
@@ -23,16 +24,23 @@
     /** Reads what a caller says. */
     CallerFields read(List<Header> headers);
 
-    /** Returns the header fields to pass on, with the service beside which the request began. */
+    /**
+     * Returns the header fields to pass on, with the service beside which the request began; without those that {@link
+     * #forTarget} sets.
+     */
     List<Header> passOn(List<Header> headers, Optional<ServiceName> callerService);
 
     /**
-     * Returns the fields that only the router beside the backend server can set.
+     * Returns the fields that the router beside the backend server sets.
      *
      * @param target the backend server that must run the request
+     * @param call the call
      * @param remainingMillis the time left
      */
-    List<Header> forTarget(TargetName target, long remainingMillis);
+    List<Header> forTarget(TargetName target, Call call, long remainingMillis);
+
+    /** Returns the fields of an answer to pass back, without {@link #requestIdField}. */
+    List<Header> passBack(List<Header> headers);
 
     /** Tells whether an answer says that the request did not run and will not run. */
     boolean saysNotRun(int status, List<Header> headers);
@@ -46,6 +54,6 @@
     /** Returns the id of the request whose run made this one, as far as its id tells. */
     Optional<String> parentRequest(String requestId);
 
-    /** Returns the field that names the request in a response of the router's own. */
+    /** Returns the field that names the request in a response. */
     Header requestIdField(String requestId);
 }
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/FieldCompression.java
@@ -0,0 +1,55 @@
+package org.siskindyke.runtime.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersDecoder;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersEncoder;
+import io.netty.handler.codec.http2.Http2Exception;
+import io.netty.handler.codec.http2.Http2Headers;
+import io.netty.handler.codec.http2.Http2HeadersEncoder;
+import org.siskindyke.runtime.call.Header;
+
+/**
+ * Compresses the fields of the frames on one connection with HPACK (RFC 7541): what was sent before on the connection
+ * costs a byte. Both ends must see the frames in the same order.
+ */
+final class FieldCompression {
+    private static final int STREAM = 1;
+    /** Longest block of fields; beyond the header fields that callers may send. */
+    private static final int MAX_FIELDS_BYTES = 256 * 1024;
+
+    private final DefaultHttp2HeadersEncoder encoder =
+            new DefaultHttp2HeadersEncoder(Http2HeadersEncoder.NEVER_SENSITIVE, true);
+    private final DefaultHttp2HeadersDecoder decoder = new DefaultHttp2HeadersDecoder(false, MAX_FIELDS_BYTES);
+
+    /** Appends the compressed fields. */
+    void encode(List<Header> fields, ByteBuf out) {
+        Http2Headers headers = new DefaultHttp2Headers(false);
+        fields.forEach(field -> headers.add(field.name(), field.value()));
+        try {
+            encoder.encodeHeaders(STREAM, headers, out);
+        } catch (Http2Exception e) {
+            throw new IllegalArgumentException("fields cannot be encoded", e);
+        }
+    }
+
+    /** Reads all compressed fields. */
+    List<Header> decode(ByteBuf in) {
+        try {
+            Http2Headers headers = decoder.decodeHeaders(STREAM, in);
+            List<Header> fields = new ArrayList<>(headers.size());
+            for (Map.Entry<CharSequence, CharSequence> field : headers) {
+                fields.add(
+                        new Header(field.getKey().toString(), field.getValue().toString()));
+            }
+            return fields;
+        } catch (Http2Exception e) {
+            throw new CorruptedFrameException("fields cannot be decoded", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/runtime/traffic/ForwardFrames.java
@@ -0,0 +1,117 @@
+package org.siskindyke.runtime.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.runtime.call.Call;
+import org.siskindyke.runtime.call.Header;
+import org.siskindyke.runtime.call.Reply;
+import org.siskindyke.runtime.peer.WireCodec;
+import org.siskindyke.runtime.peer.WireMapper;
+import org.siskindyke.wire.ForwardRequest;
+import org.siskindyke.wire.ForwardResponse;
+
+/**
+ * Writes calls and replies as frames: numbers and bodies as Thrift structs, texts as fields of the frame, where those
+ * that repeat cost little.
+ */
+final class ForwardFrames {
+    /** Fields that are no header fields begin with a colon, which no header field may. */
+    private static final String OWN_PREFIX = ":";
+
+    private static final String CALL = ":call";
+    private static final String SERVICE = ":service";
+    private static final String KEY = ":key";
+    private static final String METHOD = ":method";
+    private static final String PATH = ":path";
+    private static final String KIND = ":kind";
+    private static final String CODE = ":code";
+
+    private ForwardFrames() {}
+
+    /** Returns the frame that passes a call on. */
+    static PeerFrame request(Call call, MemberId to, int hops, long nowMillis) {
+        ForwardRequest wire = WireMapper.toWire(call, to, hops, nowMillis);
+        List<Header> fields = new ArrayList<>(call.headers().size() + 6);
+        fields.add(new Header(METHOD, wire.getMethod()));
+        fields.add(new Header(SERVICE, wire.getServiceName()));
+        fields.add(new Header(KIND, wire.getKind()));
+        fields.add(new Header(PATH, wire.getTarget()));
+        fields.add(new Header(CALL, wire.getCallId()));
+        fields.add(new Header(KEY, wire.getKey()));
+        fields.addAll(call.headers());
+        wire.unsetMethod();
+        wire.unsetServiceName();
+        wire.unsetKind();
+        wire.unsetTarget();
+        wire.unsetCallId();
+        wire.unsetKey();
+        wire.unsetToMember();
+        wire.unsetHeaders();
+        return new PeerFrame(PeerFrame.Kind.FORWARD, 0, fields, WireCodec.encode(wire));
+    }
+
+    /**
+     * Reads a call; its times count from {@code nowMillis}.
+     *
+     * @throws SiskindykeException with code {@code INVALID_REQUEST}
+     */
+    static Call readRequest(PeerFrame frame, long nowMillis) {
+        ForwardRequest wire = WireCodec.decode(frame.payload(), new ForwardRequest());
+        wire.setMethod(own(frame, METHOD));
+        wire.setServiceName(own(frame, SERVICE));
+        wire.setKind(own(frame, KIND));
+        wire.setTarget(own(frame, PATH));
+        wire.setCallId(own(frame, CALL));
+        wire.setKey(own(frame, KEY));
+        wire.setHeaders(WireMapper.toWire(headers(frame)));
+        return WireMapper.fromWire(wire, wire.isIdempotent(), nowMillis);
+    }
+
+    /** Returns the frame that says what became of a call. */
+    static PeerFrame reply(long id, String callId, Reply reply) {
+        ForwardResponse wire = WireMapper.toWire(callId, reply);
+        List<Header> fields = new ArrayList<>(reply.headers());
+        if (wire.isSetCode()) {
+            fields.add(new Header(CODE, wire.getCode()));
+        }
+        wire.unsetCode();
+        wire.unsetCallId();
+        wire.unsetHeaders();
+        return new PeerFrame(PeerFrame.Kind.FORWARD_REPLY, id, fields, WireCodec.encode(wire));
+    }
+
+    /**
+     * Reads what became of a call.
+     *
+     * @throws SiskindykeException with code {@code INVALID_REQUEST}
+     */
+    static Reply readReply(PeerFrame frame) {
+        ForwardResponse wire = WireCodec.decode(frame.payload(), new ForwardResponse());
+        wire.setHeaders(WireMapper.toWire(headers(frame)));
+        for (Header field : frame.fields()) {
+            if (field.name().equals(CODE)) {
+                wire.setCode(field.value());
+            }
+        }
+        return WireMapper.fromWire(wire);
+    }
+
+    private static List<Header> headers(PeerFrame frame) {
+        return frame.fields().stream()
+                .filter(field -> !field.name().startsWith(OWN_PREFIX))
+                .toList();
+    }
+
+    private static String own(PeerFrame frame, String name) {
+        for (Header field : frame.fields()) {
+            if (field.name().equals(name)) {
+                return field.value();
+            }
+        }
+        throw new SiskindykeException(ErrorCode.INVALID_REQUEST, "a forwarded call without " + name);
+    }
+}
--- a/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/LocalGate.java
@@ -281,7 +281,7 @@
             for (Header header : call.headers()) {
                 request.headers().add(header.name(), header.value());
             }
-            for (Header header : dialect.forTarget(target.name(), remainingMillis)) {
+            for (Header header : dialect.forTarget(target.name(), call, remainingMillis)) {
                 request.headers().set(header.name(), header.value());
             }
             if (call.body().length > 0 || !call.method().equals(HttpMethod.GET.name())) {
@@ -305,7 +305,7 @@
             if (notRun) {
                 end(Reply.notRun(Refusal.TARGET_REFUSED, LEAST_RETRY_AFTER_MILLIS));
             } else if (dialect.isGenuine(status, headers)) {
-                end(Reply.answer(status, Headers.endToEnd(headers), body));
+                end(Reply.answer(status, dialect.passBack(Headers.endToEnd(headers)), body));
             } else {
                 logLoss("a success without a signature");
                 end(Reply.mayHaveRun(Refusal.ANSWER_LOST));
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerFrameCodec.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerFrameCodec.java
@@ -6,20 +6,35 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageCodec;
 import io.netty.handler.codec.CorruptedFrameException;
+import org.siskindyke.runtime.call.Header;
 
-/** Frames on the wire: four bytes for the length of the rest, one for the kind, eight for the id, the payload. */
+/**
+ * Frames on the wire: four bytes for the length of the rest, one for the kind, four for the id, three for the length of
+ * the compressed fields, these, the payload.
+ */
 final class PeerFrameCodec extends ByteToMessageCodec<PeerFrame> {
     private static final int LENGTH_BYTES = 4;
-    private static final int HEAD_BYTES = 9;
+    private static final int FIELDS_LENGTH_BYTES = 3;
+    private static final int HEAD_BYTES = 5 + FIELDS_LENGTH_BYTES;
     /** Longest frame: a body of the longest accepted size, with header fields. */
     private static final int MAX_FRAME_BYTES = 9 * 1024 * 1024;
 
+    private final FieldCompression compression = new FieldCompression();
+
     @Override
     protected void encode(ChannelHandlerContext context, PeerFrame frame, ByteBuf out) {
-        out.writeInt(HEAD_BYTES + frame.payload().length);
+        int start = out.writerIndex();
+        out.writeInt(0);
         out.writeByte(frame.kind().ordinal());
-        out.writeLong(frame.id());
+        out.writeInt((int) frame.id());
+        out.writeMedium(0);
+        int fieldsStart = out.writerIndex();
+        if (!frame.fields().isEmpty()) {
+            compression.encode(frame.fields(), out);
+        }
+        out.setMedium(fieldsStart - FIELDS_LENGTH_BYTES, out.writerIndex() - fieldsStart);
         out.writeBytes(frame.payload());
+        out.setInt(start, out.writerIndex() - start - LENGTH_BYTES);
     }
 
     @Override
@@ -35,13 +50,22 @@
             return;
         }
         in.skipBytes(LENGTH_BYTES);
+        out.add(read(in.readSlice(length)));
+    }
+
+    private PeerFrame read(ByteBuf in) {
         PeerFrame.Kind kind = PeerFrame.Kind.of(in.readByte());
-        long id = in.readLong();
-        byte[] payload = new byte[length - HEAD_BYTES];
-        in.readBytes(payload);
         if (kind == null) {
             throw new CorruptedFrameException("unknown kind of frame");
         }
-        out.add(new PeerFrame(kind, id, payload));
+        long id = in.readUnsignedInt();
+        int fieldsLength = in.readUnsignedMedium();
+        if (fieldsLength > in.readableBytes()) {
+            throw new CorruptedFrameException("fields of " + fieldsLength + " bytes");
+        }
+        List<Header> fields = fieldsLength == 0 ? List.of() : compression.decode(in.readSlice(fieldsLength));
+        byte[] payload = new byte[in.readableBytes()];
+        in.readBytes(payload);
+        return new PeerFrame(kind, id, fields, payload);
     }
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
@@ -21,6 +21,9 @@
     /** Silence after that question which ends the connection; a busy peer answers within its scheduling delay. */
     private static final long DEAD_AFTER_MILLIS = 700;
 
+    /** The largest id that a frame can hold; ids begin again after it. */
+    private static final long LAST_ID = 0xFFFF_FFFFL;
+
     private static final byte[] NOTHING = {};
 
     private final TrafficLoop traffic;
@@ -57,17 +60,14 @@
     /**
      * Asks the peer.
      *
+     * @param question the frame, whose id is given here
      * @return the question's id
      */
-    long ask(
-            PeerFrame.Kind kind,
-            byte[] payload,
-            long timeoutMillis,
-            Consumer<PeerFrame> onAnswer,
-            Consumer<Boolean> onLost) {
-        long id = nextId++;
+    long ask(PeerFrame question, long timeoutMillis, Consumer<PeerFrame> onAnswer, Consumer<Boolean> onLost) {
+        long id = nextId;
+        nextId = nextId == LAST_ID ? 1 : nextId + 1;
         long nowMillis = clock.nowMillis();
-        PeerFrame frame = new PeerFrame(kind, id, payload);
+        PeerFrame frame = new PeerFrame(question.kind(), id, question.fields(), question.payload());
         open.put(id, new Question(frame, onAnswer, onLost, nowMillis, nowMillis + timeoutMillis));
         if (isOpen()) {
             channel.writeAndFlush(frame, channel.voidPromise());
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -88,13 +88,12 @@
      */
     Cancellable forward(Call call, MemberRow to, int hops, Consumer<Reply> onReply) {
         PeerLink link = link(to.address());
-        byte[] payload = WireMapper.encodeForward(call, to.id(), hops, clock.nowMillis());
+        PeerFrame frame = ForwardFrames.request(call, to.id(), hops, clock.nowMillis());
         long timeoutMillis = call.remainingMillis(clock.nowMillis()) + LATE_ANSWER_MILLIS;
         long id = link.ask(
-                PeerFrame.Kind.FORWARD,
-                payload,
+                frame,
                 timeoutMillis,
-                frame -> onReply.accept(decodeReply(frame)),
+                reply -> onReply.accept(decodeReply(reply)),
                 sent -> onReply.accept(
                         sent ? Reply.mayHaveRun(Refusal.ANSWER_LOST) : Reply.notRun(Refusal.OWNER_UNREACHABLE, 0)));
         return new Cancellable() {
@@ -114,7 +113,7 @@
 
     private Reply decodeReply(PeerFrame frame) {
         try {
-            return WireMapper.decodeForwardReply(frame.payload());
+            return ForwardFrames.readReply(frame);
         } catch (SiskindykeException e) {
             log.event("peer-reply-unreadable", "cause", e.getMessage());
             return Reply.mayHaveRun(Refusal.ANSWER_LOST);
@@ -154,7 +153,8 @@
     }
 
     private void ask(MemberRow to, PeerFrame.Kind kind, byte[] payload, Consumer<PeerFrame> onAnswer) {
-        traffic.execute(() -> link(to.address()).ask(kind, payload, CONTROL_TIMEOUT_MILLIS, onAnswer, sent -> {}));
+        traffic.execute(() ->
+                link(to.address()).ask(new PeerFrame(kind, 0, payload), CONTROL_TIMEOUT_MILLIS, onAnswer, sent -> {}));
     }
 
     /** Closes all connections to other routers. */
@@ -189,13 +189,12 @@
         }
 
         private void onForward(ChannelHandlerContext context, PeerFrame frame) {
-            Call call = WireMapper.decodeForward(frame.payload(), clock.nowMillis());
+            Call call = ForwardFrames.readRequest(frame, clock.nowMillis());
             boolean[] done = new boolean[1];
             Cancellable work = gate.submit(call, outcome -> {
                 done[0] = true;
                 running.remove(frame.id());
-                byte[] payload = WireMapper.encodeForwardReply(call.id(), outcome);
-                reply(context, PeerFrame.Kind.FORWARD_REPLY, frame.id(), payload);
+                send(context, ForwardFrames.reply(frame.id(), call.id(), outcome));
             });
             if (!done[0]) {
                 running.put(frame.id(), work);
@@ -230,9 +229,11 @@
         }
 
         private void reply(ChannelHandlerContext context, PeerFrame.Kind kind, long id, byte[] payload) {
-            context.channel()
-                    .writeAndFlush(
-                            new PeerFrame(kind, id, payload), context.channel().voidPromise());
+            send(context, new PeerFrame(kind, id, payload));
+        }
+
+        private void send(ChannelHandlerContext context, PeerFrame frame) {
+            context.channel().writeAndFlush(frame, context.channel().voidPromise());
         }
 
         @Override
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestTries.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestTries.java
@@ -279,7 +279,9 @@
 
     private void deliver(Reply reply) {
         if (finish()) {
-            responder.respond(new HttpExchange.Response(reply.status(), reply.headers(), reply.body()));
+            List<Header> headers = new ArrayList<>(reply.headers());
+            headers.add(context.dialect().requestIdField(requestId));
+            responder.respond(new HttpExchange.Response(reply.status(), headers, reply.body()));
             report(reply.status(), null, Verdict.RAN);
         }
     }
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
@@ -1,5 +1,6 @@
 package org.siskindyke.runtime.traffic;
 
+import java.util.List;
 import java.util.Random;
 
 import io.netty.buffer.ByteBuf;
@@ -9,9 +10,16 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.siskindyke.kernel.call.CallUrgency;
+import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.id.SliceRef;
+import org.siskindyke.runtime.call.Call;
+import org.siskindyke.runtime.call.Header;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class PeerFrameCodecTest {
     @Example
@@ -30,6 +38,68 @@
         assertArrayEquals(payload, frame.payload());
     }
 
+    @Example
+    void fieldsArriveInTheirOrderAndSpelling() {
+        List<Header> fields = List.of(
+                new Header(":call", "9c41d07be2a35f68"),
+                new Header("X-Some-Field", "a"),
+                new Header("x-some-field", "b"),
+                new Header("X-Empty", ""));
+        EmbeddedChannel out = new EmbeddedChannel(new PeerFrameCodec());
+        out.writeOutbound(new PeerFrame(PeerFrame.Kind.FORWARD, 0xFFFF_FFFFL, fields, new byte[] {7}));
+        EmbeddedChannel in = new EmbeddedChannel(new PeerFrameCodec());
+        in.writeInbound((ByteBuf) out.readOutbound());
+        PeerFrame frame = in.readInbound();
+        assertEquals(fields, frame.fields());
+        assertEquals(0xFFFF_FFFFL, frame.id());
+        assertArrayEquals(new byte[] {7}, frame.payload());
+    }
+
+    /** Traffic between failure domains is the dearest thing that the small bodies of the users' calls cause. */
+    @Example
+    void aForwardedCallTakesUnderAHundredBytesBesideItsBodyOnceTheFieldsAreKnown() {
+        EmbeddedChannel out = new EmbeddedChannel(new PeerFrameCodec());
+        int lastBytes = 0;
+        for (int i = 0; i < 200; i++) {
+            out.writeOutbound(ForwardFrames.request(call(i), MemberId.of("member-1"), 1, 0));
+            ByteBuf bytes = out.readOutbound();
+            lastBytes = bytes.readableBytes();
+            bytes.release();
+        }
+        assertTrue(lastBytes < 100, "a forwarded call takes " + lastBytes + " bytes");
+    }
+
+    @Example
+    void aForwardedCallIsReadAsItWasSent() {
+        PeerFrame frame = ForwardFrames.request(call(3), MemberId.of("member-1"), 1, 1_000);
+        Call read = ForwardFrames.readRequest(frame, 5_000);
+        assertEquals(call(3).headers(), read.headers());
+        assertEquals(call(3).id(), read.id());
+        assertEquals(call(3).key(), read.key());
+        assertEquals(call(3).target(), read.target());
+        assertEquals(call(3).deadlineMillis() + 4_000, read.deadlineMillis());
+        assertEquals("lookup", read.urgency().kind());
+    }
+
+    private static Call call(int number) {
+        ServiceName service = ServiceName.of("records");
+        return new Call(
+                String.format("%016x", number * 0x9E37_79B9_7F4AL),
+                service,
+                Integer.toString(number * 331 % 65_536),
+                new SliceRef(service, number % 128),
+                "GET",
+                "/lepu270/" + Integer.toHexString(number),
+                List.of(
+                        new Header("Host", "jepu9.example"),
+                        new Header("Accept", "*/*"),
+                        new Header("X-Siskindyke-Caller-Service", "catalogue")),
+                new byte[0],
+                10_000 + number,
+                true,
+                new CallUrgency("lookup", 2, 2_000 + number, false, false));
+    }
+
     @Property(tries = 2_000, seed = "45")
     void damagedFramesEndTheConnectionAndNothingElse(@ForAll long seed) {
         Random random = new Random(seed);
