Add a fault soak of real router processes, judged by callers and backend servers

Change: the package soak starts routers, the stand-in of the store, backend servers and callers as processes on loopback addresses of their own, draws overlapping faults from a seed and judges nine promises by what callers and backend servers saw. A proxy before the store delays, resets, silences or cuts one way. Each fourth seed has planned work only. Backend servers can hide keys on purpose, which the judge must find. The stand-in's backend server keeps tokens, reports what it released and beats again while it releases.

--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import io.micrometer.common.util.internal.logging.InternalLoggerFactory;
+import io.micrometer.common.util.internal.logging.JdkLoggerFactory;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -26,6 +28,7 @@
 
     /** Makes the registry. */
     void start(Supplier<Number> slotsUsed, Supplier<Number> callsWaiting, Supplier<Number> eventsDropped) {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         Gauge.builder("siskindyke.slots.used", slotsUsed).register(registry);
         Gauge.builder("siskindyke.calls.waiting", callsWaiting).register(registry);
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestTries.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestTries.java
@@ -275,10 +275,10 @@
     }
 
     private void onDeadline() {
+        boolean inFlight = sending != Cancellable.NONE;
+        verdict = inFlight ? verdict.and(Verdict.MAY_HAVE_RUN) : verdict;
         sending.cancel();
-        Refusal cause = Refusal.DEADLINE;
-        boolean neverSent = sends == 0;
-        refuse(cause, neverSent ? UNAVAILABLE : GATEWAY_TIMEOUT, 0);
+        refuse(Refusal.DEADLINE, verdict == Verdict.NOT_RUN ? UNAVAILABLE : GATEWAY_TIMEOUT, 0);
     }
 
     private void deliver(Reply reply) {
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakCallers.java
@@ -0,0 +1,103 @@
+package org.siskindyke.soak;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+/** Callers of all routers; they keep connections and use them until the router has closed them. */
+final class SoakCallers implements Consumer<String> {
+    static final String SAFE = "/s/";
+    static final String UNSAFE = "/u/";
+    static final String MARK = "/v";
+
+    private static final long INTERVAL_MILLIS = 40;
+    private static final int CONNECTIONS = 6;
+    private static final int KEYS = 65_536;
+    private static final int MOST_WORK_MILLIS = 200;
+    /** What a request says of its caller's patience. */
+    private static final Duration PATIENCE = Duration.ofSeconds(4);
+    /** How long the caller waits in truth, so that a final answer at the end of its patience is still heard. */
+    private static final Duration WAIT = Duration.ofSeconds(5);
+
+    private static final int OK = 200;
+
+    private final Consumer<SoakEvent> journal;
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    private final AtomicLong nextId = new AtomicLong();
+    private volatile int version = 1;
+
+    /**
+     * Starts to call.
+     *
+     * @param routers where the routers listen for callers
+     * @param journal takes what the callers see
+     */
+    SoakCallers(List<String> routers, Consumer<SoakEvent> journal) {
+        this.journal = journal;
+        for (int i = 0; i < routers.size(); i++) {
+            String router = routers.get(i);
+            Random random = new Random(i);
+            HttpClient client = HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .executor(Executors.newFixedThreadPool(CONNECTIONS))
+                    .connectTimeout(Duration.ofSeconds(1))
+                    .build();
+            timer.scheduleWithFixedDelay(
+                    () -> ask(client, router, random), i * 7L, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Takes the number of the configuration in force. */
+    @Override
+    public void accept(String line) {
+        version = Integer.parseInt(line.trim());
+    }
+
+    private void ask(HttpClient client, String router, Random random) {
+        int choice = random.nextInt(10);
+        String route = choice < 6 ? SAFE : choice < 9 ? UNSAFE : MARK + version + "/";
+        int key = route.equals(SAFE) ? random.nextInt(KEYS) : -1;
+        String id = "c" + nextId.incrementAndGet();
+        HttpRequest.Builder request = HttpRequest.newBuilder(
+                        URI.create("http://" + router + route + random.nextInt(MOST_WORK_MILLIS)))
+                .header("Host", "soak.example")
+                .header("X-Siskindyke-Request-Id", id)
+                .header("X-Siskindyke-Timeout-Ms", Long.toString(PATIENCE.toMillis()))
+                .timeout(WAIT)
+                .POST(HttpRequest.BodyPublishers.ofString(id));
+        if (key >= 0) {
+            request.header("X-Siskindyke-Shard-Key", Integer.toString(key));
+        }
+        journal.accept(SoakEvent.asked(SoakJournal.nowMillis(), router, id, key, route));
+        client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+                .whenComplete((response, failure) -> journal.accept(SoakEvent.answered(
+                        SoakJournal.nowMillis(),
+                        router,
+                        id,
+                        failure == null ? response.statusCode() : 0,
+                        failure == null ? whatIsWrong(response, id) : null)));
+    }
+
+    private static String whatIsWrong(HttpResponse<String> response, String id) {
+        if (response.statusCode() != OK) {
+            return null;
+        }
+        String signature =
+                response.headers().firstValue("X-Siskindyke-Response-Signature").orElse("none");
+        String answered =
+                response.headers().firstValue("X-Siskindyke-Request-Id").orElse("none");
+        boolean right = signature.equals("s." + id)
+                && answered.equals(id)
+                && response.body().startsWith("answer of ");
+        return right ? null : "signature " + signature + ", id " + answered + ", body " + response.body();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakCluster.java
@@ -0,0 +1,76 @@
+package org.siskindyke.soak;
+
+import java.io.File;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.siskindyke.standin.StoreStandin;
+
+/** The processes of a soak. Called by one thread. */
+final class SoakCluster implements AutoCloseable {
+    /** Index of the store's address, beyond those of instances. */
+    private static final int STORE_INDEX = 60_000;
+
+    private static final InetSocketAddress STORE =
+            new InetSocketAddress(SoakSite.host(STORE_INDEX), SoakSite.STORE_PORT);
+
+    private final SoakJournal journal;
+    private final List<SoakNode> nodes = new ArrayList<>();
+    private final SoakProcess storeProcess;
+    private final SoakProcess callers;
+    private int version;
+
+    SoakCluster(SoakSite site, SoakPlan plan, File directory, SoakJournal journal) {
+        this.journal = journal;
+        String address = STORE.getHostString() + ":" + STORE.getPort();
+        storeProcess = part(directory, "store", List.of(SoakPart.STORE, address));
+        for (SoakSite.Instance instance : site.instances()) {
+            SoakNode node = new SoakNode(instance, directory, STORE, journal, plan.hidesKeys());
+            nodes.add(node);
+            node.startRouter();
+            node.startTarget();
+        }
+        List<String> words = new ArrayList<>(List.of(SoakPart.CALLERS));
+        site.instances().forEach(instance -> words.add(instance.callers()));
+        configure();
+        callers = part(directory, "callers", words);
+    }
+
+    private SoakProcess part(File directory, String name, List<String> arguments) {
+        return new SoakProcess(
+                SoakPart.class.getName(), arguments, Map.of(), new File(directory, name + ".log"), journal::take);
+    }
+
+    SoakNode node(int index) {
+        return nodes.get(index);
+    }
+
+    /** Orders faults of the store. */
+    interface StoreFaults {
+        /** Starts a fault, or ends it with {@code NONE}. */
+        void setFault(StoreStandin.Fault fault);
+    }
+
+    StoreFaults store() {
+        return fault -> storeProcess.tell(SoakPart.FAULT + fault);
+    }
+
+    /** Writes the next configuration. */
+    void configure() {
+        version++;
+        storeProcess.tell(SoakPart.CONFIGURE + SoakSite.configuration(version).replace('\n', ' '));
+        journal.add(SoakEvent.What.CONFIGURED, "operator", Integer.toString(version));
+        if (callers != null) {
+            callers.tell(Integer.toString(version));
+        }
+    }
+
+    @Override
+    public void close() {
+        callers.kill();
+        nodes.forEach(SoakNode::close);
+        storeProcess.kill();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakNode.java
@@ -0,0 +1,153 @@
+package org.siskindyke.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.siskindyke.platform.PlatformMain;
+
+/** One instance of a running soak: a router and a backend server. Called by one thread. */
+final class SoakNode {
+    private final SoakSite.Instance instance;
+    private final File directory;
+    private final SoakJournal journal;
+    private final FaultProxy link;
+    private final boolean hidesKeys;
+    private SoakProcess router;
+    private SoakProcess target;
+    private int targets;
+
+    SoakNode(
+            SoakSite.Instance instance,
+            File directory,
+            InetSocketAddress store,
+            SoakJournal journal,
+            boolean hidesKeys) {
+        this.hidesKeys = hidesKeys;
+        this.instance = instance;
+        this.directory = directory;
+        this.journal = journal;
+        this.link = new FaultProxy(new InetSocketAddress(instance.host(), SoakSite.STORE_PORT), store);
+        try {
+            Files.writeString(settings().toPath(), instance.settings());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private File settings() {
+        return new File(directory, instance.name() + ".json");
+    }
+
+    private File log(String part) {
+        return new File(directory, instance.name() + "-" + part + ".log");
+    }
+
+    void startRouter() {
+        if (router != null && router.isAlive()) {
+            return;
+        }
+        SoakLog lines = new SoakLog(log("router-events"));
+        router = new SoakProcess(
+                PlatformMain.class.getName(),
+                List.of(),
+                Map.of("SISKINDYKE_NODE_FILE", settings().getPath()),
+                log("router"),
+                lines::append);
+    }
+
+    void killRouter() {
+        router.kill();
+    }
+
+    void stopRouter() {
+        router.terminate();
+    }
+
+    void awaitRouterEnd() {
+        if (!router.awaitEnd()) {
+            router.kill();
+        }
+    }
+
+    void freezeRouter() {
+        router.freeze();
+    }
+
+    void thawRouter() {
+        router.thaw();
+        journal.add(SoakEvent.What.MENDED, targetName(), "router thawed");
+    }
+
+    /** Starts the backend server under the name it had last. */
+    void startTarget() {
+        if (target != null && target.isAlive()) {
+            return;
+        }
+        List<String> arguments = new ArrayList<>(List.of(
+                SoakPart.TARGET,
+                targetName(),
+                instance.service(),
+                instance.domain(),
+                instance.targetAddress(),
+                instance.heartbeats()));
+        if (hidesKeys) {
+            arguments.add(SoakPart.HIDE_KEYS);
+        }
+        target = new SoakProcess(SoakPart.class.getName(), arguments, Map.of(), log("target"), journal::take);
+    }
+
+    private String targetName() {
+        return "t" + targets + "-" + instance.name();
+    }
+
+    void killTarget() {
+        target.kill();
+        journal.add(SoakEvent.What.FAULT, targetName(), SoakEvent.TARGET_DOWN);
+    }
+
+    void freezeTarget() {
+        target.freeze();
+    }
+
+    void thawTarget() {
+        target.thaw();
+        journal.add(SoakEvent.What.MENDED, targetName(), "target thawed");
+    }
+
+    void leaveTarget() {
+        if (target.isAlive()) {
+            target.tell(SoakPart.LEAVE);
+        }
+    }
+
+    /** Ends a backend server and starts another in its place. */
+    void replaceTarget() {
+        killTarget();
+        targets++;
+        startTarget();
+    }
+
+    void setLink(FaultProxy.Mode mode) {
+        link.setMode(mode);
+    }
+
+    /** Ends both processes. */
+    void close() {
+        for (SoakProcess process : new SoakProcess[] {router, target}) {
+            if (process != null) {
+                process.kill();
+            }
+        }
+        try {
+            link.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakPart.java
@@ -0,0 +1,114 @@
+package org.siskindyke.soak;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import org.siskindyke.runtime.Logging;
+import org.siskindyke.runtime.SystemMonotonicClock;
+import org.siskindyke.runtime.http.Json;
+import org.siskindyke.runtime.traffic.TrafficLoop;
+import org.siskindyke.standin.HeartbeatTarget;
+import org.siskindyke.standin.HeartbeatTarget.HeldRow;
+import org.siskindyke.standin.StoreStandin;
+
+/** A process of a soak that is no router: the store, a backend server or the callers. Takes orders on its input. */
+public final class SoakPart {
+    static final String STORE = "store";
+    static final String TARGET = "target";
+    static final String CALLERS = "callers";
+    static final String HIDE_KEYS = "--hide-keys";
+    static final String LEAVE = "leave";
+    static final String FAULT = "fault ";
+    static final String CONFIGURE = "configure ";
+
+    private SoakPart() {}
+
+    /**
+     * Runs until standard input ends.
+     *
+     * @param arguments the role and what it needs
+     */
+    public static void main(String[] arguments) throws IOException {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        Logging.configure(System.getenv());
+        List<String> words = List.of(arguments);
+        Consumer<String> orders =
+                switch (words.get(0)) {
+                    case STORE -> store(words);
+                    case TARGET -> target(words);
+                    default -> new SoakCallers(words.subList(1, words.size()), SoakPart::print);
+                };
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            orders.accept(line);
+        }
+        System.exit(0);
+    }
+
+    private static void print(SoakEvent event) {
+        System.out.println(Json.write(event));
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private static Consumer<String> store(List<String> words) {
+        StoreStandin store = new StoreStandin(new TrafficLoop(), SystemMonotonicClock.INSTANCE);
+        store.listen(address(words.get(1)));
+        return line -> {
+            if (line.startsWith(FAULT)) {
+                store.setFault(StoreStandin.Fault.valueOf(line.substring(FAULT.length())));
+            } else if (line.startsWith(CONFIGURE)) {
+                store.put("op", "config", line.substring(CONFIGURE.length()));
+            }
+        };
+    }
+
+    private static Consumer<String> target(List<String> words) {
+        String name = words.get(1);
+        HeartbeatTarget.Identity identity = new HeartbeatTarget.Identity(
+                name,
+                words.get(2),
+                words.get(3),
+                address(words.get(4)),
+                address(words.get(5)),
+                words.get(2).equals(SoakSite.KEYED),
+                SoakSite.HEARTBEAT_MILLIS);
+        HeartbeatTarget.Listener listener = new HeartbeatTarget.Listener() {
+            @Override
+            public void onRun(String requestId, int key, long token) {
+                print(SoakEvent.run(SoakJournal.nowMillis(), name, requestId, key, token));
+            }
+
+            @Override
+            public void onHolds(List<HeldRow> rows, long untilMillis) {
+                print(SoakEvent.holds(SoakJournal.nowMillis(), name, rows, untilMillis));
+            }
+
+            @Override
+            public void onLeavingAcknowledged() {
+                print(SoakEvent.of(SoakJournal.nowMillis(), SoakEvent.What.LEAVING, name, null));
+            }
+        };
+        HeartbeatTarget target = new HeartbeatTarget(
+                new TrafficLoop(), SystemMonotonicClock.INSTANCE, identity, System.currentTimeMillis(), listener);
+        if (words.contains(HIDE_KEYS)) {
+            target.hideKeys();
+        }
+        target.start();
+        return line -> {
+            if (line.equals(LEAVE)) {
+                target.leave();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakProcess.java
@@ -0,0 +1,117 @@
+package org.siskindyke.soak;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** A Java process that a soak starts, talks to, signals by its id and ends. */
+final class SoakProcess {
+    private static final List<String> JVM_OPTIONS = List.of(
+            "-Xmx96m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
+            "-Djdk.httpclient.allowRestrictedHeaders=host");
+    private static final long END_SECONDS = 20;
+
+    private final Process process;
+    private final PrintStream in;
+
+    /**
+     * Starts a process.
+     *
+     * @param main the main class
+     * @param arguments its arguments
+     * @param environment more environment variables
+     * @param log takes standard error
+     * @param onLine takes each line of standard output
+     */
+    SoakProcess(
+            String main, List<String> arguments, Map<String, String> environment, File log, Consumer<String> onLine) {
+        List<String> command = new ArrayList<>();
+        command.add(new File(System.getProperty("java.home"), "bin/java").getPath());
+        command.addAll(JVM_OPTIONS);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), main));
+        command.addAll(arguments);
+        ProcessBuilder builder = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log));
+        builder.environment().putAll(environment);
+        try {
+            process = builder.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        in = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
+        Thread reader = new Thread(() -> read(onLine), "output of " + process.pid());
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read(Consumer<String> onLine) {
+        try (BufferedReader lines =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                onLine.accept(line);
+            }
+        } catch (IOException e) {
+            // The process has been ended; what it wrote until then was taken.
+        }
+    }
+
+    /** Writes a line to the process's standard input. */
+    void tell(String line) {
+        in.println(line);
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    void kill() {
+        process.destroyForcibly();
+        awaitEnd();
+    }
+
+    void terminate() {
+        process.destroy();
+    }
+
+    /** Waits for the process to end; tells whether it did. */
+    boolean awaitEnd() {
+        try {
+            return process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    void freeze() {
+        signal("-STOP");
+    }
+
+    void thaw() {
+        signal("-CONT");
+    }
+
+    private void signal(String name) {
+        try {
+            new ProcessBuilder("kill", name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakPromise.java
@@ -0,0 +1,18 @@
+package org.siskindyke.soak;
+
+import java.util.List;
+
+/** Something that must hold in each soak, judged by what the processes saw. */
+interface SoakPromise {
+    /** Returns the promise in a few words. */
+    String name();
+
+    /**
+     * Finds where it was broken.
+     *
+     * @param events all events, by time
+     * @param plan the faults
+     * @return a line for each case
+     */
+    List<String> broken(List<SoakEvent> events, SoakPlan plan);
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakRun.java
@@ -0,0 +1,166 @@
+package org.siskindyke.soak;
+
+import java.io.File;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import org.siskindyke.runtime.http.Json;
+import org.siskindyke.soak.SoakEvent.What;
+
+/** One soak: starts the processes, lets the faults of its seed happen, waits until all is served again, and judges. */
+public final class SoakRun {
+    static final String STORE = "store";
+    static final String NOT_SERVED = "not served";
+
+    private static final long FIRST_SERVED_LIMIT_MILLIS = 60_000;
+    /** When everything must be served again after the last fault. */
+    private static final long RECOVERY_MILLIS = 15_000;
+    /** Time in which every request must be answered for the cluster to count as serving. */
+    private static final long SERVED_WINDOW_MILLIS = 1_500;
+
+    private static final long LOOK_MILLIS = 100;
+    private static final int OK = 200;
+
+    private final SoakSite site;
+    private final SoakPlan plan;
+    private final File directory;
+    private final SoakJournal journal = new SoakJournal();
+    private final Set<SoakPlan.Step> open = new HashSet<>();
+
+    /** Something that happens at a moment of a soak. */
+    private record Action(long atMillis, Runnable work) {}
+
+    /**
+     * What a soak has found.
+     *
+     * @param requests requests that were answered or failed
+     * @param served those with a right answer
+     * @param faults faults that happened
+     * @param broken the cases in which a promise was broken, by promise
+     */
+    public record Verdict(long requests, long served, int faults, Map<String, List<String>> broken) {}
+
+    /**
+     * Prepares a soak.
+     *
+     * @param site the instances
+     * @param plan the faults
+     * @param directory takes logs
+     */
+    public SoakRun(SoakSite site, SoakPlan plan, File directory) {
+        this.site = site;
+        this.plan = plan;
+        this.directory = directory;
+    }
+
+    /** Runs the soak. */
+    public Verdict run() throws InterruptedException {
+        try (SoakCluster cluster = new SoakCluster(site, plan, directory, journal)) {
+            if (!awaitServing(FIRST_SERVED_LIMIT_MILLIS)) {
+                journal.add(What.FAULT, NOT_SERVED, "never served");
+                return judge();
+            }
+            play(cluster);
+            if (!awaitServing(RECOVERY_MILLIS)) {
+                journal.add(What.FAULT, NOT_SERVED, "not served " + RECOVERY_MILLIS + " ms after the last fault");
+            }
+        }
+        return judge();
+    }
+
+    private void play(SoakCluster cluster) throws InterruptedException {
+        List<Action> actions = new ArrayList<>();
+        for (SoakPlan.Step step : plan.steps()) {
+            actions.add(new Action(step.atMillis(), () -> begin(cluster, step)));
+            actions.add(new Action(step.atMillis() + step.forMillis(), () -> end(cluster, step)));
+        }
+        actions.sort(Comparator.comparingLong(Action::atMillis));
+        long startMillis = SoakJournal.nowMillis();
+        for (Action action : actions) {
+            long leftMillis = startMillis + action.atMillis() - SoakJournal.nowMillis();
+            TimeUnit.MILLISECONDS.sleep(Math.max(0, leftMillis));
+            action.work().run();
+        }
+    }
+
+    private void begin(SoakCluster cluster, SoakPlan.Step step) {
+        if (open.stream().anyMatch(other -> isInTheWayOf(other, step))) {
+            return;
+        }
+        open.add(step);
+        note(What.FAULT, step);
+        step.fault().begin(cluster, step.instance());
+    }
+
+    private void end(SoakCluster cluster, SoakPlan.Step step) {
+        if (!open.remove(step)) {
+            return;
+        }
+        step.fault().end(cluster, step.instance());
+        note(What.MENDED, step);
+    }
+
+    private static boolean isInTheWayOf(SoakPlan.Step one, SoakPlan.Step other) {
+        SoakFault.Part part = one.fault().part();
+        boolean shared = part == SoakFault.Part.STORE || part == SoakFault.Part.OPERATOR;
+        return part.overlaps(other.fault().part()) && (shared || one.instance() == other.instance());
+    }
+
+    private void note(What what, SoakPlan.Step step) {
+        String who = step.fault().meetsStore()
+                ? STORE
+                : site.instances().get(step.instance()).callers();
+        journal.add(what, who, step.fault().name());
+    }
+
+    /** Waits until each router has answered all its callers' requests of the last while. */
+    private boolean awaitServing(long limitMillis) throws InterruptedException {
+        long endMillis = SoakJournal.nowMillis() + limitMillis;
+        while (SoakJournal.nowMillis() < endMillis) {
+            if (isServing(SoakJournal.nowMillis() - SERVED_WINDOW_MILLIS)) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+        }
+        return false;
+    }
+
+    private boolean isServing(long sinceMillis) {
+        Map<String, Integer> served = new TreeMap<>();
+        for (SoakEvent event : journal.events()) {
+            if (event.what() != What.ANSWERED || event.atMillis() < sinceMillis) {
+                continue;
+            }
+            if (event.status() != OK) {
+                return false;
+            }
+            served.merge(event.who(), 1, Integer::sum);
+        }
+        return served.size() == site.instances().size();
+    }
+
+    private Verdict judge() {
+        List<SoakEvent> events = journal.events();
+        SoakLog file = new SoakLog(new File(directory, "events.jsonl"));
+        file.append(events.stream().map(Json::write).collect(Collectors.joining(System.lineSeparator())));
+        Map<String, List<String>> broken = new TreeMap<>();
+        for (SoakPromise promise : SoakPromises.all()) {
+            List<String> cases = promise.broken(events, plan);
+            if (!cases.isEmpty()) {
+                broken.put(promise.name(), cases);
+            }
+        }
+        long requests = events.stream().filter(e -> e.what() == What.ANSWERED).count();
+        long served = events.stream()
+                .filter(e -> e.what() == What.ANSWERED && e.status() == OK && e.detail() == null)
+                .count();
+        return new Verdict(requests, served, plan.steps().size(), broken);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/siskindyke/soak/SoakSite.java
@@ -0,0 +1,117 @@
+package org.siskindyke.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The instances of a soak; each has a loopback address of its own, so that all routers use the same ports.
+ *
+ * @param instances all instances
+ */
+public record SoakSite(List<Instance> instances) {
+    static final String KEYED = "keyed";
+    static final String PLAIN = "plain";
+    static final int CALLERS_PORT = 7000;
+    static final int STORE_PORT = 7009;
+    static final long HEARTBEAT_MILLIS = 300;
+    static final long DRAIN_MILLIS = 2_000;
+    static final int GRACE_SECONDS = 6;
+
+    private static final int PEERS_PORT = 7001;
+    private static final int READINESS_PORT = 7002;
+    private static final int HEARTBEATS_PORT = 7003;
+    private static final int TARGET_PORT = 7004;
+    private static final int DOMAINS = 3;
+    private static final int HOSTS_PER_NETWORK = 250;
+
+    /**
+     * An instance.
+     *
+     * @param name its name, also of its router and backend server
+     * @param service its service
+     * @param domain its failure domain
+     * @param host its loopback address
+     */
+    public record Instance(String name, String service, String domain, String host) {
+        String callers() {
+            return host + ":" + CALLERS_PORT;
+        }
+
+        String heartbeats() {
+            return host + ":" + HEARTBEATS_PORT;
+        }
+
+        String targetAddress() {
+            return host + ":" + TARGET_PORT;
+        }
+
+        /** Where this instance's router reaches the store: a proxy that faults can meet. */
+        String store() {
+            return host + ":" + STORE_PORT;
+        }
+
+        /** The settings file of the router, in the platform's form. */
+        String settings() {
+            return """
+                    {"node_name":"%s","zone":"%s","service":"%s",
+                     "listen":{"outbound":"%s","inbound":"%s:%d","ready":"%s:%d","control":"%s"},
+                     "platform":{"address":"%s"},"heartbeat_ms":%d,
+                     "bounds":{"drain_ms":%d,"grace_s":%d,"hold_max_ms":10000,"retry_budget_ratio":0.2,
+                               "budget_extra":60,"budget_window_s":10}}
+                    """.formatted(
+                            name,
+                            domain,
+                            service,
+                            callers(),
+                            host,
+                            PEERS_PORT,
+                            host,
+                            READINESS_PORT,
+                            heartbeats(),
+                            store(),
+                            HEARTBEAT_MILLIS,
+                            DRAIN_MILLIS,
+                            GRACE_SECONDS);
+        }
+    }
+
+    /** Makes a site; two of three instances belong to the divided service. */
+    public static SoakSite of(int count) {
+        List<Instance> made = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String service = i % 3 == 2 ? PLAIN : KEYED;
+            String domain = "d" + i / 3 % DOMAINS;
+            made.add(new Instance("n" + i, service, domain, host(i)));
+        }
+        return new SoakSite(made);
+    }
+
+    /** Returns a loopback address, in a network that follows from the process, so that soaks may run side by side. */
+    static String host(int index) {
+        long network = 1 + ProcessHandle.current().pid() % (HOSTS_PER_NETWORK - 1);
+        return "127." + network + "." + index / HOSTS_PER_NETWORK + "." + (index % HOSTS_PER_NETWORK + 1);
+    }
+
+    /** Returns the configuration of a version: its marked route is there in no other version. */
+    static String configuration(int version) {
+        return """
+                {"version":"r%d","services":[{"name":"keyed","max_connections":40,"sharded":true},
+                 {"name":"plain","max_connections":40}],
+                 "virtual_hosts":[{"hostname":"soak.example","paths":[%s,%s,%s]}]}
+                """.formatted(
+                        version,
+                        route("safe", "/s/", "safe", KEYED),
+                        route("unsafe", "/u/", "unsafe", PLAIN),
+                        route("mark" + version, markedPath(version), "safe", PLAIN));
+    }
+
+    static String markedPath(int version) {
+        return "/v" + version + "/";
+    }
+
+    private static String route(String name, String prefix, String kind, String service) {
+        return """
+                {"name":"%s","prefix":"%s","route_type":"%s","timeout_ms":4000,"aim_ms":1000,"priority":1,
+                 "service":"%s","max_attempts":2}""".formatted(name, prefix, kind, service);
+    }
+}
--- a/src/main/java/org/siskindyke/standin/HeartbeatTarget.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatTarget.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -28,6 +30,12 @@
 public final class HeartbeatTarget {
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
+    private static final int SLOTS = 4;
+    /** How long an acknowledgement may take, as at the users' platform. */
+    private static final long ANSWER_MILLIS = 1_000;
+    /** When the next heartbeat follows an acknowledgement that left keys out, as at the users' platform. */
+    private static final long RELEASE_MILLIS = 100;
+
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
     private final TrafficLoop traffic;
@@ -35,9 +43,14 @@
     private final Identity identity;
     private final HttpCaller router;
     private final ConcurrentLinkedQueue<String> ran = new ConcurrentLinkedQueue<>();
-    private final List<long[]> held = new ArrayList<>();
+    private final Listener listener;
+    private final long bornMillis;
+    private final List<HeldRow> held = new ArrayList<>();
+    private final List<HeldRow> freed = new ArrayList<>();
+    private final Set<HeldRow> hidden = new HashSet<>();
     private long holdEndMillis;
     private long sequence;
+    private boolean hidesKeys;
     private volatile boolean leaving;
     private volatile boolean stopped;
 
@@ -61,14 +74,55 @@
             boolean divided,
             long heartbeatMillis) {}
 
-    /** Creates a backend server that does not listen yet. */
+    /**
+     * Keys that the backend server holds.
+     *
+     * @param first the first key
+     * @param last the last key
+     * @param token the fencing token
+     */
+    public record HeldRow(int first, int last, long token) {
+        private boolean contains(int key) {
+            return first <= key && key <= last;
+        }
+    }
+
+    /** Learns what the backend server does, on the traffic loop. */
+    public interface Listener {
+        /** Ignores everything. */
+        Listener NONE = new Listener() {};
+
+        /** A request begins to run; the token is -1 where the service is not divided. */
+        default void onRun(String requestId, int key, long token) {}
+
+        /** An acknowledgement has said what to hold, until a moment of the clock. */
+        default void onHolds(List<HeldRow> rows, long untilMillis) {}
+
+        /** The router has acknowledged that the backend server leaves. */
+        default void onLeavingAcknowledged() {}
+    }
+
+    /** Creates a backend server that does not listen yet, and whose life began at once. */
     public HeartbeatTarget(TrafficLoop traffic, MonotonicClock clock, Identity identity) {
+        this(traffic, clock, identity, 1, Listener.NONE);
+    }
+
+    /** Creates a backend server that does not listen yet. */
+    public HeartbeatTarget(
+            TrafficLoop traffic, MonotonicClock clock, Identity identity, long bornMillis, Listener listener) {
         this.traffic = traffic;
         this.clock = clock;
         this.identity = identity;
+        this.bornMillis = bornMillis;
+        this.listener = listener;
         this.router = new HttpCaller(traffic, clock, identity.heartbeats());
     }
 
+    /** Breaks the protocol on purpose: says that it has released keys, and goes on holding them. */
+    public void hideKeys() {
+        hidesKeys = true;
+    }
+
     /** Starts to listen and to send heartbeats. */
     public void start() {
         new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, this::handle).listen(identity.address());
@@ -94,15 +148,32 @@
         if (stopped) {
             return;
         }
+        send();
+        traffic.schedule(this::beat, identity.heartbeatMillis());
+    }
+
+    private void send() {
         long sentMillis = clock.nowMillis();
+        boolean saysLeaving = leaving;
+        dropLapsed(sentMillis);
+        List<HeldRow> reported = List.copyOf(freed);
         byte[] body = heartbeat().toString().getBytes(StandardCharsets.UTF_8);
-        router.call("POST", "/instances/" + identity.name() + "/heartbeat", body, identity.heartbeatMillis())
+        router.call("POST", "/instances/" + identity.name() + "/heartbeat", body, ANSWER_MILLIS)
                 .whenComplete((response, failure) -> {
-                    if (failure == null && response.status() == OK) {
+                    if (failure == null && response.status() == OK && !stopped) {
+                        freed.removeAll(reported);
                         take(response.body(), sentMillis);
+                        if (saysLeaving) {
+                            listener.onLeavingAcknowledged();
+                        }
                     }
                 });
-        traffic.schedule(this::beat, identity.heartbeatMillis());
+    }
+
+    private void dropLapsed(long nowMillis) {
+        if (nowMillis >= holdEndMillis) {
+            held.clear();
+        }
     }
 
     private ObjectNode heartbeat() {
@@ -111,12 +182,13 @@
         node.put(
                 "address",
                 identity.address().getHostString() + ":" + identity.address().getPort());
-        node.put("zone", identity.domain()).put("version", "v1").put("slots", 4);
+        node.put("zone", identity.domain()).put("version", "v1").put("slots", SLOTS);
         node.put("state", leaving ? "draining" : "ready").put("cold_left_ms", 0);
-        node.put("seq_num", ++sequence).put("born", 1);
+        node.put("seq_num", ++sequence).put("born", bornMillis);
         ArrayNode holds = node.putArray("holds");
-        held.forEach(r -> holds.addArray().add(r[0]).add(r[1]).add(r[2]));
-        node.putArray("freed");
+        held.forEach(r -> holds.addArray().add(r.first()).add(r.last()).add(r.token()));
+        ArrayNode released = node.putArray("freed");
+        freed.forEach(r -> released.addArray().add(r.first()).add(r.last()).add("h" + r.token()));
         return node;
     }
 
@@ -130,12 +202,26 @@
         if (!reply.has("holds")) {
             return;
         }
-        held.clear();
+        List<HeldRow> granted = new ArrayList<>();
         reply.path("holds")
-                .forEach(r -> held.add(new long[] {
-                    r.get(0).asLong(), r.get(1).asLong(), r.get(2).asLong()
-                }));
+                .forEach(r -> granted.add(
+                        new HeldRow(r.get(0).asInt(), r.get(1).asInt(), r.get(2).asLong())));
+        if (hidesKeys) {
+            hidden.addAll(held);
+        }
+        List<HeldRow> left = held.stream()
+                .filter(h -> granted.stream().noneMatch(g -> g.contains(h.first()) && g.contains(h.last())))
+                .toList();
+        freed.addAll(left);
+        held.clear();
+        held.addAll(granted);
         holdEndMillis = sentMillis + reply.path("hold_ms").asLong();
+        List<HeldRow> all = new ArrayList<>(granted);
+        all.addAll(hidden);
+        listener.onHolds(all, hidesKeys ? Long.MAX_VALUE : holdEndMillis);
+        if (!left.isEmpty()) {
+            traffic.schedule(this::send, RELEASE_MILLIS);
+        }
     }
 
     private Cancellable handle(HttpExchange.Request request, HttpExchange.Responder responder) {
@@ -152,6 +238,8 @@
             return Cancellable.NONE;
         }
         ran.add(String.valueOf(id));
+        int number = key == null ? -1 : Integer.parseInt(key);
+        listener.onRun(String.valueOf(id), number, tokenOf(number));
         headers.add(new Header("X-Siskindyke-Response-Signature", "s." + id));
         byte[] body = ("answer of " + identity.name()).getBytes(StandardCharsets.UTF_8);
         int delayMillis = delayMillis(request.target());
@@ -161,11 +249,15 @@
     }
 
     private boolean holds(String key) {
-        if (key == null || clock.nowMillis() >= holdEndMillis) {
-            return false;
-        }
-        long number = Long.parseLong(key);
-        return held.stream().anyMatch(r -> r[0] <= number && number <= r[1]);
+        return key != null && clock.nowMillis() < holdEndMillis && tokenOf(Integer.parseInt(key)) >= 0;
+    }
+
+    private long tokenOf(int key) {
+        return held.stream()
+                .filter(row -> row.contains(key))
+                .mapToLong(HeldRow::token)
+                .findFirst()
+                .orElse(-1);
     }
 
     /** Returns the number that ends a path, which is how long the request takes; 0 where there is none. */
--- /dev/null
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -0,0 +1,40 @@
+package org.siskindyke.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.Example;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A short soak with real processes, and one in which a promise is broken on purpose. */
+class SoakTest {
+    private static final int INSTANCES = 3;
+    private static final List<SoakPlan.Step> STEPS = List.of(
+            new SoakPlan.Step(500, 2_500, SoakFault.REPLACE_TARGET, 0),
+            new SoakPlan.Step(1_000, 1_500, SoakFault.STORE_ANSWER_LOST, 0),
+            new SoakPlan.Step(3_500, 500, SoakFault.KILL_ROUTER, 1),
+            new SoakPlan.Step(4_000, 500, SoakFault.CHANGE_CONFIGURATION, 0));
+
+    private static SoakRun.Verdict run(SoakPlan plan) throws IOException, InterruptedException {
+        File directory = Files.createTempDirectory("soak").toFile();
+        return new SoakRun(SoakSite.of(INSTANCES), plan, directory).run();
+    }
+
+    @Example
+    void theProductKeepsItsPromisesWhileServersLeaveAndRoutersAreKilled() throws IOException, InterruptedException {
+        SoakRun.Verdict verdict = run(new SoakPlan(STEPS, false, false));
+        assertEquals(Map.of(), verdict.broken());
+        assertTrue(verdict.served() > verdict.requests() / 2, verdict.toString());
+    }
+
+    @Example
+    void serversThatGoOnHoldingWhatTheyReleasedAreFound() throws IOException, InterruptedException {
+        SoakRun.Verdict verdict = run(new SoakPlan(STEPS, false, true));
+        assertTrue(verdict.broken().containsKey("one owner"), verdict.toString());
+    }
+}
