Drop a watcher's answer on a touch row once the member has changed its grantor

Cause: a member that renews at the table is watched by its touch row. When it changes to a peer, the watch is forgotten, but a read that was under way still came back to it: the row looked untouched for lease and margin, the watcher declared the member dead on condition of the row that it had learned meanwhile, and the table accepted that. Both then served the member's slices until its lease ended. Any router that starts first, or that is alone for a while, could meet this.

Ruled out: the lease protocol itself (the condition on the row held, it was the new row) and the table's conditions.

Change: the answer counts only while its watch does, as in SilenceDuty.

--- a/src/main/java/org/siskindyke/kernel/control/DeathDuty.java
+++ b/src/main/java/org/siskindyke/kernel/control/DeathDuty.java
@@ -162,7 +162,8 @@
         watch.nextReadMillis = nowMillis + context.settings().lease().heartbeatMillis();
         context.settle(context.table().read(RowPath.touch(id)), (row, failure) -> {
             watch.reading = false;
-            if (failure == null) {
+            boolean stillWatched = touchWatches.get(id) == watch;
+            if (failure == null && stillWatched) {
                 onTouchRead(id, watch, row);
             }
         });
--- a/src/test/java/org/siskindyke/kernel/control/OwnershipUnderFaultsTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/OwnershipUnderFaultsTest.java
@@ -98,6 +98,15 @@
         new RandomFaults(seed, false, LeaseParts.REAL).run(2_000);
     }
 
+    /**
+     * Pattern: a member changes from the table to a peer as its grantor while a watcher reads its touch row. The watcher
+     * learned of the change before the answer came, and still declared the member dead, on condition of the new row.
+     */
+    @Example
+    void aMemberThatHasJustLeftTheTableAsGrantorIsNotDeclaredDead() {
+        assertTrue(new RandomFaults(-5, true, LeaseParts.REAL).run(2_000) > 0);
+    }
+
     /** Runs long randomised histories; set -Dsoak.seed and -Dsoak.runs to search further. */
     @Example
     void soakRunsAnySeed() {
