--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -22,6 +22,9 @@
     private static final int POLL_LIMIT_ROWS = 2_000;
     private static final int GOSSIP_LIMIT_ROWS = 200;
     private static final long FIRST_POLL_RETRY_MILLIS = 100;
+    /** Pause after a failed poll of a member that knows the rows already; each call costs. */
+    private static final long POLL_RETRY_MILLIS = 400;
+
     private static final long STALE_POLLS = 8;
     private static final int PUSHES_PER_CHANGE = 8;
 
@@ -167,7 +170,7 @@
         polling = false;
         if (failure != null) {
             nextPollMillis = nowMillis
-                    + FIRST_POLL_RETRY_MILLIS
+                    + (synced ? POLL_RETRY_MILLIS : FIRST_POLL_RETRY_MILLIS)
                     + jittered(context.settings().pollMillis());
             return;
         }
--- a/src/main/java/org/siskindyke/platform/ConfigurationWatch.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatch.java
@@ -12,10 +12,10 @@
 final class ConfigurationWatch {
     private static final String TABLE = "op";
     private static final String KEY = "config";
-    /** Pause after a call that failed; each call is paid for, and half of the time to apply must be left. */
-    private static final long RETRY_MILLIS = 400;
-    /** Changes that follow each other within this are taken with one call. */
-    private static final long PAUSE_MILLIS = 100;
+    /** Pause after a failed call, on average; each call is paid for, and a store counts as back after 3 seconds. */
+    private static final long RETRY_MILLIS = 1_000;
+    /** Changes that follow each other within this are taken with one call; under half of the time to apply them. */
+    private static final long PAUSE_MILLIS = 800;
 
     private final StoreClient store;
     private final TrafficLoop traffic;
