--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -121,10 +121,10 @@
                 .thenComparingLong(e -> e.number);
     }
 
-    /** Tells whether a call that started now would likely meet its objective; nested ones are not told apart. */
+    /** Tells whether a call that started now would meet its objective; one that is waited for counts till its end. */
     private boolean meetsObjective(Entry entry, long nowMillis) {
         return !entry.urgency.nested()
-                && nowMillis + times.likelyMillis(entry.urgency.kind(), nowMillis) <= entry.urgency.objectiveMillis();
+                && nowMillis + times.millis(entry.urgency.kind(), nowMillis) <= entry.urgency.objectiveMillis();
     }
 
     /** Takes a waiting call out, so that it is neither admitted nor refused; tells whether it was waiting. */
--- a/src/main/java/org/siskindyke/kernel/call/ServiceTimes.java
+++ b/src/main/java/org/siskindyke/kernel/call/ServiceTimes.java
@@ -16,25 +16,21 @@
     private static final double FIRST_GUESS_MILLIS = 50;
     /** Time without samples in which an estimate falls to half. */
     private static final double HALF_LIFE_MILLIS = 1_000;
-    /** Mean deviations above the average within which about nine of ten calls end. */
-    private static final double DEVIATIONS = 1.5;
     /** Kinds beyond which new ones share the first guess, to bound memory. */
     private static final int MOST_KINDS = 1_000;
 
     private final Map<String, Estimate> byKind = new HashMap<>();
     private final Estimate all = new Estimate();
 
-    /** The average of one kind, its mean deviation and when it was last heard of. */
+    /** The average of one kind and when it was last heard of. */
     private static final class Estimate {
         private double millis = FIRST_GUESS_MILLIS;
-        private double deviationMillis;
         private boolean known;
         private long sampledMillis;
 
         private void onEnded(long tookMillis, long nowMillis) {
             double present = known ? fadedMillis(nowMillis) : tookMillis;
             millis = present + SAMPLE_SHARE * (tookMillis - present);
-            deviationMillis += SAMPLE_SHARE * (Math.abs(tookMillis - present) - deviationMillis);
             known = true;
             sampledMillis = nowMillis;
         }
@@ -59,12 +55,6 @@
         return known == null ? FIRST_GUESS_MILLIS : known.fadedMillis(nowMillis);
     }
 
-    /** Returns the time within which most calls of a kind end, in milliseconds. */
-    public double likelyMillis(String kind, long nowMillis) {
-        Estimate known = byKind.get(kind);
-        return known == null ? FIRST_GUESS_MILLIS : known.fadedMillis(nowMillis) + DEVIATIONS * known.deviationMillis;
-    }
-
     /** Returns the average over all kinds, in milliseconds. */
     public double averageMillis(long nowMillis) {
         return all.fadedMillis(nowMillis);
