--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -20,30 +19,20 @@
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.ConfigurationText;
 import org.siskindyke.kernel.control.ControlContext;
-import org.siskindyke.kernel.control.ControlListener;
 import org.siskindyke.kernel.control.ControlNode;
 import org.siskindyke.kernel.control.ControlSettings;
-import org.siskindyke.kernel.control.PlacementDecision;
-import org.siskindyke.kernel.document.BalanceRule;
-import org.siskindyke.kernel.document.CallRule;
-import org.siskindyke.kernel.document.KeyRule;
-import org.siskindyke.kernel.document.MatchRule;
 import org.siskindyke.kernel.document.ServiceDocument;
-import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.grant.GrantReply;
 import org.siskindyke.kernel.grant.TargetHeartbeat;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.TargetName;
-import org.siskindyke.kernel.id.TeamName;
 import org.siskindyke.kernel.membership.LeaseSettings;
 import org.siskindyke.kernel.membership.MemberAddress;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
-import org.siskindyke.kernel.route.CallerLimits;
 import org.siskindyke.kernel.route.RouteTable;
 import org.siskindyke.kernel.route.RoutingConfiguration;
-import org.siskindyke.kernel.route.ServiceSettings;
 import org.siskindyke.kernel.table.TableService;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.call.SliceMeter;
@@ -90,7 +79,7 @@
 
     private final InstanceSettings settings;
     private final CallDialect dialect;
-    private final Function<ConfigurationText, RoutingConfiguration> decoder;
+    private final ConfigurationKeeper configuration;
     private final MonotonicClock clock = SystemMonotonicClock.INSTANCE;
     private final EventLog log;
     private final TrafficLoop traffic;
@@ -106,11 +95,8 @@
     private final HttpListener callers;
     private final SuspensionDetector suspension;
     private volatile ControlNode node;
-    private volatile CallerLimits limits = CallerLimits.DEFAULT;
     private volatile boolean configured;
     private volatile boolean stopping;
-    private ConfigurationText configuration = ConfigurationText.NONE;
-    private RoutingConfiguration routing;
 
     /**
      * Creates a router that does not listen yet.
@@ -132,8 +118,8 @@
         this.settings = settings;
         this.traffic = traffic;
         this.dialect = dialect;
-        this.decoder = decoder;
         this.log = log;
+        this.configuration = new ConfigurationKeeper(decoder, SLICES, this::onInForce, log);
         this.control = new ControlThread("control-" + settings.instance());
         this.table = control.confine(table);
         this.suspension = new SuspensionDetector(clock, System::currentTimeMillis);
@@ -162,7 +148,7 @@
                 new CallDirector.Policies(
                         settings.service(), new NearbyFirst(settings.failureDomain()), this::newBudget, this::onEnded));
         this.targets = new TargetKeeper(settings, clock, traffic, gate, log, SLICES, longestHoldMillis());
-        this.callers = new HttpListener(traffic, clock, () -> limits, director);
+        this.callers = new HttpListener(traffic, clock, configuration::limits, director);
     }
 
     private OptionalInt gateSlots(ServiceName service) {
@@ -237,7 +223,8 @@
     public void onHeartbeat(TargetHeartbeat heartbeat, InetSocketAddress address, Consumer<GrantReply> onReply) {
         control.execute(() -> {
             checkSuspension();
-            GrantReply reply = targets.onHeartbeat(heartbeat, address, node, settingsOf(heartbeat.service()));
+            GrantReply reply =
+                    targets.onHeartbeat(heartbeat, address, node, configuration.settings(heartbeat.service()));
             traffic.execute(() -> onReply.accept(reply));
         });
     }
@@ -250,8 +237,15 @@
         });
     }
 
-    private Optional<ServiceSettings> settingsOf(ServiceName service) {
-        return Optional.ofNullable(routing).map(r -> r.services().get(service));
+    private void onInForce(RoutingConfiguration read) {
+        for (ServiceDocument document : configuration.documents(read)) {
+            node.view().acceptDocument(document, read.version(), clock.nowMillis());
+        }
+        RouteTable routes = new RouteTable(read);
+        traffic.execute(() -> {
+            director.setRoutes(routes);
+            configured = true;
+        });
     }
 
     private ClusterView view() {
@@ -289,7 +283,7 @@
                 new Random(unique),
                 table,
                 peers,
-                new Listener(self),
+                new MemberEvents(self, log, this::forgetEnded, this::rejoinSoon, configuration::apply),
                 new ClusterView());
         MemberRow template = new MemberRow(
                 self,
@@ -323,53 +317,6 @@
         return new ControlSettings(lease, POLL_PAUSE_MILLIS, GOSSIP_MILLIS, PLAN_MILLIS, OUTAGE_BOUND_MILLIS, true);
     }
 
-    /** Takes a configuration into force; one that cannot be read is logged and left out. */
-    private void apply(ConfigurationText text) {
-        RoutingConfiguration read;
-        try {
-            read = decoder.apply(text);
-        } catch (SiskindykeException e) {
-            log.event("configuration-unreadable", "revision", text.revision(), "cause", e.getMessage());
-            return;
-        }
-        configuration = text;
-        routing = read;
-        limits = read.limits();
-        acceptDocuments(read);
-        RouteTable routes = new RouteTable(read);
-        traffic.execute(() -> {
-            director.setRoutes(routes);
-            configured = true;
-        });
-        log.event(
-                "configuration-in-force",
-                "version",
-                read.version(),
-                "routes",
-                read.routes().size());
-    }
-
-    private void acceptDocuments(RoutingConfiguration read) {
-        for (ServiceSettings service : read.services().values()) {
-            if (service.divided()) {
-                node.view().acceptDocument(document(service.service()), read.version(), clock.nowMillis());
-            }
-        }
-    }
-
-    private static ServiceDocument document(ServiceName service) {
-        KeyRule keys = new KeyRule(true, KeyRule.KeySource.HEADER, service.value(), 0, SLICES);
-        CallRule calls = new CallRule(TimeUnit.SECONDS.toMillis(1), null, null, null, null, null, null);
-        return new ServiceDocument(
-                service,
-                TeamName.of("operators"),
-                new MatchRule(List.of(), null),
-                keys,
-                List.of(),
-                calls,
-                BalanceRule.EVEN);
-    }
-
     /**
      * Stops: answers everything that was read, then ends. Called on a thread that may wait.
      *
@@ -417,82 +364,21 @@
         };
     }
 
-    /** Logs what happens to the member and passes it on. */
-    private final class Listener implements ControlListener {
-        private final MemberId self;
-
-        private Listener(MemberId self) {
-            this.self = self;
-        }
-
-        @Override
-        public void onLease(long leaseEndMillis) {
-            if (leaseEndMillis == Long.MIN_VALUE) {
-                log.event("lease-ended", "member", self);
-            }
-        }
-
-        @Override
-        public void onJoined(MemberId grantor) {
-            log.event("joined", "member", self, "grantor", grantor);
-            Set<MemberId> serving = view().members().serving().stream()
-                    .map(MemberRow::id)
-                    .collect(Collectors.toCollection(HashSet::new));
-            traffic.execute(() -> director.forgetAllBut(serving));
-        }
-
-        @Override
-        public void onDeclaredDead(MemberId declaredBy) {
-            log.event("declared-dead", "member", self, "by", declaredBy);
-            if (!stopping) {
-                control.schedule(this::rejoin, REJOIN_MILLIS);
-            }
-        }
-
-        private void rejoin() {
-            node = newNode();
-            peers.attach(node);
-            node.onConfiguration(configuration);
-        }
-
-        @Override
-        public void onLeft() {
-            log.event("left", "member", self);
-        }
-
-        @Override
-        public void onGrantorReplaced(MemberId before, MemberId after) {
-            log.event("grantor-replaced", "before", before, "after", after);
-        }
-
-        @Override
-        public void onConfiguration(ConfigurationText learned) {
-            apply(learned);
-        }
+    private void forgetEnded() {
+        Set<MemberId> serving =
+                view().members().serving().stream().map(MemberRow::id).collect(Collectors.toCollection(HashSet::new));
+        traffic.execute(() -> director.forgetAllBut(serving));
+    }
 
-        @Override
-        public void onPlacement(PlacementDecision decision) {
-            log.event(
-                    "placement",
-                    "kind",
-                    decision.kind(),
-                    "service",
-                    decision.service(),
-                    "from",
-                    decision.from(),
-                    "to",
-                    decision.to(),
-                    "slices",
-                    decision.slices(),
-                    "reason",
-                    decision.reason(),
-                    "committed",
-                    decision.committed());
+    private void rejoinSoon() {
+        if (!stopping) {
+            control.schedule(this::rejoin, REJOIN_MILLIS);
         }
+    }
 
-        @Override
-        public void onDefect(RuntimeException defect) {
-            log.event("control-defect", "cause", defect, "at", defect.getStackTrace()[0]);
-        }
+    private void rejoin() {
+        node = newNode();
+        peers.attach(node);
+        node.onConfiguration(configuration.text());
     }
 }
