Read on after the last answer of a connection, so that it is not reset

The router closed a connection right after its last answer. Where the caller's next bytes are unread by then, or arrive after it, the kernel resets the connection, and the caller may lose the answer that it was sent.

Ruled out: the test's own order (it waits for the loop before it answers); load alone (a reset needs unread bytes).

Change: the router ends its output after the last answer and reads and drops for a second, or until the caller closes. anAnswerIsNotLostWhenMoreBytesCrossTheEndOfTheConnection fails without it ("Broken pipe") and passes.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -6,15 +6,16 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -37,6 +38,9 @@
     /** Requests that are read ahead on one connection; more wait in the socket. */
     private static final int MOST_UNANSWERED = 32;
 
+    /** How long a connection is read after its last answer; a caller's next request has arrived by then. */
+    private static final long LINGER_MILLIS = 1_000;
+
     private static final int BAD_REQUEST = 400;
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
@@ -246,13 +250,24 @@
         if (close) {
             ignoring = true;
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            channel.write(message).addListener(ChannelFutureListener.CLOSE);
+            channel.write(message).addListener(sent -> endOutput());
             abandonRest();
         } else {
             channel.write(message, channel.voidPromise());
         }
     }
 
+    /** Ends the answers and reads on: closing with unread bytes would reset the connection and its answer. */
+    private void endOutput() {
+        if (channel instanceof DuplexChannel duplex && channel.isActive()) {
+            duplex.shutdownOutput();
+            channel.config().setAutoRead(true);
+            channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            channel.close();
+        }
+    }
+
     private void abandonRest() {
         List<Exchange> rest = List.copyOf(exchanges);
         exchanges.clear();
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -117,6 +117,23 @@
         }
     }
 
+    /** Pattern: a caller's next bytes crossed the end of its connection; they reset it and took the answer along. */
+    @Example
+    void anAnswerIsNotLostWhenMoreBytesCrossTheEndOfTheConnection() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            HttpExchange.Responder first = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            runOnLoop(() -> first.respond(HttpExchange.Response.empty(201)));
+            for (int round = 0; round < LOOP_ROUNDS; round++) {
+                runOnLoop(() -> {});
+                send(socket, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            }
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 201"), answer);
+            assertEquals(0, started.size());
+        }
+    }
+
     @Example
     void requestsOfTwoLengthsAreRefusedAndNothingBehindThemRuns() throws Exception {
         List<String> bad = List.of(
