--- a/src/main/java/org/siskindyke/platform/StoreClient.java
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -34,6 +34,8 @@
     private final LongAdder transactions = new LongAdder();
     private final LongAdder reads = new LongAdder();
     private final LongAdder watches = new LongAdder();
+    private final LongAdder failures = new LongAdder();
+    private volatile String lastFailure;
 
     StoreClient(HttpCaller caller) {
         this.caller = caller;
@@ -47,20 +49,37 @@
      */
     record Answer(int status, JsonNode body) {}
 
-    /** Logs the calls made so far; each is paid for. */
+    /** Logs the calls made so far, since each is paid for, and how many of them failed. */
     void logCalls(EventLog log) {
-        log.event("store-calls", "transactions", transactions.sum(), "reads", reads.sum(), "watches", watches.sum());
+        log.event(
+                "store-calls",
+                "transactions",
+                transactions.sum(),
+                "reads",
+                reads.sum(),
+                "watches",
+                watches.sum(),
+                "failed",
+                failures.sum(),
+                "lastFailure",
+                lastFailure);
+    }
+
+    private CompletionStage<Answer> counted(CompletionStage<Answer> answer) {
+        return answer.whenComplete((whole, failure) -> {
+            if (failure != null) {
+                failures.increment();
+                lastFailure = failure.getMessage();
+            }
+        });
     }
 
     /** Sends a transaction; answers with status 200 or 412. */
     CompletionStage<Answer> transact(JsonNode transaction) {
         transactions.increment();
-        return caller.call(
-                        "POST",
-                        "/rows-tx",
-                        transaction.toString().getBytes(StandardCharsets.UTF_8),
-                        CALL_TIMEOUT_MILLIS)
-                .thenCompose(response -> decode(response, CONDITION_FAILED));
+        byte[] body = transaction.toString().getBytes(StandardCharsets.UTF_8);
+        return counted(caller.call("POST", "/rows-tx", body, CALL_TIMEOUT_MILLIS)
+                .thenCompose(response -> decode(response, CONDITION_FAILED)));
     }
 
     /** Reads rows of a table, from a key on; {@code to} is the first key left out, null for none. */
@@ -69,14 +88,15 @@
         String target = "/rows-get?table=" + table + "&part=&limit=" + limit;
         target += from == null ? "" : "&from=" + encode(from);
         target += to == null ? "" : "&target=" + encode(to);
-        return caller.call("GET", target, NO_BODY, CALL_TIMEOUT_MILLIS).thenCompose(r -> decode(r, OK));
+        return counted(caller.call("GET", target, NO_BODY, CALL_TIMEOUT_MILLIS).thenCompose(r -> decode(r, OK)));
     }
 
     /** Waits for changes of a table after a version; answers with status 200, or 410 where the history is gone. */
     CompletionStage<Answer> watch(String table, long after) {
         watches.increment();
         String target = "/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + WATCH_MILLIS;
-        return caller.call("GET", target, NO_BODY, WATCH_TIMEOUT_MILLIS).thenCompose(r -> decode(r, HISTORY_GONE));
+        return counted(
+                caller.call("GET", target, NO_BODY, WATCH_TIMEOUT_MILLIS).thenCompose(r -> decode(r, HISTORY_GONE)));
     }
 
     /** Returns the text of a row's value. */
