Notice within seconds that a watch on the store was lost

The logs: the old owner had moved them (`placement MOVE committed=true`), all others still sent to it, and none of the readers had learned of it. Each had asked for changes while answers were lost; that answer never came, and a reader waits 25 s for changes and two more for the answer, since nothing tells a quiet table from a silent connection. What a writer learns of its own transactions does not travel by gossip, as it is not complete up to a version.

Ruled out: the writer's belief (the transaction had taken effect), moves that cross (one owner wrote all of them).

Change: readers wait 4 s for changes, the configuration's watch 8 s; an answer that is later than a call's time ends the connection and the question is asked again. Costs some calls: about one in 4 s for each reader.

--- a/src/main/java/org/siskindyke/platform/ConfigurationWatch.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatch.java
@@ -16,6 +16,8 @@
     private static final long RETRY_MILLIS = 1_000;
     /** Changes that follow each other within this are taken with one call; under half of the time to apply them. */
     private static final long PAUSE_MILLIS = 800;
+    /** How long to wait for a change; routers whose watch was lost learn of it from others. */
+    private static final long WATCH_MILLIS = 8_000;
 
     private final StoreClient store;
     private final TrafficLoop traffic;
@@ -38,7 +40,7 @@
     }
 
     private void watch() {
-        store.watch(TABLE, version).whenComplete(this::onAnswer);
+        store.watch(TABLE, version, WATCH_MILLIS).whenComplete(this::onAnswer);
     }
 
     private void onAnswer(StoreClient.Answer answer, Throwable failure) {
--- a/src/main/java/org/siskindyke/platform/PlatformTable.java
+++ b/src/main/java/org/siskindyke/platform/PlatformTable.java
@@ -24,6 +24,8 @@
     private static final String COPIED = "routers";
     private static final String UNCOPIED = "routers-own";
     private static final int PAGE_ROWS = 500;
+    /** How long a reader waits for changes; a new owner must be known everywhere within seconds also after a loss. */
+    private static final long WATCH_MILLIS = 4_000;
 
     private final StoreClient store;
 
@@ -33,7 +35,7 @@
 
     @Override
     public long longestPollMillis() {
-        return StoreClient.WATCH_MILLIS + StoreClient.CALL_TIMEOUT_MILLIS;
+        return WATCH_MILLIS + StoreClient.CALL_TIMEOUT_MILLIS;
     }
 
     @Override
@@ -41,7 +43,7 @@
         if (version == 0) {
             return snapshot(null, Long.MAX_VALUE, new ArrayList<>());
         }
-        return store.watch(COPIED, version)
+        return store.watch(COPIED, version, WATCH_MILLIS)
                 .thenCompose(answer -> answer.status() == StoreClient.HISTORY_GONE
                         ? snapshot(null, Long.MAX_VALUE, new ArrayList<>())
                         : CompletableFuture.completedStage(changes(answer.body())));
--- a/src/main/java/org/siskindyke/platform/StoreClient.java
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -23,10 +23,7 @@
     static final int HISTORY_GONE = 410;
     /** How long a call may take; a slow store takes tens of times its usual few milliseconds. */
     static final long CALL_TIMEOUT_MILLIS = 1_500;
-    /** How long a watch waits for a change at the store; the longest it allows is 30 seconds. */
-    static final long WATCH_MILLIS = 25_000;
 
-    private static final long WATCH_TIMEOUT_MILLIS = WATCH_MILLIS + 2_000;
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final byte[] NO_BODY = {};
 
@@ -91,12 +88,19 @@
         return counted(caller.call("GET", target, NO_BODY, CALL_TIMEOUT_MILLIS).thenCompose(r -> decode(r, OK)));
     }
 
-    /** Waits for changes of a table after a version; answers with status 200, or 410 where the history is gone. */
-    CompletionStage<Answer> watch(String table, long after) {
+    /**
+     * Waits for changes of a table after a version; answers with status 200, or 410 where the history is gone.
+     *
+     * @param table the table
+     * @param after the version
+     * @param waitMillis how long to wait for a change; an answer that was lost is noticed after it, since nothing else
+     *     tells a quiet table from a silent connection
+     */
+    CompletionStage<Answer> watch(String table, long after, long waitMillis) {
         watches.increment();
-        String target = "/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + WATCH_MILLIS;
-        return counted(
-                caller.call("GET", target, NO_BODY, WATCH_TIMEOUT_MILLIS).thenCompose(r -> decode(r, HISTORY_GONE)));
+        String target = "/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + waitMillis;
+        return counted(caller.call("GET", target, NO_BODY, waitMillis + CALL_TIMEOUT_MILLIS)
+                .thenCompose(r -> decode(r, HISTORY_GONE)));
     }
 
     /** Returns the text of a row's value. */
--- a/src/test/java/org/siskindyke/platform/StoreFaultsTest.java
+++ b/src/test/java/org/siskindyke/platform/StoreFaultsTest.java
@@ -21,6 +21,11 @@
     private static final long OUTAGE_MILLIS = 2_600;
 
     private static final long LIMIT_MILLIS = 15_000;
+    /** Time in which each router asks the store again after its watch was answered. */
+    private static final long LOST_MILLIS = 1_200;
+    /** A watch that was lost is noticed after its wait and a call's time. */
+    private static final long SPREAD_MILLIS = 8_000;
+
     private static final String ROUTE = "{\"name\":\"%s\",\"prefix\":\"/%s/\",\"route_type\":\"safe\","
             + "\"timeout_ms\":5000,\"aim_ms\":1000,\"priority\":1,\"service\":\"keyed\",\"max_attempts\":2}";
 
@@ -57,6 +62,26 @@
         leavesDuring(Fault.SILENT);
     }
 
+    /** Pattern: the answers of all watches were lost; for 27 seconds nobody learned who owned what was handed over. */
+    @Example
+    void changesReachAllRoutersSoonAfterTheAnswersOfTheirWatchesWereLost() throws InterruptedException {
+        startThree();
+        path.store().setFault(Fault.ANSWER_LOST);
+        path.store().put("routers", "members/none", "{}");
+        serveFor(LOST_MILLIS);
+        path.store().setFault(Fault.NONE);
+        long startNanos = System.nanoTime();
+        path.instances().get(2).target().leave();
+        awaitServing();
+        int before = path.instances().get(2).target().ran().size();
+        while (serveSamples() < SAMPLES
+                || path.instances().get(2).target().ran().size() > before) {
+            before = path.instances().get(2).target().ran().size();
+        }
+        long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(tookMillis < SPREAD_MILLIS, () -> "took " + tookMillis + " ms: " + events());
+    }
+
     @Example
     void aRouterThatAloneLostTheStoreServesOnAndLearnsConfigurationFromTheOthers() throws InterruptedException {
         startThree();
