End the soak's processes with the soak

Cause: a soak that was ended left its routers running, and a stand-in that could not listen stayed behind without a use.

Change: the soak ends the processes that it started when it ends itself, and its parts end on a failure.

--- a/src/main/java/org/siskindyke/soak/SoakPart.java
+++ b/src/main/java/org/siskindyke/soak/SoakPart.java
@@ -38,6 +38,10 @@
     public static void main(String[] arguments) throws IOException {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Logging.configure(System.getenv());
+        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> {
+            failure.printStackTrace();
+            Runtime.getRuntime().halt(1);
+        });
         List<String> words = List.of(arguments);
         Consumer<String> orders =
                 switch (words.get(0)) {
--- a/src/main/java/org/siskindyke/soak/SoakProcess.java
+++ b/src/main/java/org/siskindyke/soak/SoakProcess.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -23,6 +25,11 @@
             "-XX:-UsePerfData",
             "-Djdk.httpclient.allowRestrictedHeaders=host");
     private static final long END_SECONDS = 20;
+    private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+    }
 
     private final Process process;
     private final PrintStream in;
@@ -50,6 +57,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        STARTED.add(process);
         in = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
         Thread reader = new Thread(() -> read(onLine), "output of " + process.pid());
         reader.setDaemon(true);
