Signal and end processes in one place, for trials and the soak

Cause: SoakProcess wrote again what ManagedProcess had (end, wait, freeze, thaw). Ruled out: one class for both, since they talk to their processes differently. Change: ProcessControl holds it, both use it. Conclusion: no behaviour changed.

--- a/src/main/java/org/siskindyke/soak/SoakProcess.java
+++ b/src/main/java/org/siskindyke/soak/SoakProcess.java
@@ -12,9 +12,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.siskindyke.trial.ProcessControl;
+
 /** A Java process that a soak starts, talks to, signals by its id and ends. */
 final class SoakProcess {
     private static final List<String> JVM_OPTIONS = List.of(
@@ -32,6 +33,7 @@
     }
 
     private final Process process;
+    private final ProcessControl control;
     private final PrintStream in;
 
     /**
@@ -58,6 +60,7 @@
             throw new UncheckedIOException(e);
         }
         STARTED.add(process);
+        control = new ProcessControl(process, END_SECONDS);
         in = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
         Thread reader = new Thread(() -> read(onLine), "output of " + process.pid());
         reader.setDaemon(true);
@@ -81,45 +84,29 @@
     }
 
     boolean isAlive() {
-        return process.isAlive();
+        return control.isAlive();
     }
 
+    /** Ends the process without warning, and waits until it has. */
     void kill() {
-        process.destroyForcibly();
-        awaitEnd();
+        control.kill();
+        control.awaitEnd();
     }
 
     void terminate() {
-        process.destroy();
+        control.terminate();
     }
 
     /** Waits for the process to end; tells whether it did. */
     boolean awaitEnd() {
-        try {
-            return process.waitFor(END_SECONDS, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+        return control.awaitEnd();
     }
 
     void freeze() {
-        signal("-STOP");
+        control.freeze();
     }
 
     void thaw() {
-        signal("-CONT");
-    }
-
-    private void signal(String name) {
-        try {
-            new ProcessBuilder("kill", name, Long.toString(process.pid()))
-                    .start()
-                    .waitFor();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        control.thaw();
     }
 }
--- a/src/main/java/org/siskindyke/trial/ManagedProcess.java
+++ b/src/main/java/org/siskindyke/trial/ManagedProcess.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
@@ -22,7 +21,7 @@
 
     private final List<String> command;
     private final File log;
-    private Process process;
+    private ProcessControl control;
 
     /**
      * Prepares a process.
@@ -43,7 +42,8 @@
         try {
             ProcessBuilder builder = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log));
             builder.environment().put("JAVA_TOOL_OPTIONS", JVM_OPTIONS);
-            process = builder.start();
+            Process process = builder.start();
+            control = new ProcessControl(process, STOP_SECONDS);
             BufferedReader out =
                     new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
             String line = out.readLine();
@@ -57,48 +57,31 @@
     }
 
     boolean isAlive() {
-        return process != null && process.isAlive();
+        return control != null && control.isAlive();
     }
 
     /** Ends the process without warning. */
     void kill() {
-        process.destroyForcibly();
+        control.kill();
     }
 
     /** Asks the process to end. */
     void terminate() {
-        process.destroy();
+        control.terminate();
     }
 
     /** Waits for the process to end; returns whether it did in time. */
     boolean awaitEnd() {
-        try {
-            return process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+        return control.awaitEnd();
     }
 
     /** Freezes the process. */
     void freeze() {
-        signal("-STOP");
+        control.freeze();
     }
 
     /** Lets a frozen process go on. */
     void thaw() {
-        signal("-CONT");
-    }
-
-    private void signal(String name) {
-        try {
-            new ProcessBuilder("kill", name, Long.toString(process.pid()))
-                    .start()
-                    .waitFor();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        control.thaw();
     }
 }
