--- a/src/main/java/org/siskindyke/trial/ProcessControl.java
+++ b/src/main/java/org/siskindyke/trial/ProcessControl.java
@@ -30,9 +30,9 @@
         process.destroyForcibly();
     }
 
-    /** Asks the process to end. */
+    /** Asks the process to end; unlike {@link Process#destroy} it leaves its output open for its last lines. */
     public void terminate() {
-        process.destroy();
+        signal("-TERM");
     }
 
     /** Waits for the process to end; tells whether it did in time. */
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -35,7 +35,9 @@
 
     @Example
     void serversThatGoOnHoldingWhatTheyReleasedAreFound() throws IOException, InterruptedException {
-        List<SoakPlan.Step> steps = List.of(new SoakPlan.Step(500, 6_000, SoakFault.REPLACE_TARGET, 0));
+        List<SoakPlan.Step> steps = List.of(
+                new SoakPlan.Step(500, 6_000, SoakFault.REPLACE_TARGET, 0),
+                new SoakPlan.Step(7_000, 6_000, SoakFault.REPLACE_TARGET, 1));
         SoakRun.Verdict verdict = run(new SoakPlan(steps, false, true));
         assertTrue(verdict.broken().containsKey("one owner"), verdict.toString());
     }
