Bind a router by a farewell that it acknowledged before it knew the backend server

Played again with logs: the router of colombo-a-1 was stopped and started as planned, wrote `deregister-unknown` 0.33 s after its start, acknowledged, and at the backend server's next heartbeat, which does not say that it leaves, `target-started`, and served it for two seconds.

Ruled out: the drain time and its reload (the gate was never closed), late heartbeats (the sequence was current).

Change: a farewell of a server that was not heard of yet is remembered; a heartbeat of that life counts as leaving, one born later does not (Farewells).

--- a/src/main/java/org/siskindyke/runtime/TargetKeeper.java
+++ b/src/main/java/org/siskindyke/runtime/TargetKeeper.java
@@ -11,6 +11,7 @@
 
 import org.siskindyke.kernel.control.ControlNode;
 import org.siskindyke.kernel.control.SliceTraffic;
+import org.siskindyke.kernel.grant.Farewells;
 import org.siskindyke.kernel.grant.GrantReply;
 import org.siskindyke.kernel.grant.TargetGrants;
 import org.siskindyke.kernel.grant.TargetHeartbeat;
@@ -46,6 +47,7 @@
     private final LocalGate gate;
     private final EventLog log;
     private final TargetGrants grants;
+    private final Farewells farewells = new Farewells();
     private Duration drain;
     private TargetHeartbeat last;
     private InetSocketAddress address;
@@ -98,10 +100,11 @@
             return GrantReply.NOTHING;
         }
         boolean newLife = last == null || last.bornMillis() != heartbeat.bornMillis();
-        boolean newlyLeaving = heartbeat.leaving() && !(leaving && !newLife);
+        boolean saysLeaving = heartbeat.leaving() || farewells.isOf(heartbeat);
+        boolean newlyLeaving = saysLeaving && !(leaving && !newLife);
         divided = service.map(ServiceSettings::divided).orElse(false);
         address = announced;
-        leaving = heartbeat.leaving() || leaving && !newLife;
+        leaving = saysLeaving || leaving && !newLife;
         lost = false;
         heardMillis = nowMillis;
         last = heartbeat;
@@ -163,6 +166,7 @@
     void onDeregister(TargetName target, ControlNode node) {
         if (last == null || !last.target().equals(target)) {
             log.event("deregister-unknown", "target", target);
+            farewells.onFarewell(target, System.currentTimeMillis());
             return;
         }
         log.event("target-deregistered", "target", target);
