Say each fault of the soak once

Cause: read again, SoakFault spelled out begin and end for each of nineteen kinds; six differed only in the store's fault and four only in the proxy's mode. SoakPlan sorted steps that are drawn in their order.

Change: a kind names its two changes of a node, its store's fault or its proxy's mode; 143 lines instead of 271. The sort is gone.

--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -1,208 +1,49 @@
 package org.siskindyke.soak;
 
+import java.util.function.Consumer;
+
 import org.siskindyke.standin.StoreStandin.Fault;
 
 /** Kinds of faults; each is done to a running cluster and undone when its time is over. */
 public enum SoakFault {
     /** A router is killed and starts again. */
-    KILL_ROUTER(Part.ROUTER, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).killRouter();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).startRouter();
-        }
-    },
+    KILL_ROUTER(Part.ROUTER, false, SoakNode::killRouter, SoakNode::startRouter),
     /** A router is asked to stop, and starts again once it has. */
-    STOP_ROUTER(Part.ROUTER, true) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).stopRouter();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).awaitRouterEnd();
-            cluster.node(instance).startRouter();
-        }
-    },
+    STOP_ROUTER(Part.ROUTER, true, SoakNode::stopRouter, SoakNode::restartStoppedRouter),
     /** A router stands still. */
-    FREEZE_ROUTER(Part.ROUTER, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).freezeRouter();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).thawRouter();
-        }
-    },
+    FREEZE_ROUTER(Part.ROUTER, false, SoakNode::freezeRouter, SoakNode::thawRouter),
     /** A backend server crashes and starts again under its name. */
-    CRASH_TARGET(Part.TARGET, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).killTarget();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).startTarget();
-        }
-    },
+    CRASH_TARGET(Part.TARGET, false, SoakNode::killTarget, SoakNode::startTarget),
     /** A backend server stands still. */
-    FREEZE_TARGET(Part.TARGET, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).freezeTarget();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).thawTarget();
-        }
-    },
+    FREEZE_TARGET(Part.TARGET, false, SoakNode::freezeTarget, SoakNode::thawTarget),
     /** A backend server leaves in order; another takes its place. */
-    REPLACE_TARGET(Part.TARGET, true) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).leaveTarget();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).replaceTarget();
-        }
-    },
+    REPLACE_TARGET(Part.TARGET, true, SoakNode::leaveTarget, SoakNode::replaceTarget),
     /** A machine loses power: router and backend server. */
-    LOSE_MACHINE(Part.MACHINE, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).killRouter();
-            cluster.node(instance).killTarget();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).startRouter();
-            cluster.node(instance).startTarget();
-        }
-    },
+    LOSE_MACHINE(Part.MACHINE, false, SoakNode::killBoth, SoakNode::startBoth),
     /** The store does not answer. */
-    STORE_SILENT(Part.STORE, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.store().setFault(Fault.SILENT);
-        }
-    },
+    STORE_SILENT(Fault.SILENT),
     /** The store refuses. */
-    STORE_BUSY(Part.STORE, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.store().setFault(Fault.BUSY);
-        }
-    },
+    STORE_BUSY(Fault.BUSY),
     /** The store is slow. */
-    STORE_SLOW(Part.STORE, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.store().setFault(Fault.SLOW);
-        }
-    },
+    STORE_SLOW(Fault.SLOW),
     /** The store does what it is asked and does not say so. */
-    STORE_ANSWER_LOST(Part.STORE, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.store().setFault(Fault.ANSWER_LOST);
-        }
-    },
+    STORE_ANSWER_LOST(Fault.ANSWER_LOST),
     /** The store does what it is asked later, and does not say so. */
-    STORE_LATE(Part.STORE, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.store().setFault(Fault.LATE_WRITE);
-        }
-    },
+    STORE_LATE(Fault.LATE_WRITE),
     /** The store has dropped its history. */
-    STORE_HISTORY_GONE(Part.STORE, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.store().setFault(Fault.HISTORY_GONE);
-        }
-    },
+    STORE_HISTORY_GONE(Fault.HISTORY_GONE),
     /** One router's connections to the store deliver nothing more in one direction. */
-    LINK_ONE_WAY(Part.LINK, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.ONE_WAY);
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.PASS);
-        }
-    },
+    LINK_ONE_WAY(FaultProxy.Mode.ONE_WAY),
     /** One router's connections to the store fall silent. */
-    LINK_SILENT(Part.LINK, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.SILENT);
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.PASS);
-        }
-    },
+    LINK_SILENT(FaultProxy.Mode.SILENT),
     /** One router's connections to the store are reset. */
-    LINK_RESET(Part.LINK, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.RESET);
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.PASS);
-        }
-    },
+    LINK_RESET(FaultProxy.Mode.RESET),
     /** What one router says to the store and hears from it is late. */
-    LINK_DELAYED(Part.LINK, false) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.DELAY);
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).setLink(FaultProxy.Mode.PASS);
-        }
-    },
+    LINK_DELAYED(FaultProxy.Mode.DELAY),
     /** A router is told that its settings file has changed. */
-    HANG_UP_ROUTER(Part.ROUTER, true) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.node(instance).hangUpRouter();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {
-            cluster.node(instance).checkRouter();
-        }
-    },
+    HANG_UP_ROUTER(Part.ROUTER, true, SoakNode::hangUpRouter, SoakNode::checkRouter),
     /** The operator writes a configuration. */
-    CHANGE_CONFIGURATION(Part.OPERATOR, true) {
-        @Override
-        void begin(SoakCluster cluster, int instance) {
-            cluster.configure();
-        }
-
-        @Override
-        void end(SoakCluster cluster, int instance) {}
-    };
+    CHANGE_CONFIGURATION(Part.OPERATOR, true, (cluster, instance) -> cluster.configure(), (cluster, instance) -> {});
 
     /** Shortest time of a replacement: a backend server serves for the drain time after its acknowledgement. */
     private static final long REPLACEMENT_MILLIS = SoakSite.DRAIN_MILLIS + 1_500;
@@ -212,6 +53,13 @@
 
     private final Part part;
     private final boolean planned;
+    private final Change begin;
+    private final Change end;
+
+    /** Does something to an instance of a cluster, or to what all instances share. */
+    private interface Change {
+        void apply(SoakCluster cluster, int instance);
+    }
 
     /** What faults meet; two faults of one part of an instance do not overlap. */
     enum Part {
@@ -235,9 +83,31 @@
         }
     }
 
-    SoakFault(Part part, boolean planned) {
+    SoakFault(Part part, boolean planned, Change begin, Change end) {
         this.part = part;
         this.planned = planned;
+        this.begin = begin;
+        this.end = end;
+    }
+
+    SoakFault(Part part, boolean planned, Consumer<SoakNode> begin, Consumer<SoakNode> end) {
+        this(part, planned, on(begin), on(end));
+    }
+
+    SoakFault(Fault fault) {
+        this(
+                Part.STORE,
+                false,
+                (cluster, instance) -> cluster.store().setFault(fault),
+                (cluster, instance) -> cluster.store().setFault(Fault.NONE));
+    }
+
+    SoakFault(FaultProxy.Mode mode) {
+        this(Part.LINK, false, node -> node.setLink(mode), node -> node.setLink(FaultProxy.Mode.PASS));
+    }
+
+    private static Change on(Consumer<SoakNode> change) {
+        return (cluster, instance) -> change.accept(cluster.node(instance));
     }
 
     Part part() {
@@ -263,9 +133,11 @@
         return part == Part.STORE;
     }
 
-    abstract void begin(SoakCluster cluster, int instance);
+    void begin(SoakCluster cluster, int instance) {
+        begin.apply(cluster, instance);
+    }
 
     void end(SoakCluster cluster, int instance) {
-        cluster.store().setFault(Fault.NONE);
+        end.apply(cluster, instance);
     }
 }
--- a/src/main/java/org/siskindyke/soak/SoakNode.java
+++ b/src/main/java/org/siskindyke/soak/SoakNode.java
@@ -69,10 +69,22 @@
         router.terminate();
     }
 
-    void awaitRouterEnd() {
+    /** Starts the router again once it has ended as it was asked to. */
+    void restartStoppedRouter() {
         if (!router.awaitEnd()) {
             router.kill();
         }
+        startRouter();
+    }
+
+    void killBoth() {
+        killRouter();
+        killTarget();
+    }
+
+    void startBoth() {
+        startRouter();
+        startTarget();
     }
 
     void hangUpRouter() {
--- a/src/main/java/org/siskindyke/soak/SoakPlan.java
+++ b/src/main/java/org/siskindyke/soak/SoakPlan.java
@@ -1,7 +1,6 @@
 package org.siskindyke.soak;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 
@@ -52,7 +51,6 @@
             steps.add(new Step(atMillis, fault.lengthMillis(forMillis), fault, random.nextInt(instances)));
             atMillis += LEAST_GAP_MILLIS + random.nextLong(MOST_GAP_MILLIS - LEAST_GAP_MILLIS);
         }
-        steps.sort(Comparator.comparingLong(Step::atMillis));
         return new SoakPlan(List.copyOf(steps), plannedOnly, false);
     }
 
