--- a/src/main/java/org/siskindyke/kernel/call/SharedRetryBudget.java
+++ b/src/main/java/org/siskindyke/kernel/call/SharedRetryBudget.java
@@ -17,6 +17,7 @@
 
     private final double ratio;
     private final double allowance;
+    private final int routers;
     private final long windowMillis;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
@@ -32,9 +33,15 @@
     public SharedRetryBudget(double ratio, double allowance, int routers, long windowMillis) {
         this.ratio = ratio * RATIO_SHARE;
         this.allowance = allowance * ALLOWANCE_SHARE / Math.max(1, routers);
+        this.routers = routers;
         this.windowMillis = windowMillis;
     }
 
+    /** Returns the number of routers that the budget assumes to share the allowance. */
+    public int routers() {
+        return routers;
+    }
+
     /** Records a request, which adds to the budget. */
     public void onRequest(long nowMillis) {
         removeExpired(requests, nowMillis);
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -44,6 +44,7 @@
 import org.siskindyke.runtime.traffic.HttpExchange;
 import org.siskindyke.runtime.traffic.HttpListener;
 import org.siskindyke.runtime.traffic.PeerNetwork;
+import org.siskindyke.runtime.traffic.RetryDecision;
 import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
@@ -165,6 +166,7 @@
                         settings.service(),
                         new LocalityAwareSelector(settings.failureDomain()),
                         this::newBudget,
+                        this::onRetryDecided,
                         this::onRequestEnded));
         this.targets = new TargetController(settings, clock, traffic, backend, log, SLICE_COUNT, maxGrantMillis());
         this.callers = new HttpListener(traffic, clock, configuration::limits, callerRequests);
@@ -222,6 +224,11 @@
         metrics.onEnded(outcome);
     }
 
+    private void onRetryDecided(RetryDecision decision) {
+        requestLog.onRetryDecided(decision);
+        metrics.onRetryDecided(decision);
+    }
+
     /** Returns the metrics, which are confined to the traffic loop. */
     public RouterMetrics metrics() {
         return metrics;
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -3,8 +3,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.traffic.CallOutcome;
+import org.siskindyke.runtime.traffic.RetryDecision;
 
 /**
  * Logs the results of requests: failures one by one, up to a maximum rate, and totals per route. Confined to the
@@ -21,6 +23,9 @@
     /** For each route: requests that succeeded, requests that failed, and the total duration in milliseconds. */
     private final Map<String, long[]> countsByRoute = new TreeMap<>();
 
+    /** For each service: retries granted, retries refused, and the number of routers that its budget assumes. */
+    private final Map<ServiceName, int[]> retriesByService = new TreeMap<>();
+
     private final EventRateLimiter failureLimiter = new EventRateLimiter(FAILURES_PER_SECOND);
 
     RequestLog(EventLog log, MonotonicClock clock) {
@@ -38,6 +43,12 @@
         }
     }
 
+    void onRetryDecided(RetryDecision decision) {
+        int[] counts = retriesByService.computeIfAbsent(decision.service(), s -> new int[3]);
+        counts[decision.granted() ? 0 : 1]++;
+        counts[2] = decision.routers();
+    }
+
     private void onFailure(CallOutcome outcome) {
         if (!failureLimiter.tryAcquire(clock.nowMillis())) {
             return;
@@ -76,6 +87,9 @@
         countsByRoute.forEach((route, counts) -> log.event(
                 "requests", "route", route, "answered", counts[0], "failed", counts[1], "millisInAll", counts[2]));
         countsByRoute.clear();
+        retriesByService.forEach((service, counts) -> log.event(
+                "retries", "service", service, "granted", counts[0], "refused", counts[1], "routers", counts[2]));
+        retriesByService.clear();
         long notLogged = failureLimiter.takeSuppressedCount();
         if (notLogged > 0 || log.dropped() > 0) {
             log.event("log-limits", "failuresNotLogged", notLogged, "eventsDropped", log.dropped());
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -15,6 +15,7 @@
 import org.siskindyke.runtime.traffic.CallOutcome;
 import org.siskindyke.runtime.traffic.Cancellable;
 import org.siskindyke.runtime.traffic.HttpExchange;
+import org.siskindyke.runtime.traffic.RetryDecision;
 
 /**
  * Counters and latency histograms of a router. The registry is created some seconds after the start, since creating it
@@ -54,6 +55,19 @@
                 .record(outcome.tookMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Counts a decision of a retry budget. */
+    void onRetryDecided(RetryDecision decision) {
+        if (registry != null) {
+            registry.counter(
+                            "siskindyke.retries",
+                            "service",
+                            decision.service().value(),
+                            "granted",
+                            Boolean.toString(decision.granted()))
+                    .increment();
+        }
+    }
+
     /** Returns a handler that serves all metrics in the Prometheus text format; an empty body before the start. */
     public HttpExchange.Handler handler() {
         return (request, responder) -> {
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -118,6 +118,7 @@
             log.event("heartbeat-outdated", "target", heartbeat.target(), "sequence", heartbeat.sequence());
             return GrantReply.NO_RENEWAL;
         }
+        Long previousStartMillis = lastHeartbeat == null ? null : lastHeartbeat.startMillis();
         boolean newIncarnation = lastHeartbeat == null || lastHeartbeat.startMillis() != heartbeat.startMillis();
         boolean announcedLeaving = heartbeat.leaving() || deregistered.isDeregistered(heartbeat);
         boolean newlyLeaving = announcedLeaving && !(leaving && !newIncarnation);
@@ -128,7 +129,16 @@
         lastHeartbeatMillis = nowMillis;
         lastHeartbeat = heartbeat;
         if (newIncarnation) {
-            log.event("target-started", "target", heartbeat.target(), "service", heartbeat.service());
+            log.event(
+                    "target-started",
+                    "target",
+                    heartbeat.target(),
+                    "service",
+                    heartbeat.service(),
+                    "startMillis",
+                    heartbeat.startMillis(),
+                    "previousStartMillis",
+                    previousStartMillis);
         }
         GrantReply reply = grants.onHeartbeat(heartbeat, ownedSlices(member), leaseEndMillis(member), nowMillis);
         member.setTargets(announcements());
--- a/src/main/java/org/siskindyke/runtime/call/Call.java
+++ b/src/main/java/org/siskindyke/runtime/call/Call.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.siskindyke.kernel.call.SchedulingAttributes;
+import org.siskindyke.kernel.crash.RequestFingerprint;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 
@@ -11,6 +13,7 @@
  *
  * @param id identifies the call; {@link CallReader} generates it, {@link
  *     org.siskindyke.runtime.traffic.CallerRequestHandler} takes it from the caller's request
+ * @param caller who sent the call
  * @param service the service that the call is for
  * @param key the call's key; null if it has none
  * @param slice the slice of the key; null if the call has no key or its service is undivided
@@ -24,6 +27,7 @@
  */
 public record Call(
         String id,
+        ClientAccount caller,
         ServiceName service,
         String key,
         SliceRef slice,
@@ -36,7 +40,13 @@
         SchedulingAttributes scheduling) {
     /** Returns a copy of the call with other scheduling attributes. */
     public Call withScheduling(SchedulingAttributes other) {
-        return new Call(id, service, key, slice, method, target, headers, body, deadlineMillis, idempotent, other);
+        return new Call(
+                id, caller, service, key, slice, method, target, headers, body, deadlineMillis, idempotent, other);
+    }
+
+    /** Returns the fingerprint of the call's content. */
+    public RequestFingerprint fingerprint() {
+        return RequestFingerprint.of(service, method, target, body);
     }
 
     /** Returns the path of the target, without the query. */
--- a/src/main/java/org/siskindyke/runtime/call/CallReader.java
+++ b/src/main/java/org/siskindyke/runtime/call/CallReader.java
@@ -15,6 +15,7 @@
 import org.siskindyke.kernel.document.KeyRule;
 import org.siskindyke.kernel.document.KeyRule.KeySource;
 import org.siskindyke.kernel.document.ServiceDocument;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.ownership.KeyHash;
 import org.siskindyke.kernel.time.MonotonicClock;
@@ -47,10 +48,11 @@
      * Reads a request.
      *
      * @param request the request, with its whole body
+     * @param caller who sent the request
      * @param view the replicated state, whose documents decide the service
      * @return the call, or why it is refused; never null
      */
-    public Result read(HttpRequest request, ClusterView view) {
+    public Result read(HttpRequest request, ClientAccount caller, ClusterView view) {
         String path = request.rawPath();
         AcceptedDocument accepted =
                 view.documents().match(hostOf(request), path).orElse(null);
@@ -65,10 +67,10 @@
         if (document.keys().divided() && (key == null || key.isEmpty())) {
             return new Result(null, Refusal.NO_KEY, document);
         }
-        return new Result(toCall(request, document, key, path), null, document);
+        return new Result(toCall(request, caller, document, key, path), null, document);
     }
 
-    private Call toCall(HttpRequest request, ServiceDocument document, String key, String path) {
+    private Call toCall(HttpRequest request, ClientAccount caller, ServiceDocument document, String key, String path) {
         SliceRef slice = key == null
                 ? null
                 : new SliceRef(
@@ -77,6 +79,7 @@
         List<Header> headers = Headers.endToEnd(request.headers());
         return new Call(
                 newCallId(),
+                caller,
                 document.service(),
                 key,
                 slice,
--- a/src/main/java/org/siskindyke/runtime/call/CallerServer.java
+++ b/src/main/java/org/siskindyke/runtime/call/CallerServer.java
@@ -1,5 +1,6 @@
 package org.siskindyke.runtime.call;
 
+import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 
 import io.servicetalk.concurrent.api.Single;
@@ -11,6 +12,7 @@
 import io.servicetalk.http.api.HttpServiceContext;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.Verdict;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.runtime.http.Json;
 
 import static io.servicetalk.buffer.netty.BufferAllocators.DEFAULT_ALLOCATOR;
@@ -52,7 +54,8 @@
     @Override
     public Single<HttpResponse> handle(HttpServiceContext context, HttpRequest request, HttpResponseFactory factory) {
         long startNanos = System.nanoTime();
-        CallReader.Result result = reader.read(request, state.get().view());
+        CallReader.Result result =
+                reader.read(request, callerOf(context), state.get().view());
         if (result.call() == null) {
             metrics.onRefusedRequest(result.refusal());
             return Single.succeeded(refuse(factory, "-", Reply.notRun(result.refusal(), 0)));
@@ -66,6 +69,14 @@
                 });
     }
 
+    /** Returns the caller's address; a caller whose address has another form than the usual ones is unknown. */
+    private static ClientAccount callerOf(HttpServiceContext context) {
+        return context.remoteAddress() instanceof InetSocketAddress address
+                        && !address.getHostString().contains("%")
+                ? ClientAccount.of(address.getHostString())
+                : ClientAccount.UNKNOWN;
+    }
+
     private static HttpResponse answer(HttpResponseFactory factory, Call call, Reply reply) {
         HttpResponse response = factory.newResponse(HttpResponseStatus.of(reply.status(), ""));
         reply.headers().forEach(h -> response.headers().add(h.name(), h.value()));
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -13,6 +13,7 @@
 import org.siskindyke.kernel.control.PeerMessenger;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
@@ -177,6 +178,7 @@
     public static ForwardRequest toWire(Call call, MemberId to, int hops, long nowMillis) {
         ForwardRequest wire = new ForwardRequest();
         wire.setCallId(call.id());
+        wire.setCaller(call.caller().value());
         wire.setServiceName(call.service().value());
         wire.setSliceIndex(call.slice() == null ? NO_SLICE : call.slice().index());
         wire.setKey(call.key() == null ? "" : call.key());
@@ -210,6 +212,7 @@
         boolean divided = wire.getSliceIndex() != NO_SLICE;
         return new Call(
                 wire.getCallId(),
+                wire.getCaller() == null ? ClientAccount.UNKNOWN : ClientAccount.of(wire.getCaller()),
                 service,
                 wire.getKey().isEmpty() ? null : wire.getKey(),
                 divided ? new SliceRef(service, wire.getSliceIndex()) : null,
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -361,7 +361,18 @@
 
         private void logLoss(String cause) {
             if (lossRate.tryAcquire(clock.nowMillis())) {
-                log.event("target-answer-lost", "request", call.id(), "target", target.name(), "cause", cause);
+                log.event(
+                        "target-answer-lost",
+                        "request",
+                        call.id(),
+                        "fingerprint",
+                        call.fingerprint(),
+                        "caller",
+                        call.caller(),
+                        "target",
+                        target.name(),
+                        "cause",
+                        cause);
             }
         }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -13,6 +13,7 @@
 import org.siskindyke.kernel.call.SchedulingAttributes;
 import org.siskindyke.kernel.call.SharedRetryBudget;
 import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
@@ -60,7 +61,7 @@
                 dialect,
                 targets,
                 new AttemptSender(self, peers, dispatcher),
-                new RetryBudgets(policies.budgets(), targets::routerCount),
+                new RetryBudgets(policies.budgets(), targets::routerCount, policies.retryListener()),
                 () -> withdrawing,
                 active::remove,
                 policies.listener());
@@ -72,6 +73,7 @@
      * @param ownService the service of the backend server beside this router, from which requests come
      * @param chooser chooses targets of undivided services
      * @param budgets creates a service's retry budget, given the number of routers that share the allowance
+     * @param retryListener receives each decision of a retry budget
      * @param listener receives the outcome of each request, except those cancelled because their caller's connection
      *     closed
      */
@@ -79,6 +81,7 @@
             ServiceName ownService,
             LocalityAwareSelector chooser,
             IntFunction<SharedRetryBudget> budgets,
+            Consumer<RetryDecision> retryListener,
             Consumer<CallOutcome> listener) {}
 
     /** Replaces the routes and the configuration they belong to. */
@@ -148,6 +151,7 @@
                 false);
         return new Call(
                 fields.requestId(),
+                ClientAccount.of(ownService.value()),
                 service,
                 fields.key().isPresent() ? Integer.toString(fields.key().getAsInt()) : null,
                 sliceOf(service, fields),
--- a/src/main/java/org/siskindyke/runtime/traffic/ForwardFrames.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ForwardFrames.java
@@ -24,6 +24,7 @@
 
     private static final String CALL_ID = ":call";
     private static final String SERVICE = ":service";
+    private static final String CALLER = ":caller";
     private static final String KEY = ":key";
     private static final String METHOD = ":method";
     private static final String PATH = ":path";
@@ -35,10 +36,11 @@
     /** Returns the frame that forwards a call. */
     static PeerFrame request(Call call, MemberId to, int hops, long nowMillis) {
         ForwardRequest wire = WireMapper.toWire(call, to, hops, nowMillis);
-        List<Header> fields = new ArrayList<>(call.headers().size() + 6);
+        List<Header> fields = new ArrayList<>(call.headers().size() + 7);
         fields.add(new Header(METHOD, wire.getMethod()));
         fields.add(new Header(SERVICE, wire.getServiceName()));
         fields.add(new Header(KIND, wire.getKind()));
+        fields.add(new Header(CALLER, wire.getCaller()));
         fields.add(new Header(PATH, wire.getTarget()));
         fields.add(new Header(CALL_ID, wire.getCallId()));
         fields.add(new Header(KEY, wire.getKey()));
@@ -48,6 +50,7 @@
         wire.unsetKind();
         wire.unsetTarget();
         wire.unsetCallId();
+        wire.unsetCaller();
         wire.unsetKey();
         wire.unsetToMember();
         wire.unsetHeaders();
@@ -66,6 +69,7 @@
         wire.setKind(pseudoField(frame, KIND));
         wire.setTarget(pseudoField(frame, PATH));
         wire.setCallId(pseudoField(frame, CALL_ID));
+        wire.setCaller(optionalField(frame, CALLER));
         wire.setKey(pseudoField(frame, KEY));
         wire.setHeaders(WireMapper.toWire(headers(frame)));
         return WireMapper.fromWire(wire, wire.isIdempotent(), nowMillis);
@@ -92,11 +96,7 @@
     static Reply readReply(PeerFrame frame) {
         ForwardResponse wire = WireCodec.decode(frame.payload(), new ForwardResponse());
         wire.setHeaders(WireMapper.toWire(headers(frame)));
-        for (Header field : frame.fields()) {
-            if (field.name().equals(CODE)) {
-                wire.setCode(field.value());
-            }
-        }
+        wire.setCode(optionalField(frame, CODE));
         return WireMapper.fromWire(wire);
     }
 
@@ -107,11 +107,20 @@
     }
 
     private static String pseudoField(PeerFrame frame, String name) {
+        String value = optionalField(frame, name);
+        if (value == null) {
+            throw new SiskindykeException(ErrorCode.INVALID_REQUEST, "forwarded call lacks the field " + name);
+        }
+        return value;
+    }
+
+    /** Returns the value of a pseudo-header field, or null where the frame lacks it. */
+    private static String optionalField(PeerFrame frame, String name) {
         for (Header field : frame.fields()) {
             if (field.name().equals(name)) {
                 return field.value();
             }
         }
-        throw new SiskindykeException(ErrorCode.INVALID_REQUEST, "forwarded call lacks the field " + name);
+        return null;
     }
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/RetryBudgets.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RetryBudgets.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import java.util.function.IntSupplier;
 
@@ -12,6 +13,7 @@
 final class RetryBudgets {
     private final IntFunction<SharedRetryBudget> create;
     private final IntSupplier routers;
+    private final Consumer<RetryDecision> onDecision;
     private final Map<ServiceName, SharedRetryBudget> budgetByService = new HashMap<>();
 
     /**
@@ -19,10 +21,12 @@
      *
      * @param create creates a service's budget, given the number of routers that share the allowance
      * @param routers returns the number of routers; read at the first request for a service
+     * @param onDecision receives each decision
      */
-    RetryBudgets(IntFunction<SharedRetryBudget> create, IntSupplier routers) {
+    RetryBudgets(IntFunction<SharedRetryBudget> create, IntSupplier routers, Consumer<RetryDecision> onDecision) {
         this.create = create;
         this.routers = routers;
+        this.onDecision = onDecision;
     }
 
     void onRequest(ServiceName service, long nowMillis) {
@@ -30,7 +34,10 @@
     }
 
     boolean tryRetry(ServiceName service, long nowMillis) {
-        return budget(service).tryRetry(nowMillis);
+        SharedRetryBudget budget = budget(service);
+        boolean granted = budget.tryRetry(nowMillis);
+        onDecision.accept(new RetryDecision(service, granted, budget.routers()));
+        return granted;
     }
 
     private SharedRetryBudget budget(ServiceName service) {
--- a/src/main/java/org/siskindyke/wire/ForwardRequest.java
+++ b/src/main/java/org/siskindyke/wire/ForwardRequest.java
@@ -31,6 +31,7 @@
   private static final org.apache.thrift.protocol.TField NESTED_FIELD_DESC = new org.apache.thrift.protocol.TField("nested", org.apache.thrift.protocol.TType.BOOL, (short)16);
   private static final org.apache.thrift.protocol.TField MOVABLE_FIELD_DESC = new org.apache.thrift.protocol.TField("movable", org.apache.thrift.protocol.TType.BOOL, (short)17);
   private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.STRING, (short)18);
+  private static final org.apache.thrift.protocol.TField CALLER_FIELD_DESC = new org.apache.thrift.protocol.TField("caller", org.apache.thrift.protocol.TType.STRING, (short)19);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ForwardRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ForwardRequestTupleSchemeFactory();
@@ -68,6 +69,10 @@
    * Names calls that take about as long.
    */
   public @org.apache.thrift.annotation.Nullable java.lang.String kind; // required
+  /**
+   * Who sent the call.
+   */
+  public @org.apache.thrift.annotation.Nullable java.lang.String caller; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -103,7 +108,11 @@
     /**
      * Names calls that take about as long.
      */
-    KIND((short)18, "kind");
+    KIND((short)18, "kind"),
+    /**
+     * Who sent the call.
+     */
+    CALLER((short)19, "caller");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -155,6 +164,8 @@
           return MOVABLE;
         case 18: // KIND
           return KIND;
+        case 19: // CALLER
+          return CALLER;
         default:
           return null;
       }
@@ -248,6 +259,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.KIND, new org.apache.thrift.meta_data.FieldMetaData("kind", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.CALLER, new org.apache.thrift.meta_data.FieldMetaData("caller", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ForwardRequest.class, metaDataMap);
   }
@@ -273,7 +286,8 @@
     long objectiveMillis,
     boolean nested,
     boolean movable,
-    java.lang.String kind)
+    java.lang.String kind,
+    java.lang.String caller)
   {
     this();
     this.callId = callId;
@@ -303,6 +317,7 @@
     this.movable = movable;
     setMovableIsSet(true);
     this.kind = kind;
+    this.caller = caller;
   }
 
   /**
@@ -350,6 +365,9 @@
     if (other.isSetKind()) {
       this.kind = other.kind;
     }
+    if (other.isSetCaller()) {
+      this.caller = other.caller;
+    }
   }
 
   @Override
@@ -386,6 +404,7 @@
     setMovableIsSet(false);
     this.movable = false;
     this.kind = null;
+    this.caller = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -875,6 +894,37 @@
     }
   }
 
+  /**
+   * Who sent the call.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getCaller() {
+    return this.caller;
+  }
+
+  /**
+   * Who sent the call.
+   */
+  public ForwardRequest setCaller(@org.apache.thrift.annotation.Nullable java.lang.String caller) {
+    this.caller = caller;
+    return this;
+  }
+
+  public void unsetCaller() {
+    this.caller = null;
+  }
+
+  /** Returns true if field caller is set (has been assigned a value) and false otherwise */
+  public boolean isSetCaller() {
+    return this.caller != null;
+  }
+
+  public void setCallerIsSet(boolean value) {
+    if (!value) {
+      this.caller = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1026,6 +1076,14 @@
       }
       break;
 
+    case CALLER:
+      if (value == null) {
+        unsetCaller();
+      } else {
+        setCaller((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -1087,6 +1145,9 @@
     case KIND:
       return getKind();
 
+    case CALLER:
+      return getCaller();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1135,6 +1196,8 @@
       return isSetMovable();
     case KIND:
       return isSetKind();
+    case CALLER:
+      return isSetCaller();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1314,6 +1377,15 @@
         return false;
     }
 
+    boolean this_present_caller = true && this.isSetCaller();
+    boolean that_present_caller = true && that.isSetCaller();
+    if (this_present_caller || that_present_caller) {
+      if (!(this_present_caller && that_present_caller))
+        return false;
+      if (!this.caller.equals(that.caller))
+        return false;
+    }
+
     return true;
   }
 
@@ -1375,6 +1447,10 @@
     if (isSetKind())
       hashCode = hashCode * 8191 + kind.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCaller()) ? 131071 : 524287);
+    if (isSetCaller())
+      hashCode = hashCode * 8191 + caller.hashCode();
+
     return hashCode;
   }
 
@@ -1566,6 +1642,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCaller(), other.isSetCaller());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCaller()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.caller, other.caller);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1697,6 +1783,14 @@
       sb.append(this.kind);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("caller:");
+    if (this.caller == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.caller);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1899,6 +1993,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 19: // CALLER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.caller = iprot.readString();
+              struct.setCallerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1994,6 +2096,11 @@
         oprot.writeString(struct.kind);
         oprot.writeFieldEnd();
       }
+      if (struct.caller != null) {
+        oprot.writeFieldBegin(CALLER_FIELD_DESC);
+        oprot.writeString(struct.caller);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2067,7 +2174,10 @@
       if (struct.isSetKind()) {
         optionals.set(17);
       }
-      oprot.writeBitSet(optionals, 18);
+      if (struct.isSetCaller()) {
+        optionals.set(18);
+      }
+      oprot.writeBitSet(optionals, 19);
       if (struct.isSetCallId()) {
         oprot.writeString(struct.callId);
       }
@@ -2128,12 +2238,15 @@
       if (struct.isSetKind()) {
         oprot.writeString(struct.kind);
       }
+      if (struct.isSetCaller()) {
+        oprot.writeString(struct.caller);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ForwardRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(18);
+      java.util.BitSet incoming = iprot.readBitSet(19);
       if (incoming.get(0)) {
         struct.callId = iprot.readString();
         struct.setCallIdIsSet(true);
@@ -2216,6 +2329,10 @@
         struct.kind = iprot.readString();
         struct.setKindIsSet(true);
       }
+      if (incoming.get(18)) {
+        struct.caller = iprot.readString();
+        struct.setCallerIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -78,6 +78,8 @@
   17: bool movable,
   /** Names calls that take about as long. */
   18: string kind,
+  /** Who sent the call. */
+  19: string caller,
 }
 
 /** How busy a target is. */
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.siskindyke.kernel.call.SchedulingAttributes;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
@@ -80,12 +81,15 @@
         assertEquals(call(3).target(), read.target());
         assertEquals(call(3).deadlineMillis() + 4_000, read.deadlineMillis());
         assertEquals("lookup", read.scheduling().kind());
+        assertEquals(call(3).caller(), read.caller());
+        assertEquals(call(3).fingerprint(), read.fingerprint());
     }
 
     private static Call call(int number) {
         ServiceName service = ServiceName.of("records");
         return new Call(
                 String.format("%016x", number * 0x9E37_79B9_7F4AL),
+                ClientAccount.of("catalogue"),
                 service,
                 Integer.toString(number * 331 % 65_536),
                 new SliceRef(service, number % 128),
