--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
@@ -73,6 +74,11 @@
      * can inject a fault for one instance only.
      */
     Instance start(String service, boolean divided, String failureDomain) {
+        return start(service, divided, failureDomain, backend -> {});
+    }
+
+    /** Starts a router and its backend server as above; {@code faults} is applied to the backend server first. */
+    Instance start(String service, boolean divided, String failureDomain, Consumer<HeartbeatBackendStandin> faults) {
         InetSocketAddress storeAddress = freeAddress();
         store.listen(storeAddress);
         String name = service + instances.size();
@@ -95,6 +101,7 @@
                 divided,
                 HEARTBEAT_INTERVAL.toMillis());
         HeartbeatBackendStandin backend = new HeartbeatBackendStandin(traffic, SystemMonotonicClock.INSTANCE, identity);
+        faults.accept(backend);
         backend.start();
         Instance instance = new Instance(settings, backend);
         instances.add(instance);
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -101,6 +101,14 @@
         List.copyOf(connections).forEach(HttpServerConnection::closeAfterResponses);
     }
 
+    /** Stops listening and resets all connections, as the end of a process does. */
+    public void abort() {
+        if (channel != null) {
+            channel.close();
+        }
+        List.copyOf(connections).forEach(HttpServerConnection::abort);
+    }
+
     private void closeSlowConnections() {
         long nowMillis = clock.nowMillis();
         List.copyOf(connections).forEach(c -> c.closeIfTooSlow(nowMillis));
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -15,6 +15,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -108,6 +109,12 @@
         }
     }
 
+    /** Resets the connection. */
+    void abort() {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
     /**
      * Closes the connection if it has been idle for too long, or rejects a request whose body has not arrived within
      * the sum of the header and idle timeouts after its header section. Does neither while there are unanswered
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -48,7 +49,11 @@
     private final PooledHttpClient router;
     private final ConcurrentLinkedQueue<String> executedRequestIds = new ConcurrentLinkedQueue<>();
     private final Listener listener;
-    private final long startMillis;
+    private final ConcurrentLinkedQueue<String> crashingRequestIds = new ConcurrentLinkedQueue<>();
+    private long startMillis;
+    private HttpListener callers;
+    private volatile long downMillis = -1;
+    private volatile boolean down;
     private final List<GrantedRange> grantedRanges = new ArrayList<>();
     private final List<GrantedRange> releasedRanges = new ArrayList<>();
     private final Set<GrantedRange> keptRanges = new HashSet<>();
@@ -130,12 +135,61 @@
         keepsReleasedKeys = true;
     }
 
-    /** Starts to accept requests and to send heartbeats. */
+    /**
+     * Injects a fault: the server ends when it begins to run a request whose path has the segment {@code crash}, and
+     * starts again, with a later start time and without keys, after {@code restartMillis}. Must be called before
+     * {@link #start}.
+     */
+    public void crashOnRequest(long restartMillis) {
+        downMillis = restartMillis;
+    }
+
+    /** Starts to accept requests and to send heartbeats. Blocks until the address is bound. */
     public void start() {
-        new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, this::handle).listen(identity.address());
+        callers = new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, this::handle);
+        callers.listen(identity.address());
         traffic.execute(this::heartbeatLoop);
     }
 
+    /** Ends the server, which starts again, with a later start time and without keys, after a while. */
+    public void crash(long restartMillis) {
+        traffic.execute(() -> end(restartMillis));
+    }
+
+    private void end(long restartMillis) {
+        if (down) {
+            return;
+        }
+        down = true;
+        callers.abort();
+        grantedRanges.clear();
+        releasedRanges.clear();
+        grantEndMillis = 0;
+        sequence = 0;
+        // Binding blocks, which the traffic loop must not.
+        traffic.schedule(() -> CompletableFuture.runAsync(this::restart), restartMillis);
+    }
+
+    private void restart() {
+        callers = new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, this::handle);
+        callers.listen(identity.address());
+        traffic.execute(() -> {
+            startMillis++;
+            down = false;
+            sendHeartbeat();
+        });
+    }
+
+    /** Returns whether the server has ended and not started again. */
+    public boolean isDown() {
+        return down;
+    }
+
+    /** Returns the ids of the requests that ended the server, in order. */
+    public List<String> crashingRequestIds() {
+        return List.copyOf(crashingRequestIds);
+    }
+
     /** Reports the state {@code draining} from the next heartbeat on. */
     public void leave() {
         leaving = true;
@@ -155,19 +209,26 @@
         if (stopped) {
             return;
         }
-        sendHeartbeat();
+        if (!down) {
+            sendHeartbeat();
+        }
         traffic.schedule(this::heartbeatLoop, identity.heartbeatMillis());
     }
 
     private void sendHeartbeat() {
         long sentMillis = clock.nowMillis();
+        long sentStartMillis = startMillis;
         boolean reportedLeaving = leaving;
         dropLapsedRanges(sentMillis);
         List<GrantedRange> reportedReleases = List.copyOf(releasedRanges);
         byte[] body = heartbeat().toString().getBytes(StandardCharsets.UTF_8);
         router.call("POST", "/instances/" + identity.name() + "/heartbeat", body, ACKNOWLEDGEMENT_TIMEOUT_MILLIS)
                 .whenComplete((response, failure) -> {
-                    if (failure == null && response.status() == OK && !stopped) {
+                    if (failure == null
+                            && response.status() == OK
+                            && !stopped
+                            && !down
+                            && startMillis == sentStartMillis) {
                         releasedRanges.removeAll(reportedReleases);
                         applyReply(response.body(), sentMillis);
                         if (reportedLeaving) {
@@ -249,6 +310,11 @@
         executedRequestIds.add(String.valueOf(id));
         int keyNumber = key == null ? -1 : Integer.parseInt(key);
         listener.onRun(String.valueOf(id), keyNumber, tokenOf(keyNumber));
+        if (downMillis >= 0 && request.target().contains("/crash/")) {
+            crashingRequestIds.add(String.valueOf(id));
+            traffic.schedule(() -> end(downMillis), delayMillis(request.target()));
+            return Cancellable.NONE;
+        }
         headers.add(new Header("X-Siskindyke-Response-Signature", "s." + id));
         byte[] body = ("answer of " + identity.name()).getBytes(StandardCharsets.UTF_8);
         int delayMillis = delayMillis(request.target());
