Divide the retry allowance by the routers known now, not at the first request

Cause: RetryBudgets read the number of routers once, at a service's first request. A router that has just started often knows itself only and kept the whole allowance for good. Class: a value of the cluster read once and kept.

Change: the budget asks for the number of routers at each retry.

--- a/src/main/java/org/siskindyke/kernel/call/SharedRetryBudget.java
+++ b/src/main/java/org/siskindyke/kernel/call/SharedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.IntSupplier;
 
 /**
  * Limits the retries of a service in a sliding window to this router's part of a budget that all routers share.
@@ -17,7 +18,7 @@
 
     private final double ratio;
     private final double allowance;
-    private final int routers;
+    private final IntSupplier routers;
     private final long windowMillis;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> retries = new ArrayDeque<>();
@@ -27,19 +28,19 @@
      *
      * @param ratio retries that all routers may send per request
      * @param allowance retries that all routers together may send in a window in addition
-     * @param routers number of routers that share the allowance
+     * @param routers returns the number of routers that share the allowance at present, at least 1
      * @param windowMillis length of the window in milliseconds
      */
-    public SharedRetryBudget(double ratio, double allowance, int routers, long windowMillis) {
+    public SharedRetryBudget(double ratio, double allowance, IntSupplier routers, long windowMillis) {
         this.ratio = ratio * RATIO_SHARE;
-        this.allowance = allowance * ALLOWANCE_SHARE / Math.max(1, routers);
+        this.allowance = allowance * ALLOWANCE_SHARE;
         this.routers = routers;
         this.windowMillis = windowMillis;
     }
 
     /** Returns the number of routers that the budget assumes to share the allowance. */
     public int routers() {
-        return routers;
+        return routers.getAsInt();
     }
 
     /** Records a request, which adds to the budget. */
@@ -52,7 +53,7 @@
     public boolean tryRetry(long nowMillis) {
         removeExpired(requests, nowMillis);
         removeExpired(retries, nowMillis);
-        if (retries.size() + 1 > requests.size() * ratio + allowance) {
+        if (retries.size() + 1 > requests.size() * ratio + allowance / routers.getAsInt()) {
             return false;
         }
         retries.add(nowMillis);
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
@@ -185,7 +186,7 @@
         return Math.min(byHeartbeats, settings.bounds().maxGrantDuration().toMillis());
     }
 
-    private SharedRetryBudget newBudget(int routers) {
+    private SharedRetryBudget newBudget(IntSupplier routers) {
         InstanceSettings.Bounds bounds = settings.bounds();
         return new SharedRetryBudget(
                 bounds.retryBudgetRatio(),
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -5,7 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.IntFunction;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
@@ -61,7 +62,7 @@
                 dialect,
                 targets,
                 new AttemptSender(self, peers, dispatcher),
-                new RetryBudgets(policies.budgets(), targets::routerCount, policies.retryListener()),
+                new RetryBudgets(() -> policies.budgets().apply(targets::routerCount), policies.retryListener()),
                 () -> withdrawing,
                 active::remove,
                 policies.listener());
@@ -72,7 +73,8 @@
      *
      * @param ownService the service of the backend server beside this router, from which requests come
      * @param chooser chooses targets of undivided services
-     * @param budgets creates a service's retry budget, given the number of routers that share the allowance
+     * @param budgets creates a service's retry budget, given a function that returns the number of routers that share
+     *     the allowance
      * @param retryListener receives each decision of a retry budget
      * @param listener receives the outcome of each request, except those cancelled because their caller's connection
      *     closed
@@ -80,7 +82,7 @@
     public record Policies(
             ServiceName ownService,
             LocalityAwareSelector chooser,
-            IntFunction<SharedRetryBudget> budgets,
+            Function<IntSupplier, SharedRetryBudget> budgets,
             Consumer<RetryDecision> retryListener,
             Consumer<CallOutcome> listener) {}
 
--- a/src/main/java/org/siskindyke/runtime/traffic/RetryBudgets.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RetryBudgets.java
@@ -3,29 +3,25 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.IntFunction;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 import org.siskindyke.kernel.call.SharedRetryBudget;
 import org.siskindyke.kernel.id.ServiceName;
 
 /** The retry budgets of all services. Confined to the traffic loop. */
 final class RetryBudgets {
-    private final IntFunction<SharedRetryBudget> create;
-    private final IntSupplier routers;
+    private final Supplier<SharedRetryBudget> create;
     private final Consumer<RetryDecision> onDecision;
     private final Map<ServiceName, SharedRetryBudget> budgetByService = new HashMap<>();
 
     /**
      * Creates the budgets.
      *
-     * @param create creates a service's budget, given the number of routers that share the allowance
-     * @param routers returns the number of routers; read at the first request for a service
+     * @param create creates a service's budget
      * @param onDecision receives each decision
      */
-    RetryBudgets(IntFunction<SharedRetryBudget> create, IntSupplier routers, Consumer<RetryDecision> onDecision) {
+    RetryBudgets(Supplier<SharedRetryBudget> create, Consumer<RetryDecision> onDecision) {
         this.create = create;
-        this.routers = routers;
         this.onDecision = onDecision;
     }
 
@@ -41,6 +37,6 @@
     }
 
     private SharedRetryBudget budget(ServiceName service) {
-        return budgetByService.computeIfAbsent(service, s -> create.apply(routers.getAsInt()));
+        return budgetByService.computeIfAbsent(service, s -> create.get());
     }
 }
--- a/src/test/java/org/siskindyke/kernel/call/SharedRetryBudgetTest.java
+++ b/src/test/java/org/siskindyke/kernel/call/SharedRetryBudgetTest.java
@@ -14,7 +14,7 @@
     void allRoutersTogetherStayWithinTheSharedBudget(@ForAll @IntRange(min = 1, max = 40) int routers) {
         SharedRetryBudget[] budgets = new SharedRetryBudget[routers];
         for (int i = 0; i < routers; i++) {
-            budgets[i] = new SharedRetryBudget(0.2, 60, routers, WINDOW_MILLIS);
+            budgets[i] = new SharedRetryBudget(0.2, 60, () -> routers, WINDOW_MILLIS);
         }
         int requests = 0;
         int retries = 0;
