Write a conviction to the table also where reports of two members complete it

Cause: a member wrote the row only if its own crash completed the evidence. Where two servers ended at the same time, both members learned of the conviction from each other's reports and neither wrote it; a loss of all routers then forgot it.

Change: each member beside one of the crashes writes the row when it learns of the conviction, by whatever way.

--- a/src/main/java/org/siskindyke/kernel/control/SuspectRegistry.java
+++ b/src/main/java/org/siskindyke/kernel/control/SuspectRegistry.java
@@ -39,7 +39,10 @@
     /** When to delete each row that was read. */
     private final Map<RowPath, Long> deletionMillis = new HashMap<>();
 
-    private final Set<RequestFingerprint> reported = new HashSet<>();
+    /** Requests that ran at crashes beside this member. */
+    private final Set<RequestFingerprint> seenHere = new HashSet<>();
+
+    private final Set<RequestFingerprint> convicted = new HashSet<>();
     private long nextExpiryMillis = Long.MIN_VALUE;
 
     SuspectRegistry(ControlContext context, TableSync sync, TableWriter writer) {
@@ -59,13 +62,9 @@
                 .map(loss -> suspects().onCrash(target, loss.request(), loss.caller(), nowMillis))
                 .limit(CrashSuspects.MAX_REPORTS)
                 .toList();
+        reports.forEach(report -> seenHere.add(report.request()));
         sync.pushSuspects(reports, FIRST_RECIPIENTS);
-        for (SuspectReport report : reports) {
-            if (suspects().isConvicted(report.request(), nowMillis)) {
-                write(report.request(), nowMillis);
-            }
-        }
-        reportConvictions(reports, nowMillis);
+        noteConvictions(reports, nowMillis);
     }
 
     /** Accepts what another member knows, and passes new evidence on. */
@@ -74,7 +73,7 @@
         List<SuspectReport> news = suspects().merge(received, nowMillis);
         if (!news.isEmpty()) {
             sync.pushSuspects(news, FURTHER_RECIPIENTS);
-            reportConvictions(news, nowMillis);
+            noteConvictions(news, nowMillis);
         }
     }
 
@@ -91,7 +90,7 @@
             RequestFingerprint request = RequestFingerprint.parse(row.path().lastSegment());
             SuspectReport report = RowCodec.decode(row, SuspectRow.class).toReport(request);
             suspects().merge(List.of(report), nowMillis);
-            reportConvictions(List.of(report), nowMillis);
+            noteConvictions(List.of(report), nowMillis);
         } catch (SiskindykeException e) {
             context.listener().onRowIgnored(row.path(), e);
         }
@@ -104,10 +103,15 @@
         writer.submit(transaction, nowMillis, outcome -> {});
     }
 
-    private void reportConvictions(List<SuspectReport> news, long nowMillis) {
+    /** Reports requests that are convicted now; members beside one of the crashes write them to the table. */
+    private void noteConvictions(List<SuspectReport> news, long nowMillis) {
         for (SuspectReport report : news) {
-            if (suspects().isConvicted(report.request(), nowMillis) && reported.add(report.request())) {
-                context.listener().onConvicted(suspects().report(report.request(), nowMillis));
+            RequestFingerprint request = report.request();
+            if (suspects().isConvicted(request, nowMillis) && convicted.add(request)) {
+                context.listener().onConvicted(suspects().report(request, nowMillis));
+                if (seenHere.contains(request)) {
+                    write(request, nowMillis);
+                }
             }
         }
     }
@@ -118,7 +122,9 @@
         }
         nextExpiryMillis = nowMillis + EXPIRE_INTERVAL_MILLIS;
         suspects().expire(nowMillis);
-        reported.removeIf(request -> !suspects().isConvicted(request, nowMillis));
+        convicted.removeIf(request -> !suspects().isConvicted(request, nowMillis));
+        seenHere.removeIf(
+                request -> suspects().report(request, nowMillis).crashes().isEmpty());
         for (Map.Entry<RowPath, Long> entry : Map.copyOf(deletionMillis).entrySet()) {
             if (nowMillis >= entry.getValue()) {
                 deletionMillis.remove(entry.getKey());
--- a/src/test/java/org/siskindyke/kernel/control/FakeMember.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -175,7 +175,7 @@
         busyUntilMillis.merge(slice, endMillis, Math::max);
     }
 
-    private long clockMillis() {
+    long clockMillis() {
         return clockOffsetMillis + (long) (world.nowMillis() * clockRate);
     }
 
