--- a/src/main/java/org/siskindyke/kernel/control/MemberController.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberController.java
@@ -237,7 +237,7 @@
 
     /** Records that a backend server beside this member has answered a request, which clears it of suspicion. */
     public void onSuspectAnswered(RequestFingerprint request) {
-        view().suspects().onAnswered(request, context.nowMillis());
+        suspects.onAnswered(request);
     }
 
     /** Starts to leave: the member hands over its slices, then declares itself dead in the table. */
--- a/src/main/java/org/siskindyke/kernel/control/SuspectRegistry.java
+++ b/src/main/java/org/siskindyke/kernel/control/SuspectRegistry.java
@@ -29,6 +29,9 @@
     /** Members to which each recipient sends new evidence. */
     private static final int FURTHER_RECIPIENTS = 3;
 
+    /** Time for which cleared requests are collected to be sent together. */
+    private static final long CLEARED_PUSH_DELAY_MILLIS = 100;
+
     private static final long EXPIRE_INTERVAL_MILLIS = 10_000;
     /** Spreads the deletions of a row over the members, so that most find it deleted already. */
     private static final int DELETION_JITTER_MILLIS = 120_000;
@@ -43,6 +46,10 @@
     private final Set<RequestFingerprint> seenHere = new HashSet<>();
 
     private final Set<RequestFingerprint> convicted = new HashSet<>();
+    /** Requests that were cleared here and are to be sent to other members. */
+    private final Set<RequestFingerprint> cleared = new HashSet<>();
+
+    private long clearedPushMillis;
     private long nextExpiryMillis = Long.MIN_VALUE;
 
     SuspectRegistry(ControlContext context, TableSync sync, TableWriter writer) {
@@ -58,8 +65,10 @@
     /** Records that a backend server beside this member has ended, and what it ran then. */
     void onCrash(TargetIncarnation target, List<Loss> running) {
         long nowMillis = context.nowMillis();
+        long suspected = running.stream().filter(Loss::suspected).count();
         List<SuspectReport> reports = running.stream()
-                .map(loss -> suspects().onCrash(target, loss.request(), loss.caller(), nowMillis))
+                .map(loss -> suspects()
+                        .onCrash(target, loss, running.size() == 1 || loss.suspected() && suspected == 1, nowMillis))
                 .limit(CrashSuspects.MAX_REPORTS)
                 .toList();
         reports.forEach(report -> seenHere.add(report.request()));
@@ -67,6 +76,26 @@
         noteConvictions(reports, nowMillis);
     }
 
+    /** Records that a backend server beside this member has answered a request. */
+    void onAnswered(RequestFingerprint request) {
+        long nowMillis = context.nowMillis();
+        if (suspects().onAnswered(request, nowMillis)) {
+            if (cleared.isEmpty()) {
+                clearedPushMillis = nowMillis + CLEARED_PUSH_DELAY_MILLIS;
+            }
+            cleared.add(request);
+        }
+    }
+
+    private void pushCleared(long nowMillis) {
+        List<SuspectReport> reports = cleared.stream()
+                .map(request -> suspects().report(request, nowMillis))
+                .limit(CrashSuspects.MAX_REPORTS)
+                .toList();
+        cleared.clear();
+        sync.pushSuspects(reports, FIRST_RECIPIENTS);
+    }
+
     /** Accepts what another member knows, and passes new evidence on. */
     void onReports(List<SuspectReport> received) {
         long nowMillis = context.nowMillis();
@@ -117,6 +146,9 @@
     }
 
     void tick(long nowMillis) {
+        if (!cleared.isEmpty() && nowMillis >= clearedPushMillis) {
+            pushCleared(nowMillis);
+        }
         if (nowMillis < nextExpiryMillis) {
             return;
         }
--- a/src/main/java/org/siskindyke/kernel/crash/CrashInvestigation.java
+++ b/src/main/java/org/siskindyke/kernel/crash/CrashInvestigation.java
@@ -28,18 +28,20 @@
      *
      * @param request the request
      * @param caller who sent it
+     * @param suspected whether it was suspected before, so that it ran in a {@link SuspectLane}
      * @param atMillis when the connection was lost
      */
-    public record Loss(RequestFingerprint request, ClientAccount caller, long atMillis) {}
+    public record Loss(RequestFingerprint request, ClientAccount caller, boolean suspected, long atMillis) {}
 
     /** Records a request whose connection was lost; ignored while the backend server is leaving. */
-    public void onLost(RequestFingerprint request, ClientAccount caller, long nowMillis) {
+    public void onLost(Loss lost) {
+        long nowMillis = lost.atMillis();
         if (leaving) {
             return;
         }
         losses.removeIf(loss -> nowMillis - loss.atMillis() > RESTART_MILLIS);
         if (losses.size() < MAX_LOSSES) {
-            losses.add(new Loss(request, caller, nowMillis));
+            losses.add(lost);
         }
         connectedSinceLoss = false;
     }
--- a/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
+++ b/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
@@ -8,13 +8,14 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.siskindyke.kernel.crash.SuspectAssessment.Level;
 import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.TargetName;
 
 /**
  * Decides which requests crash the backend servers that run them, from the crashes that this router and others have
- * seen. A request is convicted once {@value #CONVICT_AFTER_CRASHES} backend servers have ended while they ran it and
- * none has answered it since.
+ * seen. A request is convicted once {@value #CONVICT_AFTER_CRASHES} backend servers have ended while they ran it, at
+ * least one of them while it ran alone or was the only suspected one, and none has answered it since.
  *
  * <p>A caller's request is convicted only if a backend server ended during a run for this caller, so that no caller
  * can get the requests of another refused.
@@ -36,7 +37,8 @@
     private volatile Map<RequestFingerprint, Suspect> suspects = Map.of();
 
     /** One crash, with its time by the monotonic clock. */
-    private record Crash(TargetIncarnation target, ClientAccount caller, long atMillis, boolean cleared) {
+    private record Crash(
+            TargetIncarnation target, ClientAccount caller, boolean alone, long atMillis, boolean cleared) {
         private boolean counts(long nowMillis) {
             return !cleared && !isExpired(nowMillis);
         }
@@ -45,13 +47,23 @@
             return nowMillis - atMillis >= EVIDENCE_LIFETIME_MILLIS;
         }
 
+        /** Returns this crash with what another report of it says besides. */
+        private Crash joinedWith(Crash other) {
+            return new Crash(target, caller, alone || other.alone, atMillis, cleared || other.cleared);
+        }
+
         private Crash clear() {
-            return new Crash(target, caller, atMillis, true);
+            return new Crash(target, caller, alone, atMillis, true);
         }
     }
 
     /** A request and its crashes, which have different targets. */
     private record Suspect(RequestFingerprint request, List<Crash> crashes) {
+        private boolean isConvicted(long nowMillis) {
+            return count(nowMillis) >= CONVICT_AFTER_CRASHES
+                    && crashes.stream().anyMatch(crash -> crash.alone() && crash.counts(nowMillis));
+        }
+
         private long count(long nowMillis) {
             return crashes.stream().filter(crash -> crash.counts(nowMillis)).count();
         }
@@ -79,14 +91,16 @@
         if (counted.isEmpty()) {
             return SuspectAssessment.NONE;
         }
-        boolean convicted = counted.size() >= CONVICT_AFTER_CRASHES
-                && counted.stream().anyMatch(crash -> crash.caller().equals(caller));
-        long retryAfterMillis = convicted
+        boolean ofCaller = counted.stream().anyMatch(crash -> crash.caller().equals(caller));
+        Level level = counted.size() < CONVICT_AFTER_CRASHES
+                ? Level.SUSPECTED
+                : suspect.isConvicted(nowMillis) && ofCaller ? Level.CONVICTED : Level.ON_TRIAL;
+        long retryAfterMillis = level == Level.CONVICTED
                 ? counted.get(CONVICT_AFTER_CRASHES - 1).atMillis() + EVIDENCE_LIFETIME_MILLIS - nowMillis
                 : 0;
         return new SuspectAssessment(
                 counted.stream().map(Crash::target).toList(),
-                convicted,
+                level,
                 nowMillis - counted.get(0).atMillis(),
                 retryAfterMillis);
     }
@@ -107,24 +121,29 @@
     /** Returns whether a request is refused to at least one caller. */
     public boolean isConvicted(RequestFingerprint request, long nowMillis) {
         Suspect suspect = suspects.get(request);
-        return suspect != null && suspect.count(nowMillis) >= CONVICT_AFTER_CRASHES;
+        return suspect != null && suspect.isConvicted(nowMillis);
     }
 
     /** Returns the number of requests that are refused to at least one caller. */
     public int convictedCount(long nowMillis) {
         return (int) suspects.values().stream()
-                .filter(suspect -> suspect.count(nowMillis) >= CONVICT_AFTER_CRASHES)
+                .filter(suspect -> suspect.isConvicted(nowMillis))
                 .count();
     }
 
     /**
      * Records that a backend server has ended while it ran a request.
      *
+     * @param target the backend server
+     * @param loss the request
+     * @param alone whether it was the only one that was running, or the only suspected one
+     * @param nowMillis the present time
      * @return the report to send to other routers
      */
     public SuspectReport onCrash(
-            TargetIncarnation target, RequestFingerprint request, ClientAccount caller, long nowMillis) {
-        SuspectReport report = new SuspectReport(request, List.of(new CrashEvidence(target, caller, 0, false)));
+            TargetIncarnation target, CrashInvestigation.Loss loss, boolean alone, long nowMillis) {
+        CrashEvidence evidence = new CrashEvidence(target, loss.caller(), alone, 0, false);
+        SuspectReport report = new SuspectReport(loss.request(), List.of(evidence));
         merge(List.of(report), nowMillis);
         return report;
     }
@@ -170,14 +189,18 @@
         boolean changed = false;
         for (CrashEvidence evidence : report.crashes()) {
             Crash reported = new Crash(
-                    evidence.target(), evidence.caller(), nowMillis - evidence.ageMillis(), evidence.cleared());
+                    evidence.target(),
+                    evidence.caller(),
+                    evidence.alone(),
+                    nowMillis - evidence.ageMillis(),
+                    evidence.cleared());
             Crash present = crashes.get(evidence.target());
             if (present == null && !reported.isExpired(nowMillis) && evidence.ageMillis() >= 0) {
                 crashes.put(evidence.target(), reported);
                 isNew |= !reported.cleared();
                 changed = true;
-            } else if (present != null && evidence.cleared() && !present.cleared()) {
-                crashes.put(evidence.target(), present.clear());
+            } else if (present != null && !present.equals(present.joinedWith(reported))) {
+                crashes.put(evidence.target(), present.joinedWith(reported));
                 changed = true;
             }
         }
@@ -237,7 +260,7 @@
                 long target = crash.target().target().value().hashCode() * 31L
                         + crash.target().startMillis();
                 long hash = suspect.request().low() * 31 + target;
-                digest ^= mix(hash * 2 + (crash.cleared() ? 1 : 0));
+                digest ^= mix(hash * 4 + (crash.cleared() ? 1 : 0) + (crash.alone() ? 2 : 0));
             }
         }
         return digest;
@@ -269,7 +292,11 @@
                 suspect.request(),
                 suspect.crashes().stream()
                         .map(crash -> new CrashEvidence(
-                                crash.target(), crash.caller(), nowMillis - crash.atMillis(), crash.cleared()))
+                                crash.target(),
+                                crash.caller(),
+                                crash.alone(),
+                                nowMillis - crash.atMillis(),
+                                crash.cleared()))
                         .toList());
     }
 }
--- a/src/main/java/org/siskindyke/kernel/crash/RequestFingerprint.java
+++ b/src/main/java/org/siskindyke/kernel/crash/RequestFingerprint.java
@@ -64,6 +64,13 @@
         throw new SiskindykeException(ErrorCode.INVALID_NAME, "fingerprint is not " + HEX_DIGITS + " digits");
     }
 
+    /** Returns a number that is as good as random for each pair of a request and a name, by which names are ranked. */
+    public long scoreOf(String name) {
+        return Hashing.murmur3_128((int) low)
+                .hashString(name, StandardCharsets.UTF_8)
+                .asLong();
+    }
+
     @Override
     public int compareTo(RequestFingerprint other) {
         int byHigh = Long.compareUnsigned(high, other.high);
--- a/src/main/java/org/siskindyke/kernel/crash/SuspectRow.java
+++ b/src/main/java/org/siskindyke/kernel/crash/SuspectRow.java
@@ -21,14 +21,15 @@
      *
      * @param target the backend server that ended
      * @param caller who sent the request
+     * @param alone whether the request was the only one that was running, or the only suspected one
      */
-    public record CrashRow(TargetIncarnation target, ClientAccount caller) {}
+    public record CrashRow(TargetIncarnation target, ClientAccount caller, boolean alone) {}
 
     /** Returns the row with the evidence of a report that no answer has cleared. */
     public static SuspectRow of(SuspectReport report) {
         return new SuspectRow(report.crashes().stream()
                 .filter(crash -> !crash.cleared())
-                .map(crash -> new CrashRow(crash.target(), crash.caller()))
+                .map(crash -> new CrashRow(crash.target(), crash.caller(), crash.alone()))
                 .toList());
     }
 
@@ -37,7 +38,7 @@
         return new SuspectReport(
                 request,
                 crashes.stream()
-                        .map(crash -> new CrashEvidence(crash.target(), crash.caller(), 0, false))
+                        .map(crash -> new CrashEvidence(crash.target(), crash.caller(), crash.alone(), 0, false))
                         .toList());
     }
 }
--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -11,6 +11,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import org.siskindyke.kernel.error.ErrorCode;
@@ -33,6 +36,12 @@
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(100);
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(3);
     private static final String HOST = "127.0.0.1";
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORT_COUNT = 20_000;
+    /** Starts at random, so that clusters in two processes rarely try the same ports. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(ThreadLocalRandom.current().nextInt(PORT_COUNT));
+
     private static final InstanceSettings.Bounds BOUNDS = new InstanceSettings.Bounds(
             Duration.ofSeconds(2), Duration.ofSeconds(6), Duration.ofSeconds(10), 0.2, 60, Duration.ofSeconds(10));
 
@@ -110,20 +119,29 @@
 
     /** Sends a request to a router; returns the status of the response, or 0 where the request failed or timed out. */
     int request(Instance instance, String path, int key) throws InterruptedException {
+        try {
+            return client.send(newRequest(instance, path, key), HttpResponse.BodyHandlers.ofString())
+                    .statusCode();
+        } catch (IOException e) {
+            // A router that does not listen yet refuses connections; a caller that waits for it sends further requests.
+            return 0;
+        }
+    }
+
+    /** Sends a request to a router without waiting; the response fails where the request failed or timed out. */
+    CompletableFuture<HttpResponse<String>> send(Instance instance, String path) {
+        return client.sendAsync(newRequest(instance, path, 0), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpRequest newRequest(Instance instance, String path, int key) {
         InetSocketAddress callers = instance.settings().addresses().callers();
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + callers.getPort() + path))
+        return HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + callers.getPort() + path))
                 .header("X-Siskindyke-Request-Id", "r" + requestCount++)
                 .header("X-Siskindyke-Timeout-Ms", "2000")
                 .header("X-Siskindyke-Shard-Key", Integer.toString(key))
                 .timeout(RESPONSE_TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofString("body"))
                 .build();
-        try {
-            return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
-        } catch (IOException e) {
-            // A router that does not listen yet refuses connections; a caller that waits for it sends further requests.
-            return 0;
-        }
     }
 
     /** Returns the text of a router's metrics endpoint. */
@@ -140,11 +158,28 @@
         }
     }
 
+    /**
+     * Returns an address that is free and that no other call in this process returns. Outgoing connections do not take
+     * its port before it is bound, since the kernel gives them higher ones.
+     */
     private static InetSocketAddress freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new InetSocketAddress(HOST, socket.getLocalPort());
+        for (int i = 0; i < PORT_COUNT; i++) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORT_COUNT;
+            InetSocketAddress address = new InetSocketAddress(HOST, port);
+            if (isFree(address)) {
+                return address;
+            }
+        }
+        throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "no free port");
+    }
+
+    private static boolean isFree(InetSocketAddress address) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(address);
+            return true;
         } catch (IOException e) {
-            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "no free port", e);
+            // Another process uses the port.
+            return false;
         }
     }
 }
--- a/src/main/java/org/siskindyke/runtime/CrashDetector.java
+++ b/src/main/java/org/siskindyke/runtime/CrashDetector.java
@@ -97,13 +97,22 @@
         long nowMillis = clock.nowMillis();
         RequestFingerprint request = call.fingerprint();
         if (lost && !recentAnswers.isAnsweredSince(request, nowMillis - RECENT_ANSWER_MILLIS)) {
-            investigation(target.service()).onLost(request, call.caller(), nowMillis);
+            Loss loss = new Loss(request, call.caller(), isSuspected(call, nowMillis), nowMillis);
+            investigation(target.service()).onLost(loss);
         }
         if (probesInProgress.add(target.service())) {
             probe(target);
         }
     }
 
+    private boolean isSuspected(Call call, long nowMillis) {
+        return member.get()
+                .view()
+                .suspects()
+                .assess(call.fingerprint(), call.caller(), nowMillis)
+                .isSuspected();
+    }
+
     private void probe(TargetAnnouncement target) {
         try {
             AsynchronousSocketChannel channel = AsynchronousSocketChannel.open();
--- a/src/main/java/org/siskindyke/runtime/DecisionLog.java
+++ b/src/main/java/org/siskindyke/runtime/DecisionLog.java
@@ -66,7 +66,7 @@
                         + " caller=" + call.caller()
                         + " crashed=" + assessment.crashed()
                         + " lastCrashMillisAgo=" + assessment.youngestMillis()
-                        + " convicted=" + assessment.convicted());
+                        + " level=" + assessment.level());
     }
 
     /** Logs a placement decision: at level INFO if it was committed, at DEBUG otherwise. */
--- a/src/main/java/org/siskindyke/runtime/TargetCrashes.java
+++ b/src/main/java/org/siskindyke/runtime/TargetCrashes.java
@@ -8,7 +8,6 @@
 import org.siskindyke.kernel.crash.CrashInvestigation.Loss;
 import org.siskindyke.kernel.crash.RequestFingerprint;
 import org.siskindyke.kernel.crash.TargetIncarnation;
-import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.traffic.TargetObserver;
 
@@ -53,8 +52,8 @@
     }
 
     @Override
-    public void onConnectionLost(RequestFingerprint request, ClientAccount caller) {
-        control.execute(() -> investigation.onLost(request, caller, clock.nowMillis()));
+    public void onConnectionLost(Loss loss) {
+        control.execute(() -> investigation.onLost(loss));
     }
 
     @Override
--- a/src/main/java/org/siskindyke/runtime/call/CrashGuard.java
+++ b/src/main/java/org/siskindyke/runtime/call/CrashGuard.java
@@ -1,9 +1,12 @@
 package org.siskindyke.runtime.call;
 
+import java.util.Comparator;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
 import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.crash.RequestFingerprint;
 import org.siskindyke.kernel.crash.SuspectAssessment;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.TargetName;
@@ -15,8 +18,10 @@
 public final class CrashGuard {
     /** How long after a crash the backend server is expected to start again. */
     private static final long RESTART_MILLIS = 5_000;
-    /** When a caller should send a call again that would risk the last backend server of its service. */
-    private static final long LAST_TARGET_RETRY_MILLIS = 1_000;
+    /** How long after a crash a member may still announce that the backend server accepts calls. */
+    private static final long ANNOUNCEMENT_DELAY_MILLIS = 2_500;
+    /** When a caller should send a call again that may not run at present. */
+    public static final long RETRY_MILLIS = 1_000;
 
     private final MonotonicClock clock;
     private final Supplier<ClusterView> view;
@@ -43,24 +48,48 @@
     }
 
     /**
-     * Returns when a suspected call may run at the backend server beside this router, in milliseconds from now; 0 for
-     * at once.
-     * It has to wait while all others of the service have crashed shortly before and are about to return.
+     * Returns when a suspected call that is not convicted may run at the backend server beside this router, in
+     * milliseconds from now; 0 for at once. It has to wait while all others of the service have crashed shortly before
+     * and are about to return. A call on trial may run at {@link #trialMember} only.
      */
-    public long waitMillis(Call call) {
-        Set<TargetName> crashed = view.get().suspects().crashedWithin(RESTART_MILLIS, clock.nowMillis());
+    public long waitMillis(Call call, SuspectAssessment assessment) {
+        boolean elsewhere = assessment.isOnTrial()
+                && call.slice() == null
+                && !trialMember(call).filter(m -> m.id().equals(self.get())).isPresent();
+        return elsewhere || isLastTarget(call) ? RETRY_MILLIS : 0;
+    }
+
+    /**
+     * Returns the member at whose backend server a call on trial may run: the same at all routers with the same view.
+     * Empty where no backend server of the service accepts calls.
+     */
+    public Optional<MemberRow> trialMember(Call call) {
+        Set<TargetName> crashed = crashedWithin(ANNOUNCEMENT_DELAY_MILLIS);
+        RequestFingerprint fingerprint = call.fingerprint();
+        return view.get().members().acceptingMembers(call.service()).stream()
+                .filter(m -> !crashed.contains(
+                        m.targetOf(call.service()).orElseThrow().target()))
+                .max(Comparator.comparingLong(m -> fingerprint.scoreOf(m.id().value())));
+    }
+
+    private boolean isLastTarget(Call call) {
+        Set<TargetName> justCrashed = crashedWithin(ANNOUNCEMENT_DELAY_MILLIS);
+        Set<TargetName> returning = crashedWithin(RESTART_MILLIS);
         boolean othersReturn = false;
         for (MemberRow other : view.get().members().serving()) {
             TargetAnnouncement target = other.targetOf(call.service()).orElse(null);
             if (target == null || other.id().equals(self.get())) {
                 continue;
             }
-            boolean hasCrashed = crashed.contains(target.target());
-            if (target.accepting() && !hasCrashed) {
-                return 0;
+            if (target.accepting() && !justCrashed.contains(target.target())) {
+                return false;
             }
-            othersReturn |= hasCrashed;
+            othersReturn |= returning.contains(target.target());
         }
-        return othersReturn ? LAST_TARGET_RETRY_MILLIS : 0;
+        return othersReturn;
+    }
+
+    private Set<TargetName> crashedWithin(long spanMillis) {
+        return view.get().suspects().crashedWithin(spanMillis, clock.nowMillis());
     }
 }
--- a/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
@@ -122,8 +122,8 @@
             return refuse(Refusal.NO_TARGET, 0);
         }
         SuspectAssessment assessment = crashGuard.assess(call);
-        long waitMillis = assessment.isSuspected() ? crashGuard.waitMillis(call) : 0;
-        if (assessment.convicted() || waitMillis > 0) {
+        long waitMillis = assessment.isSuspected() ? crashGuard.waitMillis(call, assessment) : 0;
+        if (assessment.isConvicted() || waitMillis > 0) {
             DecisionLog.suspectRefused(call, assessment);
             return refuse(Refusal.SUSPECTED_OF_CRASHES, Math.max(waitMillis, assessment.retryAfterMillis()));
         }
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -121,7 +121,8 @@
                 crash.target().startMillis(),
                 crash.caller().value(),
                 crash.ageMillis(),
-                crash.cleared());
+                crash.cleared(),
+                crash.alone());
     }
 
     /** Converts the wire form of evidence against requests; null, as sent by earlier versions, is none. */
@@ -138,6 +139,7 @@
                         .map(crash -> new CrashEvidence(
                                 new TargetIncarnation(TargetName.of(crash.getTarget()), crash.getStartMillis()),
                                 ClientAccount.of(crash.getCaller()),
+                                crash.isAlone(),
                                 crash.getAgeMillis(),
                                 crash.isCleared()))
                         .toList());
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -20,6 +20,7 @@
 import org.siskindyke.kernel.call.AdmissionQueue;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
+import org.siskindyke.kernel.crash.CrashInvestigation.Loss;
 import org.siskindyke.kernel.crash.RecentAnswers;
 import org.siskindyke.kernel.crash.RequestFingerprint;
 import org.siskindyke.kernel.crash.SuspectAssessment;
@@ -266,6 +267,8 @@
         /** When the wait for other suspected calls ends; 0 until the call first waits. */
         private long suspectWaitEndMillis;
 
+        private boolean isInSuspectLane;
+
         private boolean holdsSlot;
         private boolean ended;
 
@@ -297,8 +300,8 @@
 
         private void submitUnlessConvicted() {
             SuspectAssessment assessment = crashGuard.assess(call);
-            long waitMillis = assessment.isSuspected() ? crashGuard.waitMillis(call) : 0;
-            if (assessment.convicted() || waitMillis > 0) {
+            long waitMillis = assessment.isSuspected() ? crashGuard.waitMillis(call, assessment) : 0;
+            if (assessment.isConvicted() || waitMillis > 0) {
                 logSuspect(assessment);
                 refuse(Refusal.SUSPECTED_OF_CRASHES, Math.max(waitMillis, assessment.retryAfterMillis()));
             } else if (assessment.isSuspected() || call.scheduling().suspected()) {
@@ -322,15 +325,18 @@
                         assessment.crashed(),
                         "lastCrashMillisAgo",
                         assessment.youngestMillis(),
-                        "convicted",
-                        assessment.convicted());
+                        "level",
+                        assessment.level());
             }
         }
 
         private void enterSuspectLane() {
             long nowMillis = clock.nowMillis();
             switch (suspectLane.enter(this)) {
-                case RUN -> queue.submit(entry, nowMillis);
+                case RUN -> {
+                    isInSuspectLane = true;
+                    queue.submit(entry, nowMillis);
+                }
                 case WAIT -> {
                     if (suspectWaitEndMillis == 0) {
                         long maxMillis = Math.min(MAX_SUSPECT_WAIT_MILLIS, call.remainingMillis(nowMillis) / 2);
@@ -459,7 +465,8 @@
         private void onConnectionLost() {
             RequestFingerprint fingerprint = call.fingerprint();
             if (!recentAnswers.isAnsweredSince(fingerprint, clock.nowMillis() - RECENT_ANSWER_MILLIS)) {
-                observer.onConnectionLost(fingerprint, call.caller());
+                boolean suspected = isInSuspectLane || crashGuard.assess(call).isSuspected();
+                observer.onConnectionLost(new Loss(fingerprint, call.caller(), suspected, clock.nowMillis()));
                 probe.schedule(target.address(), pool);
             }
         }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -106,6 +106,11 @@
         if (channel != null) {
             channel.close();
         }
+        resetConnections();
+    }
+
+    /** Resets all connections and goes on listening. */
+    public void resetConnections() {
         List.copyOf(connections).forEach(HttpServerConnection::abort);
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -39,6 +39,9 @@
     /** Delay after which a waiting call checks again for an owner or a target. */
     private static final long TARGET_POLL_MILLIS = 40;
 
+    /** Delay of a retry after a lost answer, in which a crash of the target becomes known to other routers. */
+    private static final long RETRY_AFTER_LOSS_MILLIS = 50;
+
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
     /** How long a target that could not be reached is avoided while there are others. */
     private static final long UNREACHABLE_AVOID_MILLIS = 1_000;
@@ -113,10 +116,12 @@
             return;
         }
         SuspectAssessment assessment = context.crashGuard().assess(call);
-        if (assessment.convicted()) {
+        if (assessment.isConvicted()) {
             refuse(Refusal.SUSPECTED_OF_CRASHES, statusOf(verdict), assessment.retryAfterMillis());
         } else if (divided) {
             sendToOwner();
+        } else if (assessment.isOnTrial()) {
+            sendToTrialTarget();
         } else {
             sendToAnyTarget();
         }
@@ -170,6 +175,16 @@
         send(chosen.get().member(), chosen.get().hasAlternatives() && fullTargets + 1 < MAX_FULL_TARGETS);
     }
 
+    /** Sends a request that may run at one target only; it is not sent there twice. */
+    private void sendToTrialTarget() {
+        MemberRow member = context.crashGuard().trialMember(call).orElse(null);
+        if (member == null || !tried.add(member.id())) {
+            refuse(Refusal.SUSPECTED_OF_CRASHES, statusOf(verdict), CrashGuard.RETRY_MILLIS);
+        } else {
+            send(member, false);
+        }
+    }
+
     private void endWithoutTarget() {
         if (lastFailure == null) {
             waitForTarget(Refusal.NO_TARGET);
@@ -280,10 +295,12 @@
                 && !mayCrashTargets()
                 && (divided || hasUntried())
                 && acquireRetry(nowMillis);
-        if (retry) {
-            startAttempt();
-        } else {
+        if (!retry) {
             conclude(reply);
+        } else if (reply.refusal() == Refusal.ANSWER_LOST) {
+            waitTimer = context.traffic().schedule(this::startAttempt, RETRY_AFTER_LOSS_MILLIS);
+        } else {
+            startAttempt();
         }
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetObserver.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetObserver.java
@@ -1,7 +1,7 @@
 package org.siskindyke.runtime.traffic;
 
+import org.siskindyke.kernel.crash.CrashInvestigation;
 import org.siskindyke.kernel.crash.RequestFingerprint;
-import org.siskindyke.kernel.id.ClientAccount;
 
 /** Receives the signs of a lost or crashed backend server, as a {@link BackendDispatcher} sees them on its loop. */
 public interface TargetObserver {
@@ -9,7 +9,7 @@
     void onUnreachable();
 
     /** Called when the connection of a running request was lost before any byte of its response. */
-    void onConnectionLost(RequestFingerprint request, ClientAccount caller);
+    void onConnectionLost(CrashInvestigation.Loss loss);
 
     /** Called when the backend server accepts connections after such a loss. */
     void onConnected();
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -180,6 +180,11 @@
         });
     }
 
+    /** Injects a fault: resets all connections of callers, while the server goes on. */
+    public void resetConnections() {
+        traffic.execute(() -> callers.resetConnections());
+    }
+
     /** Returns whether the server has ended and not started again. */
     public boolean isDown() {
         return down;
--- a/src/main/java/org/siskindyke/wire/WireCrash.java
+++ b/src/main/java/org/siskindyke/wire/WireCrash.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField CALLER_FIELD_DESC = new org.apache.thrift.protocol.TField("caller", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField CLEARED_FIELD_DESC = new org.apache.thrift.protocol.TField("cleared", org.apache.thrift.protocol.TType.BOOL, (short)5);
+  private static final org.apache.thrift.protocol.TField ALONE_FIELD_DESC = new org.apache.thrift.protocol.TField("alone", org.apache.thrift.protocol.TType.BOOL, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireCrashStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireCrashTupleSchemeFactory();
@@ -27,6 +28,7 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String caller; // required
   public long ageMillis; // required
   public boolean cleared; // required
+  public boolean alone; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     START_MILLIS((short)2, "startMillis"),
     CALLER((short)3, "caller"),
     AGE_MILLIS((short)4, "ageMillis"),
-    CLEARED((short)5, "cleared");
+    CLEARED((short)5, "cleared"),
+    ALONE((short)6, "alone");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +63,8 @@
           return AGE_MILLIS;
         case 5: // CLEARED
           return CLEARED;
+        case 6: // ALONE
+          return ALONE;
         default:
           return null;
       }
@@ -106,6 +111,7 @@
   private static final int __STARTMILLIS_ISSET_ID = 0;
   private static final int __AGEMILLIS_ISSET_ID = 1;
   private static final int __CLEARED_ISSET_ID = 2;
+  private static final int __ALONE_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -120,6 +126,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CLEARED, new org.apache.thrift.meta_data.FieldMetaData("cleared", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.ALONE, new org.apache.thrift.meta_data.FieldMetaData("alone", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireCrash.class, metaDataMap);
   }
@@ -132,7 +140,8 @@
     long startMillis,
     java.lang.String caller,
     long ageMillis,
-    boolean cleared)
+    boolean cleared,
+    boolean alone)
   {
     this();
     this.target = target;
@@ -143,6 +152,8 @@
     setAgeMillisIsSet(true);
     this.cleared = cleared;
     setClearedIsSet(true);
+    this.alone = alone;
+    setAloneIsSet(true);
   }
 
   /**
@@ -159,6 +170,7 @@
     }
     this.ageMillis = other.ageMillis;
     this.cleared = other.cleared;
+    this.alone = other.alone;
   }
 
   @Override
@@ -176,6 +188,8 @@
     this.ageMillis = 0;
     setClearedIsSet(false);
     this.cleared = false;
+    setAloneIsSet(false);
+    this.alone = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -297,6 +311,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLEARED_ISSET_ID, value);
   }
 
+  public boolean isAlone() {
+    return this.alone;
+  }
+
+  public WireCrash setAlone(boolean alone) {
+    this.alone = alone;
+    setAloneIsSet(true);
+    return this;
+  }
+
+  public void unsetAlone() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ALONE_ISSET_ID);
+  }
+
+  /** Returns true if field alone is set (has been assigned a value) and false otherwise */
+  public boolean isSetAlone() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ALONE_ISSET_ID);
+  }
+
+  public void setAloneIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ALONE_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -340,6 +377,14 @@
       }
       break;
 
+    case ALONE:
+      if (value == null) {
+        unsetAlone();
+      } else {
+        setAlone((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -362,6 +407,9 @@
     case CLEARED:
       return isCleared();
 
+    case ALONE:
+      return isAlone();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -384,6 +432,8 @@
       return isSetAgeMillis();
     case CLEARED:
       return isSetCleared();
+    case ALONE:
+      return isSetAlone();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -446,6 +496,15 @@
         return false;
     }
 
+    boolean this_present_alone = true;
+    boolean that_present_alone = true;
+    if (this_present_alone || that_present_alone) {
+      if (!(this_present_alone && that_present_alone))
+        return false;
+      if (this.alone != that.alone)
+        return false;
+    }
+
     return true;
   }
 
@@ -467,6 +526,8 @@
 
     hashCode = hashCode * 8191 + ((cleared) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((alone) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -528,6 +589,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAlone(), other.isSetAlone());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAlone()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.alone, other.alone);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -579,6 +650,10 @@
     sb.append("cleared:");
     sb.append(this.cleared);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("alone:");
+    sb.append(this.alone);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -666,6 +741,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // ALONE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.alone = iprot.readBool();
+              struct.setAloneIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -701,6 +784,9 @@
       oprot.writeFieldBegin(CLEARED_FIELD_DESC);
       oprot.writeBool(struct.cleared);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ALONE_FIELD_DESC);
+      oprot.writeBool(struct.alone);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -735,7 +821,10 @@
       if (struct.isSetCleared()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetAlone()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetTarget()) {
         oprot.writeString(struct.target);
       }
@@ -751,12 +840,15 @@
       if (struct.isSetCleared()) {
         oprot.writeBool(struct.cleared);
       }
+      if (struct.isSetAlone()) {
+        oprot.writeBool(struct.alone);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireCrash struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.target = iprot.readString();
         struct.setTargetIsSet(true);
@@ -777,6 +869,10 @@
         struct.cleared = iprot.readBool();
         struct.setClearedIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.alone = iprot.readBool();
+        struct.setAloneIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -39,6 +39,7 @@
   3: string caller,
   4: i64 ageMillis,
   5: bool cleared,
+  6: bool alone,
 }
 
 /** The evidence against a request, named by both halves of its fingerprint. */
--- a/src/test/java/org/siskindyke/kernel/control/SuspectSpreadTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/SuspectSpreadTest.java
@@ -37,7 +37,7 @@
 
     private static void crash(FakeWorld world, int member, long startMillis) {
         TargetIncarnation target = new TargetIncarnation(TargetName.of("t" + member), startMillis);
-        world.members.get(member).controller().onCrash(target, List.of(new Loss(REQUEST, CALLER, 0)));
+        world.members.get(member).controller().onCrash(target, List.of(new Loss(REQUEST, CALLER, false, 0)));
     }
 
     private static void convict(FakeWorld world) {
--- a/src/test/java/org/siskindyke/kernel/crash/CrashInvestigationTest.java
+++ b/src/test/java/org/siskindyke/kernel/crash/CrashInvestigationTest.java
@@ -16,27 +16,31 @@
 
     private final CrashInvestigation investigation = new CrashInvestigation();
 
+    private void lose(RequestFingerprint request, long atMillis) {
+        investigation.onLost(new Loss(request, CALLER, false, atMillis));
+    }
+
     private static List<RequestFingerprint> requests(List<Loss> losses) {
         return losses.stream().map(Loss::request).toList();
     }
 
     @Example
     void requestsThatWereRunningWhenTheAddressRefusesConnectionsAreSuspects() {
-        investigation.onLost(REQUEST, CALLER, 1_000);
+        lose(REQUEST, 1_000);
         assertEquals(List.of(REQUEST), requests(investigation.onRefused(1_020)));
         assertTrue(investigation.onStarted(2_000).isEmpty());
     }
 
     @Example
     void aServerThatIsBackAtOnceHasCrashedIfItSaysThatItStartedAgain() {
-        investigation.onLost(REQUEST, CALLER, 1_000);
+        lose(REQUEST, 1_000);
         investigation.onConnected();
         assertEquals(List.of(REQUEST), requests(investigation.onStarted(2_000)));
     }
 
     @Example
     void aConnectionThatWasResetOnTheWayIsNoCrash() {
-        investigation.onLost(REQUEST, CALLER, 1_000);
+        lose(REQUEST, 1_000);
         investigation.onConnected();
         investigation.onAlive();
         assertTrue(investigation.onStarted(2_000).isEmpty());
@@ -44,7 +48,7 @@
 
     @Example
     void aHeartbeatFromBeforeTheCrashDoesNotHideIt() {
-        investigation.onLost(REQUEST, CALLER, 1_000);
+        lose(REQUEST, 1_000);
         investigation.onAlive();
         assertEquals(List.of(REQUEST), requests(investigation.onRefused(1_020)));
     }
@@ -52,10 +56,10 @@
     @Example
     void aPlannedStopIsNoCrash() {
         investigation.onLeaving();
-        investigation.onLost(REQUEST, CALLER, 1_000);
+        lose(REQUEST, 1_000);
         assertTrue(investigation.onRefused(1_020).isEmpty());
         assertTrue(investigation.onStarted(2_000).isEmpty());
-        investigation.onLost(REQUEST, CALLER, 3_000);
+        lose(REQUEST, 3_000);
         assertEquals(List.of(REQUEST), requests(investigation.onRefused(3_020)));
     }
 
@@ -66,14 +70,14 @@
 
     @Example
     void connectionsThatWereLostLongBeforeTheCrashAreNoEvidence() {
-        investigation.onLost(EARLIER, CALLER, 1_000);
-        investigation.onLost(REQUEST, CALLER, 1_000 + CrashInvestigation.SAME_CRASH_MILLIS + 1);
+        lose(EARLIER, 1_000);
+        lose(REQUEST, 1_000 + CrashInvestigation.SAME_CRASH_MILLIS + 1);
         assertEquals(List.of(REQUEST), requests(investigation.onRefused(1_600)));
     }
 
     @Example
     void aLossIsForgottenBeforeALaterRestart() {
-        investigation.onLost(REQUEST, CALLER, 1_000);
+        lose(REQUEST, 1_000);
         assertTrue(investigation
                 .onStarted(1_001 + CrashInvestigation.RESTART_MILLIS)
                 .isEmpty());
--- a/src/test/java/org/siskindyke/kernel/crash/CrashSuspectsTest.java
+++ b/src/test/java/org/siskindyke/kernel/crash/CrashSuspectsTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import org.siskindyke.kernel.crash.CrashInvestigation.Loss;
 import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.TargetName;
 
@@ -35,26 +36,38 @@
     }
 
     private void crash(int target, RequestFingerprint request, ClientAccount caller, long nowMillis) {
-        suspects.onCrash(target(target), request, caller, nowMillis);
+        suspects.onCrash(target(target), new Loss(request, caller, false, nowMillis), true, nowMillis);
     }
 
     @Example
     void aRequestThatWasRunningAtTwoCrashesIsConvicted() {
         crash(1, REQUEST, CALLER, 0);
-        assertFalse(suspects.assess(REQUEST, CALLER, 10).convicted());
+        assertFalse(suspects.assess(REQUEST, CALLER, 10).isConvicted());
         crash(2, REQUEST, CALLER, 20);
         SuspectAssessment assessment = suspects.assess(REQUEST, CALLER, 30);
-        assertTrue(assessment.convicted());
+        assertTrue(assessment.isConvicted());
         assertEquals(List.of(target(2), target(1)), assessment.crashed());
         assertEquals(10, assessment.youngestMillis());
         assertEquals(CrashSuspects.EVIDENCE_LIFETIME_MILLIS - 30, assessment.retryAfterMillis());
     }
 
+    /** Guards against harmless requests that are refused for good, since several of them ran at several crashes. */
+    @Example
+    void aRequestThatNeverRanAloneIsOnTrialUntilItsNextCrash() {
+        Loss loss = new Loss(REQUEST, CALLER, false, 0);
+        for (int i = 0; i < 5; i++) {
+            suspects.onCrash(target(i), loss, false, 0);
+        }
+        assertTrue(suspects.assess(REQUEST, CALLER, 10).isOnTrial());
+        crash(6, REQUEST, CALLER, 20);
+        assertTrue(suspects.assess(REQUEST, CALLER, 30).isConvicted());
+    }
+
     @Example
     void theSameCrashCountsOnce() {
         crash(1, REQUEST, CALLER, 0);
         crash(1, REQUEST, CALLER, 5);
-        assertFalse(suspects.assess(REQUEST, CALLER, 10).convicted());
+        assertFalse(suspects.assess(REQUEST, CALLER, 10).isConvicted());
     }
 
     /** Guards against harmless requests that are refused for good, since they ran beside one that ends its servers. */
@@ -64,7 +77,7 @@
         assertTrue(suspects.onAnswered(REQUEST, 100));
         assertFalse(suspects.assess(REQUEST, CALLER, 110).isSuspected());
         crash(2, REQUEST, CALLER, 200);
-        assertFalse(suspects.assess(REQUEST, CALLER, 210).convicted());
+        assertFalse(suspects.assess(REQUEST, CALLER, 210).isConvicted());
     }
 
     @Example
@@ -81,11 +94,11 @@
     void aCallersRequestIsNotConvictedByTheCrashesOfAnotherCallerAlone() {
         crash(1, REQUEST, OTHER_CALLER, 0);
         crash(2, REQUEST, OTHER_CALLER, 0);
-        assertTrue(suspects.assess(REQUEST, OTHER_CALLER, 10).convicted());
-        assertFalse(suspects.assess(REQUEST, CALLER, 10).convicted());
+        assertTrue(suspects.assess(REQUEST, OTHER_CALLER, 10).isConvicted());
+        assertFalse(suspects.assess(REQUEST, CALLER, 10).isConvicted());
         assertTrue(suspects.assess(REQUEST, CALLER, 10).isSuspected());
         crash(3, REQUEST, CALLER, 20);
-        assertTrue(suspects.assess(REQUEST, CALLER, 30).convicted());
+        assertTrue(suspects.assess(REQUEST, CALLER, 30).isConvicted());
     }
 
     @Example
@@ -93,10 +106,10 @@
         long lifetimeMillis = CrashSuspects.EVIDENCE_LIFETIME_MILLIS;
         crash(1, REQUEST, CALLER, 0);
         crash(2, REQUEST, CALLER, 60_000);
-        assertTrue(suspects.assess(REQUEST, CALLER, lifetimeMillis - 1).convicted());
-        assertFalse(suspects.assess(REQUEST, CALLER, lifetimeMillis).convicted());
+        assertTrue(suspects.assess(REQUEST, CALLER, lifetimeMillis - 1).isConvicted());
+        assertFalse(suspects.assess(REQUEST, CALLER, lifetimeMillis).isConvicted());
         crash(3, REQUEST, CALLER, lifetimeMillis);
-        assertTrue(suspects.assess(REQUEST, CALLER, lifetimeMillis + 1).convicted());
+        assertTrue(suspects.assess(REQUEST, CALLER, lifetimeMillis + 1).isConvicted());
         suspects.expire(2 * lifetimeMillis);
         assertTrue(suspects.isEmpty());
         assertEquals(0, suspects.digest());
@@ -109,7 +122,7 @@
         for (int i = 0; i < 10 * CrashSuspects.MAX_REQUESTS; i++) {
             crash(100 + i, request(100 + i), CALLER, i);
         }
-        assertTrue(suspects.assess(REQUEST, CALLER, 1_000).convicted());
+        assertTrue(suspects.assess(REQUEST, CALLER, 1_000).isConvicted());
         assertTrue(suspects.reports(1_000).size() <= CrashSuspects.MAX_REPORTS);
         assertEquals(REQUEST, suspects.reports(1_000).get(0).request());
     }
@@ -126,7 +139,12 @@
             CrashSuspects router = routers.get(random.nextInt(ROUTERS));
             RequestFingerprint request = request(random.nextInt(5));
             switch (random.nextInt(4)) {
-                case 0 -> router.onCrash(target(random.nextInt(6)), request, CALLER, nowMillis);
+                case 0 ->
+                    router.onCrash(
+                            target(random.nextInt(6)),
+                            new Loss(request, CALLER, false, nowMillis),
+                            random.nextBoolean(),
+                            nowMillis);
                 case 1 -> router.onAnswered(request, nowMillis);
                 case 2 -> router.expire(nowMillis);
                 default -> router.merge(routers.get(random.nextInt(ROUTERS)).reports(nowMillis), nowMillis);
@@ -137,8 +155,8 @@
             assertEquals(routers.get(0).digest(), router.digest());
             for (int i = 0; i < 5; i++) {
                 assertEquals(
-                        routers.get(0).assess(request(i), CALLER, nowMillis).convicted(),
-                        router.assess(request(i), CALLER, nowMillis).convicted());
+                        routers.get(0).assess(request(i), CALLER, nowMillis).isConvicted(),
+                        router.assess(request(i), CALLER, nowMillis).isConvicted());
             }
         }
     }
--- a/src/test/java/org/siskindyke/platform/CrashingRequestTest.java
+++ b/src/test/java/org/siskindyke/platform/CrashingRequestTest.java
@@ -2,22 +2,31 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.AddLifecycleHook;
+import org.siskindyke.standin.StoreStandin.Fault;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Sends a request that ends each backend server which begins to run it, beside requests that harm none. */
-@AddLifecycleHook(PortRaceKnownRed.class)
 class CrashingRequestTest {
     private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
     private static final long RESTART_MILLIS = 600;
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final int SENDS = 24;
+    private static final int RESETS = 4;
+    private static final int HARMLESS = 3;
+    /** Well below the time for which a crash is remembered. */
+    private static final double MIN_RETRY_AFTER_SECONDS = 300;
     /** Backend servers that one request may end, by the rules of the users' platform. */
     private static final int MAX_CRASHES = 3;
 
@@ -48,6 +57,86 @@
         assertTrue(crashes() <= MAX_CRASHES, () -> crashes() + " backend servers ended");
     }
 
+    /** Guards against three servers that ended within milliseconds of one attempt of a caller. */
+    @Example
+    void oneAttemptOfACallerEndsAtMostTwoServers() throws InterruptedException {
+        startSix();
+        cluster.request(cluster.instances().get(0), "/safe/crash/0", 0);
+        assertTrue(crashes() <= 2, () -> crashes() + " backend servers ended");
+    }
+
+    /** Guards against refusals that callers repeat at once, or take for a request that may have run. */
+    @Example
+    void aConvictedRequestIsRefusedAsNotRunWithTheTimeUntilItMayRunAgain() throws InterruptedException {
+        startSix();
+        sendRepeatedly("/safe/crash/0");
+        HttpResponse<String> response =
+                cluster.send(cluster.instances().get(0), "/safe/crash/0").join();
+        assertEquals(UNAVAILABLE, response.statusCode());
+        double retryAfterSeconds =
+                Double.parseDouble(response.headers().firstValue("Retry-After").orElseThrow());
+        assertTrue(retryAfterSeconds > MIN_RETRY_AFTER_SECONDS, () -> "Retry-After: " + retryAfterSeconds);
+    }
+
+    /** Guards against harmless requests that are refused since they ran beside one that ends its servers. */
+    @Example
+    void requestsThatRanBesideACrashingOneAreServed() throws InterruptedException {
+        startSix();
+        List<CompletableFuture<HttpResponse<String>>> beside = new ArrayList<>();
+        for (int i = 0; i < HARMLESS; i++) {
+            int number = i;
+            cluster.instances().forEach(instance -> beside.add(cluster.send(instance, harmless(number))));
+        }
+        for (LoopbackCluster.Instance instance : cluster.instances()) {
+            cluster.send(instance, "/safe/crash/20");
+        }
+        beside.forEach(sent -> sent.exceptionally(failure -> null).join());
+        for (int i = 0; i < HARMLESS; i++) {
+            awaitServing(harmless(i));
+        }
+    }
+
+    private static String harmless(int number) {
+        return "/safe/" + number + "/150";
+    }
+
+    /** Guards against a reset on the way that is taken for the end of a server. */
+    @Example
+    void requestsWhoseConnectionsAreResetAreNotSuspected() throws InterruptedException {
+        startSix();
+        for (int i = 0; i < RESETS; i++) {
+            List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+            cluster.instances().forEach(instance -> sent.add(cluster.send(instance, "/safe/reset/100")));
+            cluster.instances().forEach(instance -> instance.backend().resetConnections());
+            sent.forEach(each -> each.exceptionally(failure -> null).join());
+        }
+        awaitAllServing();
+        assertFalse(events().contains("target-crashed"), this::events);
+        assertEquals(OK, cluster.request(cluster.instances().get(0), "/safe/reset/100", 0));
+    }
+
+    /** Guards against a request that goes on since the store is away. */
+    @Example
+    void aRequestIsRefusedByAllRoutersWhileTheStoreIsSilent() throws InterruptedException {
+        startSix();
+        cluster.store().setFault(Fault.SILENT);
+        sendRepeatedly("/once/crash/0");
+        cluster.store().setFault(Fault.NONE);
+        assertTrue(crashes() <= MAX_CRASHES, () -> crashes() + " backend servers ended");
+    }
+
+    /** Guards against a router that starts after a conviction and does not know it. */
+    @Example
+    void aRouterThatStartsLaterRefusesAConvictedRequest() throws InterruptedException {
+        startSix();
+        sendRepeatedly("/safe/crash/0");
+        int before = crashes();
+        cluster.start("plain", false, "a", backend -> backend.crashOnRequest(RESTART_MILLIS));
+        awaitAllServing();
+        sendRepeatedly("/safe/crash/0");
+        assertEquals(before, crashes());
+    }
+
     private void startSix() throws InterruptedException {
         cluster.configure(CONFIGURATION);
         for (String domain : List.of("a", "b", "c", "a", "b", "c")) {
@@ -65,9 +154,14 @@
     }
 
     private void awaitAllServing() throws InterruptedException {
+        awaitServing("/safe/0");
+    }
+
+    /** Waits until all backend servers are up and each router serves a request. */
+    private void awaitServing(String path) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
         for (LoopbackCluster.Instance instance : cluster.instances()) {
-            while (instance.backend().isDown() || cluster.request(instance, "/safe/0", 0) != OK) {
+            while (instance.backend().isDown() || cluster.request(instance, path, 0) != OK) {
                 assertTrue(System.nanoTime() < endNanos, () -> "not served: " + events());
             }
         }
