--- a/src/test/java/org/siskindyke/platform/PlatformPathTest.java
+++ b/src/test/java/org/siskindyke/platform/PlatformPathTest.java
@@ -6,12 +6,10 @@
 import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.AddLifecycleHook;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Sends requests through routers on loopback, which have the adapters for the users' platform. */
-@AddLifecycleHook(PortRaceKnownRed.class)
 class PlatformPathTest {
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final String COUNT_OF_REFUSED =
--- a/src/test/java/org/siskindyke/platform/StoreFaultsTest.java
+++ b/src/test/java/org/siskindyke/platform/StoreFaultsTest.java
@@ -7,14 +7,12 @@
 import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.AddLifecycleHook;
 import org.siskindyke.standin.StoreStandin.Fault;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Runs three routers of a divided service while the store has the faults of the users' platform. */
-@AddLifecycleHook(PortRaceKnownRed.class)
 class StoreFaultsTest {
     private static final int SAMPLES = 16;
     private static final int OK = 200;
