Cut responses that have no end, and avoid the servers that send them

Callers saw (trial from outside, deadline 2 s, one endless response a router): answers 504 after the deadline, memory of a process from 108 to 199 MB; with interim responses one caller got no answer.

Cause: HttpClientConnection collected a body without a limit, as one object a chunk, skipped any number of interim responses and of responses that name another request; a server was not avoided for bad responses, since its own router had reported them. Class: input of an outside program without a bound.

Change: a body is cut at 4 MiB, the partly received responses of one server at 12 MiB together, skipped responses at 16; the header section was limited already. The call is reported lost at once, its connection closed and its slot free. A target is avoided for 50 ms after a lost answer, doubled with each further one, until it answers. On the path of the router command the body is limited by ServiceTalk's filter (4 MiB, 9 MiB between routers).

--- a/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
+++ b/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
@@ -6,9 +6,14 @@
     private static final TargetLoadReport DEFAULT_REPORT = new TargetLoadReport(6, 0, 0, 100);
     /** Age from which a report's busy slots and waiting calls are ignored; its slots and call duration stay in use. */
     private static final long REPORT_VALIDITY_MILLIS = 2_000;
+    /** How long the target is avoided after one lost answer; the time doubles with each further one. */
+    private static final long FIRST_LOSS_AVOID_MILLIS = 50;
+    /** Lost answers from which on the time no longer doubles; it is 6.4 s then. */
+    private static final int MAX_LOSSES_IN_A_ROW = 8;
 
     private TargetLoadReport report = DEFAULT_REPORT;
     private long reportedMillis = Long.MIN_VALUE / 2;
+    private int lostInARow;
     private int inFlight;
     private int inFlightAtReport;
     private long avoidUntilMillis = Long.MIN_VALUE;
@@ -35,8 +40,15 @@
         avoidUntilMillis = Math.max(avoidUntilMillis, untilMillis);
     }
 
-    /** Ends the avoidance of the target. */
+    /** Marks the target as avoided after a lost answer: longer with each further one until it answers again. */
+    public void onAnswerLost(long nowMillis) {
+        lostInARow = Math.min(lostInARow + 1, MAX_LOSSES_IN_A_ROW);
+        avoidUntil(nowMillis + (FIRST_LOSS_AVOID_MILLIS << lostInARow - 1));
+    }
+
+    /** Ends the avoidance of the target, which has answered. */
     public void clearAvoidance() {
+        lostInARow = 0;
         avoidUntilMillis = Long.MIN_VALUE;
     }
 
--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -50,6 +50,7 @@
     private final StoreStandin store = new StoreStandin(traffic, SystemMonotonicClock.INSTANCE);
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<Instance> instances = new ArrayList<>();
+    private int instanceCount;
     private int requestCount;
 
     /**
@@ -86,13 +87,12 @@
         return start(service, divided, failureDomain, backend -> {});
     }
 
-    /** Starts a router and its backend server as above; {@code faults} is applied to the backend server first. */
-    Instance start(String service, boolean divided, String failureDomain, Consumer<HeartbeatBackendStandin> faults) {
+    /** Starts a router without a backend server, whose place the caller takes. */
+    InstanceSettings startRouter(String service, String failureDomain) {
         InetSocketAddress storeAddress = freeAddress();
         store.listen(storeAddress);
-        String name = service + instances.size();
         InstanceSettings settings = new InstanceSettings(
-                InstanceName.of(name),
+                InstanceName.of(service + instanceCount++),
                 FailureDomain.of(failureDomain),
                 ServiceName.of(service),
                 new InstanceSettings.Addresses(
@@ -101,8 +101,14 @@
                 HEARTBEAT_INTERVAL,
                 BOUNDS);
         PlatformRouter.start(settings, traffic, log);
+        return settings;
+    }
+
+    /** Starts a router and its backend server as above; {@code faults} is applied to the backend server first. */
+    Instance start(String service, boolean divided, String failureDomain, Consumer<HeartbeatBackendStandin> faults) {
+        InstanceSettings settings = startRouter(service, failureDomain);
         HeartbeatBackendStandin.Identity identity = new HeartbeatBackendStandin.Identity(
-                "i-" + name,
+                "i-" + settings.instance(),
                 service,
                 failureDomain,
                 freeAddress(),
@@ -119,8 +125,13 @@
 
     /** Sends a request to a router; returns the status of the response, or 0 where the request failed or timed out. */
     int request(Instance instance, String path, int key) throws InterruptedException {
+        return request(instance.settings(), path, key);
+    }
+
+    /** Sends a request to the router with the given settings; otherwise as above. */
+    int request(InstanceSettings router, String path, int key) throws InterruptedException {
         try {
-            return client.send(newRequest(instance, path, key), HttpResponse.BodyHandlers.ofString())
+            return client.send(newRequest(router, path, key), HttpResponse.BodyHandlers.ofString())
                     .statusCode();
         } catch (IOException e) {
             // A router that does not listen yet refuses connections; a caller that waits for it sends further requests.
@@ -128,13 +139,32 @@
         }
     }
 
+    /** Sends a heartbeat to the router with the given settings, for a backend server that the caller runs. */
+    void sendHeartbeat(InstanceSettings router, InetSocketAddress backend, int sequence) throws InterruptedException {
+        String body = "{\"service\":\"" + router.service() + "\",\"address\":\"" + HOST + ":" + backend.getPort()
+                + "\",\"zone\":\"" + router.failureDomain()
+                + "\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"cold_left_ms\":0,\"born\":1,"
+                + "\"holds\":[],\"freed\":[],\"seq_num\":" + sequence + "}";
+        InetSocketAddress heartbeats = router.addresses().heartbeats();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + heartbeats.getPort()
+                        + "/instances/i-" + router.instance() + "/heartbeat"))
+                .timeout(RESPONSE_TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            client.send(request, HttpResponse.BodyHandlers.discarding());
+        } catch (IOException e) {
+            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "heartbeat was not acknowledged", e);
+        }
+    }
+
     /** Sends a request to a router without waiting; the response fails where the request failed or timed out. */
     CompletableFuture<HttpResponse<String>> send(Instance instance, String path) {
-        return client.sendAsync(newRequest(instance, path, 0), HttpResponse.BodyHandlers.ofString());
+        return client.sendAsync(newRequest(instance.settings(), path, 0), HttpResponse.BodyHandlers.ofString());
     }
 
-    private HttpRequest newRequest(Instance instance, String path, int key) {
-        InetSocketAddress callers = instance.settings().addresses().callers();
+    private HttpRequest newRequest(InstanceSettings router, String path, int key) {
+        InetSocketAddress callers = router.addresses().callers();
         return HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + callers.getPort() + path))
                 .header("X-Siskindyke-Request-Id", "r" + requestCount++)
                 .header("X-Siskindyke-Timeout-Ms", "2000")
@@ -146,7 +176,12 @@
 
     /** Returns the text of a router's metrics endpoint. */
     String metrics(Instance instance) throws InterruptedException {
-        InetSocketAddress address = instance.settings().addresses().metrics();
+        return metrics(instance.settings());
+    }
+
+    /** Returns the text of the metrics endpoint of the router with the given settings. */
+    String metrics(InstanceSettings router) throws InterruptedException {
+        InetSocketAddress address = router.addresses().metrics();
         HttpRequest request = HttpRequest.newBuilder(
                         URI.create("http://" + HOST + ":" + address.getPort() + "/metrics"))
                 .timeout(RESPONSE_TIMEOUT)
--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -20,6 +20,9 @@
 
 /** HTTP/1.1 client of the backend server beside this router; each connection carries one exchange at a time. */
 public final class BackendClient implements AutoCloseable {
+    /** Largest body of a response that is collected. */
+    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
     private static final Duration GRANT_RENEWAL_TIMEOUT = Duration.ofMillis(300);
 
     private final TargetAnnouncement target;
@@ -30,11 +33,12 @@
      *
      * @param target the backend server
      * @param connections number of open connections that are tried before a new one is opened; not a limit on their
-     *     number, see {@link Http#client(String, int, Http.Protocol, int)}
+     *     number, see {@link Http#client(String, int, Http.Protocol, int, int)}
      */
     public BackendClient(TargetAnnouncement target, int connections) {
         this.target = target;
-        this.client = Http.client(target.host(), target.port(), Http.Protocol.HTTP_1_1, connections);
+        this.client =
+                Http.client(target.host(), target.port(), Http.Protocol.HTTP_1_1, connections, MAX_RESPONSE_BYTES);
     }
 
     /**
--- a/src/main/java/org/siskindyke/runtime/http/Http.java
+++ b/src/main/java/org/siskindyke/runtime/http/Http.java
@@ -18,6 +18,7 @@
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.http.utils.PayloadSizeLimitingHttpRequesterFilter;
 import io.servicetalk.loadbalancer.RoundRobinLoadBalancers;
 import io.servicetalk.transport.api.HostAndPort;
 import io.servicetalk.transport.api.IoExecutor;
@@ -29,6 +30,9 @@
 
 /** Creates HTTP servers and clients that run on shared event loops; clients never retry by themselves. */
 public final class Http {
+    /** Largest body of a response that a client collects where no limit is given. */
+    private static final int DEFAULT_MAX_RESPONSE_BYTES = 9 * 1024 * 1024;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final Duration PING_WHEN_IDLE = Duration.ofSeconds(1);
     private static final Duration PING_TIMEOUT = Duration.ofSeconds(1);
@@ -104,7 +108,7 @@
 
     /** Creates a client of one address with the default search space. */
     public static HttpClient client(String host, int port, Protocol protocol) {
-        return client(host, port, protocol, DEFAULT_SEARCH_SPACE);
+        return client(host, port, protocol, DEFAULT_SEARCH_SPACE, DEFAULT_MAX_RESPONSE_BYTES);
     }
 
     /**
@@ -114,15 +118,17 @@
      * @param port TCP port
      * @param protocol the protocol
      * @param searchSpace the number of open connections that are tried before a new one is opened
+     * @param maxResponseBytes the largest body of a response; a longer one closes its connection
      * @return the client
      */
-    public static HttpClient client(String host, int port, Protocol protocol, int searchSpace) {
+    public static HttpClient client(String host, int port, Protocol protocol, int searchSpace, int maxResponseBytes) {
         return HttpClients.forResolvedAddress(HostAndPort.of(host, port))
                 .ioExecutor(IO_EXECUTOR)
                 .protocols(protocol.config())
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .socketOption(StandardSocketOptions.TCP_NODELAY, true)
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .appendClientFilter(new PayloadSizeLimitingHttpRequesterFilter(maxResponseBytes))
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
                 .loadBalancerFactory(DefaultHttpLoadBalancerFactory.Builder.from(
                                 RoundRobinLoadBalancers
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -7,7 +7,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,10 +22,16 @@
 /**
  * A connection to a server that carries one request at a time.
  *
- * <p>A response that names another request is dropped. Bytes that belong to no request close the connection. Confined
- * to the traffic loop.
+ * <p>A response that names another request is dropped. Bytes that belong to no request close the connection, as does a
+ * response without end. Confined to the traffic loop.
  */
 final class HttpClientConnection extends ChannelInboundHandlerAdapter {
+    /** Largest body of a response that is collected. */
+    static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    /** Responses that are skipped while one is awaited: interim ones and those that name another request. */
+    private static final int MAX_SKIPPED_RESPONSES = 16;
+
     private static final int CONTINUE = 100;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final String KEEP_ALIVE = "keep-alive";
@@ -35,10 +40,12 @@
 
     private final Function<List<Header>, String> answeredRequestId;
     private final Runnable onIdle;
+    private final ResponseMemory memory;
     private Channel channel;
     private Exchange exchange;
     private HttpResponse head;
-    private CompositeByteBuf body;
+    private ByteBuf body;
+    private int skippedResponses;
     private boolean broken;
     private boolean reusable = true;
     private boolean idleCallbackDue;
@@ -49,10 +56,12 @@
      * Creates a connection that is not established yet.
      *
      * @param answeredRequestId returns the id of the request that a response names, or null
+     * @param memory limits the memory for partly received responses
      * @param onIdle runs when the connection can take another request
      */
-    HttpClientConnection(Function<List<Header>, String> answeredRequestId, Runnable onIdle) {
+    HttpClientConnection(Function<List<Header>, String> answeredRequestId, ResponseMemory memory, Runnable onIdle) {
         this.answeredRequestId = answeredRequestId;
+        this.memory = memory;
         this.onIdle = onIdle;
     }
 
@@ -61,6 +70,7 @@
 
     void send(FullHttpRequest request, String requestId, HttpClientPool.ResponseListener listener) {
         exchange = new Exchange(requestId, listener);
+        skippedResponses = 0;
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
@@ -129,7 +139,7 @@
             return;
         }
         head = response;
-        body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+        body = Unpooled.buffer();
     }
 
     private void onContent(HttpContent content) {
@@ -138,9 +148,15 @@
             return;
         }
         ByteBuf bytes = content.content();
-        if (bytes.isReadable()) {
-            body.addComponent(true, bytes.retain());
+        if (body.readableBytes() + (long) bytes.readableBytes() > MAX_BODY_BYTES) {
+            fail(ResponseLoss.BAD_RESPONSE, "response body longer than " + MAX_BODY_BYTES + " bytes");
+            return;
+        }
+        if (!memory.reserve(bytes.readableBytes())) {
+            fail(ResponseLoss.BAD_RESPONSE, "no memory left for partly received responses of this server");
+            return;
         }
+        body.writeBytes(bytes);
         if (content instanceof LastHttpContent) {
             onResponseComplete();
         }
@@ -152,6 +168,7 @@
         discardPartialResponse();
         int status = response.status().code();
         if (status >= CONTINUE && status < FIRST_FINAL_STATUS) {
+            skipResponse();
             return;
         }
         List<Header> headers = new ArrayList<>(response.headers().size());
@@ -161,6 +178,7 @@
         String answered = answeredRequestId.apply(headers);
         if (answered != null && exchange.requestId() != null && !answered.equals(exchange.requestId())) {
             reusable = false;
+            skipResponse();
             return;
         }
         updateKeepAlive(response);
@@ -170,6 +188,13 @@
         ended.listener().onResponse(status, headers, bytes);
     }
 
+    private void skipResponse() {
+        skippedResponses++;
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail(ResponseLoss.BAD_RESPONSE, "more than " + MAX_SKIPPED_RESPONSES + " other responses");
+        }
+    }
+
     private void updateKeepAlive(HttpResponse response) {
         reusable &= HttpUtil.isKeepAlive(response) && HttpUtil.isContentLengthSet(response)
                 || HttpUtil.isKeepAlive(response) && HttpUtil.isTransferEncodingChunked(response);
@@ -208,6 +233,7 @@
     private void discardPartialResponse() {
         head = null;
         if (body != null) {
+            memory.release(body.readableBytes());
             body.release();
             body = null;
         }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -24,6 +24,9 @@
     /** Fraction of the announced idle timeout after which a connection is not reused; the server may close it soon. */
     private static final double IDLE_TIMEOUT_FRACTION = 0.8;
 
+    /** Memory for all partly received responses of the server, three times the largest body. */
+    private static final long MAX_PARTIAL_RESPONSES_BYTES = 3L * HttpClientConnection.MAX_BODY_BYTES;
+
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int CHUNK_BYTES = 16_384;
@@ -33,6 +36,7 @@
     private final InetSocketAddress address;
     private final int maxConnections;
     private final Function<List<Header>, String> answeredRequestId;
+    private final ResponseMemory memory = new ResponseMemory(MAX_PARTIAL_RESPONSES_BYTES);
     private final Deque<HttpClientConnection> idle = new ArrayDeque<>();
     private final Set<HttpClientConnection> all = new HashSet<>();
 
@@ -88,7 +92,7 @@
 
     private Cancellable connect(FullHttpRequest request, String requestId, ResponseListener listener) {
         HttpClientConnection[] holder = new HttpClientConnection[1];
-        HttpClientConnection connection = new HttpClientConnection(answeredRequestId, () -> putIdle(holder[0]));
+        HttpClientConnection connection = new HttpClientConnection(answeredRequestId, memory, () -> putIdle(holder[0]));
         holder[0] = connection;
         all.add(connection);
         boolean[] cancelled = new boolean[1];
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -243,6 +243,8 @@
                 || reply.refusal() == Refusal.TARGET_UNREACHABLE
                 || reply.refusal() == Refusal.ANSWER_LOST && reply.load() == null) {
             load.avoidUntil(nowMillis + UNREACHABLE_AVOID_MILLIS);
+        } else if (reply.refusal() == Refusal.ANSWER_LOST) {
+            load.onAnswerLost(nowMillis);
         } else if (reply.verdict() == Verdict.NOT_RUN) {
             load.avoidUntil(nowMillis + REFUSED_AVOID_MILLIS);
         }
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -23,9 +23,21 @@
 class HttpClientConnectionTest {
     private final List<String> outcomes = new ArrayList<>();
     private int idle;
-    private final HttpClientConnection connection =
-            new HttpClientConnection(headers -> Headers.firstIgnoringCase(headers, "Id"), () -> idle++);
-    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+    private ResponseMemory memory;
+    private HttpClientConnection connection;
+    private EmbeddedChannel channel;
+
+    HttpClientConnectionTest() {
+        open();
+    }
+
+    private void open() {
+        outcomes.clear();
+        memory = new ResponseMemory(2L * HttpClientConnection.MAX_BODY_BYTES);
+        connection =
+                new HttpClientConnection(headers -> Headers.firstIgnoringCase(headers, "Id"), memory, () -> idle++);
+        channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+    }
 
     private void send(String id) {
         connection.send(
@@ -110,6 +122,60 @@
         assertEquals(List.of("lost true"), outcomes);
     }
 
+    /** Feeds a piece again and again until the connection is closed; returns whether that came within the limit. */
+    private boolean closesWithin(int limitBytes, String piece) {
+        for (int received = 0; received < limitBytes && channel.isOpen(); received += piece.length()) {
+            receive(piece);
+        }
+        assertEquals(0, memory.usedBytes(), "memory is not released");
+        return !channel.isOpen();
+    }
+
+    /** Guards against endless bodies that are collected until the heap is full. */
+    @Example
+    void aBodyWithoutEndIsCutAtTheLimit() {
+        for (String head : List.of(
+                "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 99999999999\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 99999999999\r\n\r\n")) {
+            open();
+            send("a");
+            receive(head);
+            assertTrue(closesWithin(2 * HttpClientConnection.MAX_BODY_BYTES, "x".repeat(16_384)), head);
+            assertEquals(List.of("lost true"), outcomes);
+        }
+    }
+
+    /** Guards against endless bodies in small chunks, each of which takes far more memory than its bytes. */
+    @Example
+    void aBodyOfSmallChunksWithoutEndIsCutAtTheLimit() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+        assertTrue(closesWithin(16 * HttpClientConnection.MAX_BODY_BYTES, "1\r\nx\r\n".repeat(4_096)));
+        assertEquals(List.of("lost true"), outcomes);
+    }
+
+    /** Guards against interim responses without end, and against further ones that name other requests. */
+    @Example
+    void responsesWithoutEndThatAreNotTheAwaitedOneAreCut() {
+        for (String piece : List.of(
+                "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n")) {
+            open();
+            send("a");
+            assertTrue(closesWithin(1_000_000, piece), piece);
+            assertEquals(List.of("lost true"), outcomes);
+        }
+    }
+
+    @Example
+    void aHeaderSectionWithoutEndIsCut() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\n");
+        assertTrue(closesWithin(1_000_000, "Name: value\r\n"));
+        assertEquals(List.of("lost true"), outcomes);
+    }
+
     @Example
     void aMalformedResponseLosesTheRequest() {
         send("a");
