Play requests that end backend servers in the soak

Change: the fault CRASHING_REQUEST lets a caller send one request, each time under another id and to another router, which ends each backend server that runs it; it lasts at least 8 s. The invariant 'requests that end servers are refused' is the rule of the users' platform: at most three runs later than 3 s after the third crash.

--- a/src/main/java/org/siskindyke/soak/SoakCallers.java
+++ b/src/main/java/org/siskindyke/soak/SoakCallers.java
@@ -18,6 +18,13 @@
     static final String SAFE = "/s/";
     static final String UNSAFE = "/u/";
     static final String MARK = "/v";
+    /** Command that starts a request which ends backend servers; its number follows, 0 stops it. */
+    static final String CRASH = "crash ";
+
+    /** Prefix of the ids of such a request, before its number. */
+    static final String CRASH_ID = "x";
+
+    private static final long CRASH_INTERVAL_MILLIS = 300;
 
     private static final long INTERVAL_MILLIS = 40;
     private static final int CONNECTIONS = 6;
@@ -33,7 +40,9 @@
     private final Consumer<SoakEvent> journal;
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
     private final AtomicLong nextId = new AtomicLong();
+    private final List<String> routers;
     private volatile int version = 1;
+    private volatile int crashingRequest;
 
     /**
      * Starts sending requests.
@@ -43,23 +52,50 @@
      */
     SoakCallers(List<String> routers, Consumer<SoakEvent> journal) {
         this.journal = journal;
+        this.routers = routers;
+        HttpClient crashClient = newClient();
+        timer.scheduleWithFixedDelay(
+                () -> sendCrashingRequest(crashClient), 0, CRASH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         for (int i = 0; i < routers.size(); i++) {
             String router = routers.get(i);
             Random random = new Random(i);
-            HttpClient client = HttpClient.newBuilder()
-                    .version(HttpClient.Version.HTTP_1_1)
-                    .executor(Executors.newFixedThreadPool(CONNECTIONS))
-                    .connectTimeout(Duration.ofSeconds(1))
-                    .build();
+            HttpClient client = newClient();
             timer.scheduleWithFixedDelay(
                     () -> sendRequest(client, router, random), i * 7L, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Sets the version of the present configuration, whose marked route is called from now on. */
+    private static HttpClient newClient() {
+        return HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .executor(Executors.newFixedThreadPool(CONNECTIONS))
+                .connectTimeout(Duration.ofSeconds(1))
+                .build();
+    }
+
+    /**
+     * Sets the version of the present configuration, whose marked route is called from now on, or starts or stops a
+     * request that ends backend servers.
+     */
     @Override
     public void accept(String line) {
-        version = Integer.parseInt(line.trim());
+        if (line.startsWith(CRASH)) {
+            crashingRequest = Integer.parseInt(line.substring(CRASH.length()).trim());
+        } else {
+            version = Integer.parseInt(line.trim());
+        }
+    }
+
+    /** Sends the same content each time, under another id and to another router. */
+    private void sendCrashingRequest(HttpClient client) {
+        int number = crashingRequest;
+        if (number == 0) {
+            return;
+        }
+        long count = nextId.incrementAndGet();
+        String router = routers.get((int) (count % routers.size()));
+        String id = CRASH_ID + number + "-" + count;
+        send(client, router, UNSAFE, UNSAFE + "crash/" + number + "/5", id, -1, "crash");
     }
 
     private void sendRequest(HttpClient client, String router, Random random) {
@@ -67,13 +103,16 @@
         String route = choice < 6 ? SAFE : choice < 9 ? UNSAFE : MARK + version + "/";
         int key = route.equals(SAFE) ? random.nextInt(KEYS) : -1;
         String id = "c" + nextId.incrementAndGet();
-        HttpRequest.Builder request = HttpRequest.newBuilder(
-                        URI.create("http://" + router + route + random.nextInt(MAX_WORK_MILLIS)))
+        send(client, router, route, route + random.nextInt(MAX_WORK_MILLIS), id, key, id);
+    }
+
+    private void send(HttpClient client, String router, String route, String path, String id, int key, String body) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + router + path))
                 .header("Host", "soak.example")
                 .header("X-Siskindyke-Request-Id", id)
                 .header("X-Siskindyke-Timeout-Ms", Long.toString(REQUEST_TIMEOUT.toMillis()))
                 .timeout(CLIENT_TIMEOUT)
-                .POST(HttpRequest.BodyPublishers.ofString(id));
+                .POST(HttpRequest.BodyPublishers.ofString(body));
         if (key >= 0) {
             request.header("X-Siskindyke-Shard-Key", Integer.toString(key));
         }
--- a/src/main/java/org/siskindyke/soak/SoakCluster.java
+++ b/src/main/java/org/siskindyke/soak/SoakCluster.java
@@ -21,6 +21,7 @@
     private final SoakProcess storeProcess;
     private final SoakProcess callers;
     private int version;
+    private int crashingRequests;
 
     SoakCluster(SoakTopology topology, SoakPlan plan, File directory, SoakJournal journal) {
         this.journal = journal;
@@ -72,6 +73,17 @@
         }
     }
 
+    /** Lets the callers send a request that ends each backend server which begins to run it. */
+    void startCrashingRequest() {
+        crashingRequests++;
+        callers.writeLine(SoakCallers.CRASH + crashingRequests);
+    }
+
+    /** Lets the callers stop sending that request. */
+    void stopCrashingRequest() {
+        callers.writeLine(SoakCallers.CRASH + 0);
+    }
+
     @Override
     public void close() {
         callers.kill();
--- a/src/main/java/org/siskindyke/soak/SoakEvent.java
+++ b/src/main/java/org/siskindyke/soak/SoakEvent.java
@@ -71,6 +71,10 @@
         return new SoakEvent(atMillis, What.ANSWERED, who, requestId, -1, -1, status, wrong, null, 0);
     }
 
+    static SoakEvent crashed(long atMillis, String who, String requestId) {
+        return new SoakEvent(atMillis, What.FAULT, who, requestId, -1, -1, 0, TARGET_DOWN, null, 0);
+    }
+
     static SoakEvent of(long atMillis, What what, String who, String detail) {
         return new SoakEvent(atMillis, what, who, null, -1, -1, 0, detail, null, 0);
     }
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -47,11 +47,20 @@
     HANG_UP_ROUTER(Component.ROUTER, true, SoakInstance::hangUpRouter, SoakInstance::checkRouterIsAlive),
     /** The operator writes a new configuration. */
     CHANGE_CONFIGURATION(
-            Component.OPERATOR, true, (cluster, instanceIndex) -> cluster.configure(), (cluster, instanceIndex) -> {});
+            Component.OPERATOR, true, (cluster, instanceIndex) -> cluster.configure(), (cluster, instanceIndex) -> {}),
+    /** A caller sends, again and again, a request that ends each backend server which begins to run it. */
+    CRASHING_REQUEST(
+            Component.CALLERS,
+            false,
+            (cluster, instanceIndex) -> cluster.startCrashingRequest(),
+            (cluster, instanceIndex) -> cluster.stopCrashingRequest());
 
     /** A leaving backend server may receive requests until the drain time after its acknowledgement has passed. */
     private static final long MIN_REPLACEMENT_MILLIS = SoakTopology.DRAIN_MILLIS + 1_500;
 
+    /** Longer than the time after the third crash from which on the users' platform counts runs. */
+    private static final long MIN_CRASHING_MILLIS = 8_000;
+
     /** Longest time that a router takes to stop if it wrongly treats SIGHUP as a request to stop. */
     private static final long MAX_STOP_MILLIS = SoakTopology.GRACE_SECONDS * 1_000L + 1_500;
 
@@ -78,7 +87,9 @@
         /** The store. */
         STORE,
         /** The configuration that the operator writes. */
-        OPERATOR;
+        OPERATOR,
+        /** The callers. */
+        CALLERS;
 
         /** Returns whether faults of these two components of one instance must not overlap in time. */
         boolean conflictsWith(Component other) {
@@ -126,6 +137,7 @@
     long durationMillis(long drawnMillis) {
         return switch (this) {
             case REPLACE_TARGET -> Math.max(MIN_REPLACEMENT_MILLIS, drawnMillis);
+            case CRASHING_REQUEST -> Math.max(MIN_CRASHING_MILLIS, drawnMillis);
             case HANG_UP_ROUTER -> Math.max(MAX_STOP_MILLIS, drawnMillis);
             default -> drawnMillis;
         };
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.siskindyke.soak.SoakEvent.What;
 import org.siskindyke.standin.HeartbeatBackendStandin.GrantedRange;
@@ -18,6 +19,11 @@
     /** Time without a fault of a router or of the store after which the router counts as undisturbed. */
     private static final long UNDISTURBED_MILLIS = 3_000;
 
+    /** Backend servers that a request may end, and how often it may run later than that. */
+    private static final int MAX_CRASHES = 3;
+
+    private static final int MAX_LATE_RUNS = 3;
+
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
     private static final int NOT_FOUND = 404;
 
@@ -33,6 +39,7 @@
                 invariant("planned work cuts no request", SoakInvariants::noInterruptedRequests),
                 invariant("a leaving server drains in time", (events, plan) -> drainsInTime(events)),
                 invariant("the configuration is in force in time", (events, plan) -> configurationApplied(events)),
+                invariant("requests that end servers are refused", (events, plan) -> crashingRequestsRefused(events)),
                 invariant("served again in time", (events, plan) -> faultsRecordedAs(events, SoakRun.NOT_SERVED)),
                 invariant(
                         "no router ends by itself",
@@ -250,6 +257,36 @@
         return activeFaults.values().stream().allMatch(count -> count <= 0);
     }
 
+    /** Checks the rule of the users' platform on requests that end the backend servers which run them. */
+    private static List<String> crashingRequestsRefused(List<SoakEvent> events) {
+        Map<String, List<Long>> crashesMillis = new HashMap<>();
+        Map<String, Integer> lateRuns = new TreeMap<>();
+        for (SoakEvent event : events) {
+            String request = crashingRequestOf(event);
+            if (request == null) {
+                continue;
+            }
+            List<Long> crashes = crashesMillis.computeIfAbsent(request, r -> new ArrayList<>());
+            if (event.what() == What.FAULT) {
+                crashes.add(event.atMillis());
+            } else if (event.what() == What.RUN
+                    && crashes.size() >= MAX_CRASHES
+                    && event.atMillis() - crashes.get(MAX_CRASHES - 1) > UNDISTURBED_MILLIS) {
+                lateRuns.merge(request, 1, Integer::sum);
+            }
+        }
+        return lateRuns.entrySet().stream()
+                .filter(entry -> entry.getValue() > MAX_LATE_RUNS)
+                .map(entry -> entry.getKey() + " ran " + entry.getValue() + " times more")
+                .toList();
+    }
+
+    /** Returns the part of a request's id that is the same each time it is sent; null for other requests. */
+    private static String crashingRequestOf(SoakEvent event) {
+        String id = event.requestId();
+        return id == null || !id.startsWith(SoakCallers.CRASH_ID) ? null : id.substring(0, id.indexOf('-'));
+    }
+
     /** Returns the details of the faults that the soak recorded under a name. */
     private static List<String> faultsRecordedAs(List<SoakEvent> events, String who) {
         return events.stream()
--- a/src/main/java/org/siskindyke/soak/SoakRun.java
+++ b/src/main/java/org/siskindyke/soak/SoakRun.java
@@ -119,7 +119,9 @@
 
     private static boolean conflicts(SoakPlan.Step first, SoakPlan.Step other) {
         SoakFault.Component component = first.fault().component();
-        boolean shared = component == SoakFault.Component.STORE || component == SoakFault.Component.OPERATOR;
+        boolean shared = component == SoakFault.Component.STORE
+                || component == SoakFault.Component.OPERATOR
+                || component == SoakFault.Component.CALLERS;
         return component.conflictsWith(other.fault().component())
                 && (shared || first.instanceIndex() == other.instanceIndex());
     }
--- a/src/main/java/org/siskindyke/soak/SoakStandinMain.java
+++ b/src/main/java/org/siskindyke/soak/SoakStandinMain.java
@@ -26,6 +26,9 @@
     static final String HIDE_KEYS = "--hide-keys";
     static final String LEAVE = "leave";
     static final String FAULT = "fault ";
+    /** Time after which a backend server is up again that has ended since it ran a certain request. */
+    private static final long CRASH_RESTART_MILLIS = 1_500;
+
     static final String CONFIGURE = "configure ";
 
     private SoakStandinMain() {}
@@ -98,6 +101,11 @@
                 print(SoakEvent.holds(SoakJournal.nowMillis(), name, rows, untilMillis));
             }
 
+            @Override
+            public void onCrash(String requestId) {
+                print(SoakEvent.crashed(SoakJournal.nowMillis(), name, requestId));
+            }
+
             @Override
             public void onLeavingAcknowledged() {
                 print(SoakEvent.of(SoakJournal.nowMillis(), SoakEvent.What.LEAVING, name, null));
@@ -108,6 +116,7 @@
         if (argumentList.contains(HIDE_KEYS)) {
             target.keepReleasedKeys();
         }
+        target.crashOnRequest(CRASH_RESTART_MILLIS);
         target.start();
         return line -> {
             if (line.equals(LEAVE)) {
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -107,6 +107,9 @@
         /** Called when an acknowledgement replaces the granted ranges; they end at a time of the monotonic clock. */
         default void onGranted(List<GrantedRange> ranges, long grantEndMillis) {}
 
+        /** Called when the backend server ends while it runs a request, see {@link #crashOnRequest}. */
+        default void onCrash(String requestId) {}
+
         /** Called when the router has acknowledged a heartbeat that reports that the backend server is leaving. */
         default void onLeavingAcknowledged() {}
     }
@@ -156,6 +159,14 @@
         traffic.execute(() -> end(restartMillis));
     }
 
+    private void crash(String requestId) {
+        if (!down) {
+            crashingRequestIds.add(requestId);
+            listener.onCrash(requestId);
+            end(downMillis);
+        }
+    }
+
     private void end(long restartMillis) {
         if (down) {
             return;
@@ -316,8 +327,7 @@
         int keyNumber = key == null ? -1 : Integer.parseInt(key);
         listener.onRun(String.valueOf(id), keyNumber, tokenOf(keyNumber));
         if (downMillis >= 0 && request.target().contains("/crash/")) {
-            crashingRequestIds.add(String.valueOf(id));
-            traffic.schedule(() -> end(downMillis), delayMillis(request.target()));
+            traffic.schedule(() -> crash(String.valueOf(id)), delayMillis(request.target()));
             return Cancellable.NONE;
         }
         headers.add(new Header("X-Siskindyke-Response-Signature", "s." + id));
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -16,6 +16,7 @@
     private static final int INSTANCES = 3;
     private static final List<SoakPlan.Step> STEPS = List.of(
             new SoakPlan.Step(500, 2_500, SoakFault.REPLACE_TARGET, 0),
+            new SoakPlan.Step(500, 8_000, SoakFault.CRASHING_REQUEST, 0),
             new SoakPlan.Step(1_000, 1_500, SoakFault.STORE_ANSWER_LOST, 0),
             new SoakPlan.Step(500, 7_500, SoakFault.HANG_UP_ROUTER, 2),
             new SoakPlan.Step(3_500, 500, SoakFault.KILL_ROUTER, 1),
