Send evidence against requests once, not with each reply to it

Change: a member that sends evidence gets none back; members compare in their regular gossip only, with at most 24 reports, convictions first, then the latest. New measurement 'crashes' (measure): crashes, late runs, harmless requests convicted, bytes, writes.

Checked: SuspectSpreadTest, CrashSuspectsTest, CrashingRequestTest, OwnershipUnderFaultsTest.

--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -123,11 +123,17 @@
     /** Applies the changes that a peer sent and returns those that the peer lacks. */
     PeerMessenger.Gossip onGossip(PeerMessenger.Gossip gossip) {
         accept(gossip);
-        return gossipFor(gossip);
+        // A member that sends evidence sends it to many; their replies would all bring the same.
+        return gossipFor(gossip, gossip.suspects().isEmpty());
     }
 
-    /** Returns the changes and the configuration that a peer lacks according to its own gossip. */
-    private PeerMessenger.Gossip gossipFor(PeerMessenger.Gossip theirs) {
+    /**
+     * Returns the changes and the configuration that a peer lacks according to its own gossip.
+     *
+     * @param theirs the gossip of the peer
+     * @param withSuspects whether to add evidence against requests if the peer knows other evidence
+     */
+    private PeerMessenger.Gossip gossipFor(PeerMessenger.Gossip theirs, boolean withSuspects) {
         boolean lacksConfiguration = configuration.revision() > theirs.configurationRevision();
         return new PeerMessenger.Gossip(
                 context.self(),
@@ -136,9 +142,9 @@
                 configuration.revision(),
                 lacksConfiguration ? configuration : null,
                 suspectsDigest(),
-                theirs.suspectsDigest() == suspectsDigest()
-                        ? List.of()
-                        : context.view().suspects().reports(context.nowMillis()));
+                withSuspects && theirs.suspectsDigest() != suspectsDigest()
+                        ? context.view().suspects().reports(context.nowMillis())
+                        : List.of());
     }
 
     /** Accepts a configuration if it is newer than the known one. */
@@ -195,7 +201,7 @@
         context.view()
                 .members()
                 .serving(reply.member())
-                .ifPresent(m -> context.peers().gossip(m, gossipFor(reply), this::accept));
+                .ifPresent(m -> context.peers().gossip(m, gossipFor(reply, true), this::accept));
     }
 
     private void accept(PeerMessenger.Gossip gossip) {
--- a/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
+++ b/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
@@ -27,9 +27,12 @@
     public static final int CONVICT_AFTER_CRASHES = 2;
     /** How long a crash is remembered, in milliseconds. */
     public static final long EVIDENCE_LIFETIME_MILLIS = 600_000;
-    /** Largest number of reports in one message to another router. */
+    /** Largest number of reports of new evidence in one message to another router. */
     public static final int MAX_REPORTS = 64;
 
+    /** Largest number of reports in a message to a router with another {@link #digest}. */
+    static final int MAX_COMPARED_REPORTS = 24;
+
     static final int MAX_REQUESTS = 256;
     static final int MAX_CRASHES_PER_REQUEST = 8;
 
@@ -272,11 +275,16 @@
         return mixed ^ mixed >>> 33;
     }
 
-    /** Returns what this router knows: the most important {@value #MAX_REPORTS} reports. */
+    /**
+     * Returns what a router with another digest may lack: convictions, and the latest other reports, since a router
+     * that missed earlier ones had other digests before.
+     */
     public List<SuspectReport> reports(long nowMillis) {
         return suspects.values().stream()
-                .sorted(leastImportantFirst(nowMillis).reversed())
-                .limit(MAX_REPORTS)
+                .sorted(Comparator.<Suspect, Boolean>comparing(suspect -> !suspect.isConvicted(nowMillis))
+                        .thenComparing(
+                                Comparator.comparingLong(Suspect::latestMillis).reversed()))
+                .limit(MAX_COMPARED_REPORTS)
                 .map(suspect -> report(suspect, nowMillis))
                 .toList();
     }
--- a/src/main/java/org/siskindyke/measure/Measurements.java
+++ b/src/main/java/org/siskindyke/measure/Measurements.java
@@ -151,6 +151,36 @@
         }
     }
 
+    /** Measures how a storm of requests that end backend servers is contained, and what that costs. */
+    public void crashes(List<Integer> memberCounts) {
+        for (int members : memberCounts) {
+            VirtualCluster idle = cluster(members, 0);
+            VirtualCluster cluster = cluster(members, 0);
+            cluster.resetCounts();
+            idle.resetCounts();
+            long startMillis = cluster.nowMillis();
+            CrashStorm.Result result = new CrashStorm(cluster).run();
+            idle.runFor(cluster.nowMillis() - startMillis);
+            out.printf(
+                    "crashes members=%d crashes=%d maxPerRequest=%d lateRuns=%d harmlessBeside=%d harmlessConvicted=%d "
+                            + "bytesPerCrash=%d tableWrites=%d knownRequests=%d%n",
+                    members,
+                    result.crashes(),
+                    result.maxCrashes(),
+                    result.lateRuns(),
+                    result.harmless(),
+                    result.harmlessConvicted(),
+                    (cluster.bytes() - idle.bytes()) / result.crashes(),
+                    cluster.table().writes() - idle.table().writes(),
+                    cluster.controllers()
+                            .get(0)
+                            .view()
+                            .suspects()
+                            .reports(cluster.nowMillis())
+                            .size());
+        }
+    }
+
     private VirtualCluster cluster(int members, int lossPercent) {
         VirtualCluster cluster = new VirtualCluster(members, lossPercent);
         for (int i = 0; i < members; i++) {
@@ -296,6 +326,7 @@
 
     /** Runs all measurements. */
     public void all() {
+        crashes(List.of(30, 100, 300));
         steady(List.of(36, 100, 300, 600));
         spread(List.of(36, 100, 300, 600), 0);
         spread(List.of(36, 100, 300), LOSS_PERCENT);
