Compare evidence against requests by groups, so that routers agree

Change: the digest has a hash for each of eight groups of requests; a reply brings the groups that differ.

Checked: SuspectSpreadTest, CrashSuspectsTest (random exchanges by digest), CrashingRequestTest, PeerFrameCodecTest.

--- a/src/main/java/org/siskindyke/kernel/control/PeerMessenger.java
+++ b/src/main/java/org/siskindyke/kernel/control/PeerMessenger.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 
 import org.siskindyke.kernel.balance.TargetUsage;
+import org.siskindyke.kernel.crash.SuspectDigest;
 import org.siskindyke.kernel.crash.SuspectReport;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -52,7 +53,7 @@
             TableChanges changes,
             long configurationRevision,
             ConfigurationText configuration,
-            long suspectsDigest,
+            SuspectDigest suspectsDigest,
             List<SuspectReport> suspects) {}
 
     /**
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import org.siskindyke.kernel.crash.SuspectDigest;
 import org.siskindyke.kernel.crash.SuspectReport;
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.MemberId;
@@ -142,8 +143,8 @@
                 configuration.revision(),
                 lacksConfiguration ? configuration : null,
                 suspectsDigest(),
-                withSuspects && theirs.suspectsDigest() != suspectsDigest()
-                        ? context.view().suspects().reports(context.nowMillis())
+                withSuspects
+                        ? context.view().suspects().reportsFor(theirs.suspectsDigest(), context.nowMillis())
                         : List.of());
     }
 
@@ -176,7 +177,7 @@
                 suspects);
     }
 
-    private long suspectsDigest() {
+    private SuspectDigest suspectsDigest() {
         return context.view().suspects().digest();
     }
 
@@ -195,7 +196,7 @@
         accept(reply);
         if (reply.tableVersion() >= version()
                 && reply.configurationRevision() >= configuration.revision()
-                && reply.suspectsDigest() == suspectsDigest()) {
+                && reply.suspectsDigest().equals(suspectsDigest())) {
             return;
         }
         context.view()
--- a/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
+++ b/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
@@ -1,6 +1,7 @@
 package org.siskindyke.kernel.crash;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,12 +28,9 @@
     public static final int CONVICT_AFTER_CRASHES = 2;
     /** How long a crash is remembered, in milliseconds. */
     public static final long EVIDENCE_LIFETIME_MILLIS = 600_000;
-    /** Largest number of reports of new evidence in one message to another router. */
+    /** Largest number of reports in one message to another router. */
     public static final int MAX_REPORTS = 64;
 
-    /** Largest number of reports in a message to a router with another {@link #digest}. */
-    static final int MAX_COMPARED_REPORTS = 24;
-
     static final int MAX_REQUESTS = 256;
     static final int MAX_CRASHES_PER_REQUEST = 8;
 
@@ -255,18 +253,25 @@
         suspects = Map.copyOf(kept);
     }
 
-    /** Returns a number that is the same at routers with the same knowledge, and 0 where there is none. */
-    public long digest() {
-        long digest = 0;
+    /** Returns a digest that is the same at routers with the same knowledge. */
+    public SuspectDigest digest() {
+        if (suspects.isEmpty()) {
+            return SuspectDigest.NONE;
+        }
+        Integer[] buckets = new Integer[SuspectDigest.BUCKETS];
+        Arrays.fill(buckets, 0);
         for (Suspect suspect : suspects.values()) {
             for (Crash crash : suspect.crashes()) {
-                long target = crash.target().target().value().hashCode() * 31L
-                        + crash.target().startMillis();
-                long hash = suspect.request().low() * 31 + target;
-                digest ^= mix(hash * 4 + (crash.cleared() ? 1 : 0) + (crash.alone() ? 2 : 0));
+                buckets[SuspectDigest.indexOf(suspect.request())] ^= (int) hash(suspect.request(), crash);
             }
         }
-        return digest;
+        return new SuspectDigest(List.of(buckets));
+    }
+
+    private static long hash(RequestFingerprint request, Crash crash) {
+        long target = crash.target().target().value().hashCode() * 31L
+                + crash.target().startMillis();
+        return mix((request.low() * 31 + target) * 4 + (crash.cleared() ? 1 : 0) + (crash.alone() ? 2 : 0));
     }
 
     /** Spreads the bits of a number, so that similar ones do not cancel each other out. */
@@ -275,16 +280,15 @@
         return mixed ^ mixed >>> 33;
     }
 
-    /**
-     * Returns what a router with another digest may lack: convictions, and the latest other reports, since a router
-     * that missed earlier ones had other digests before.
-     */
-    public List<SuspectReport> reports(long nowMillis) {
+    /** Returns what a router with the given digest may lack: convictions first, then the latest. */
+    public List<SuspectReport> reportsFor(SuspectDigest theirs, long nowMillis) {
+        SuspectDigest mine = digest();
         return suspects.values().stream()
+                .filter(suspect -> mine.differsAt(suspect.request(), theirs))
                 .sorted(Comparator.<Suspect, Boolean>comparing(suspect -> !suspect.isConvicted(nowMillis))
                         .thenComparing(
                                 Comparator.comparingLong(Suspect::latestMillis).reversed()))
-                .limit(MAX_COMPARED_REPORTS)
+                .limit(MAX_REPORTS)
                 .map(suspect -> report(suspect, nowMillis))
                 .toList();
     }
--- a/src/main/java/org/siskindyke/measure/Measurements.java
+++ b/src/main/java/org/siskindyke/measure/Measurements.java
@@ -10,6 +10,7 @@
 
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.MemberController;
+import org.siskindyke.kernel.crash.SuspectDigest;
 import org.siskindyke.kernel.document.BalanceRule;
 import org.siskindyke.kernel.document.CallRule;
 import org.siskindyke.kernel.document.DocumentRow;
@@ -176,7 +177,7 @@
                             .get(0)
                             .view()
                             .suspects()
-                            .reports(cluster.nowMillis())
+                            .reportsFor(SuspectDigest.NONE, cluster.nowMillis())
                             .size());
         }
     }
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -13,6 +13,7 @@
 import org.siskindyke.kernel.control.PeerMessenger;
 import org.siskindyke.kernel.crash.CrashEvidence;
 import org.siskindyke.kernel.crash.RequestFingerprint;
+import org.siskindyke.kernel.crash.SuspectDigest;
 import org.siskindyke.kernel.crash.SuspectReport;
 import org.siskindyke.kernel.crash.TargetIncarnation;
 import org.siskindyke.kernel.error.ErrorCode;
@@ -88,7 +89,9 @@
         if (gossip.configuration() != null) {
             wire.setConfiguration(gossip.configuration().text());
         }
-        wire.setSuspectsDigest(gossip.suspectsDigest());
+        if (!gossip.suspectsDigest().equals(SuspectDigest.NONE)) {
+            wire.setSuspectsDigest(gossip.suspectsDigest().buckets());
+        }
         if (!gossip.suspects().isEmpty()) {
             wire.setSuspects(suspectsToWire(gossip.suspects()));
         }
@@ -102,10 +105,15 @@
                 fromWire(wire.getDelta()),
                 wire.getConfigurationRevision(),
                 toConfigurationText(wire.getConfigurationRevision(), wire.getConfiguration()),
-                wire.getSuspectsDigest(),
+                digestFromWire(wire.getSuspectsDigest()),
                 suspectsFromWire(wire.getSuspects()));
     }
 
+    /** Converts the wire form of a digest; null, as sent by earlier versions and where nothing is known, is none. */
+    private static SuspectDigest digestFromWire(List<Integer> buckets) {
+        return buckets == null ? SuspectDigest.NONE : new SuspectDigest(buckets);
+    }
+
     private static List<WireSuspect> suspectsToWire(List<SuspectReport> reports) {
         return reports.stream()
                 .map(report -> new WireSuspect(
@@ -157,7 +165,9 @@
         if (gossip.configuration() != null) {
             wire.setConfiguration(gossip.configuration().text());
         }
-        wire.setSuspectsDigest(gossip.suspectsDigest());
+        if (!gossip.suspectsDigest().equals(SuspectDigest.NONE)) {
+            wire.setSuspectsDigest(gossip.suspectsDigest().buckets());
+        }
         if (!gossip.suspects().isEmpty()) {
             wire.setSuspects(suspectsToWire(gossip.suspects()));
         }
@@ -171,7 +181,7 @@
                 fromWire(wire.getDelta()),
                 wire.getConfigurationRevision(),
                 toConfigurationText(wire.getConfigurationRevision(), wire.getConfiguration()),
-                wire.getSuspectsDigest(),
+                digestFromWire(wire.getSuspectsDigest()),
                 suspectsFromWire(wire.getSuspects()));
     }
 
--- a/src/main/java/org/siskindyke/wire/ForwardRequest.java
+++ b/src/main/java/org/siskindyke/wire/ForwardRequest.java
@@ -1976,14 +1976,14 @@
           case 7: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<WireHeader>(_list32.size);
-                @org.apache.thrift.annotation.Nullable WireHeader _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<WireHeader>(_list48.size);
+                @org.apache.thrift.annotation.Nullable WireHeader _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem33 = new WireHeader();
-                  _elem33.read(iprot);
-                  struct.headers.add(_elem33);
+                  _elem49 = new WireHeader();
+                  _elem49.read(iprot);
+                  struct.headers.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -2142,9 +2142,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.headers.size()));
-          for (WireHeader _iter35 : struct.headers)
+          for (WireHeader _iter51 : struct.headers)
           {
-            _iter35.write(oprot);
+            _iter51.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2300,9 +2300,9 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (WireHeader _iter36 : struct.headers)
+          for (WireHeader _iter52 : struct.headers)
           {
-            _iter36.write(oprot);
+            _iter52.write(oprot);
           }
         }
       }
@@ -2377,14 +2377,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.headers = new java.util.ArrayList<WireHeader>(_list37.size);
-          @org.apache.thrift.annotation.Nullable WireHeader _elem38;
-          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.headers = new java.util.ArrayList<WireHeader>(_list53.size);
+          @org.apache.thrift.annotation.Nullable WireHeader _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem38 = new WireHeader();
-            _elem38.read(iprot);
-            struct.headers.add(_elem38);
+            _elem54 = new WireHeader();
+            _elem54.read(iprot);
+            struct.headers.add(_elem54);
           }
         }
         struct.setHeadersIsSet(true);
--- a/src/main/java/org/siskindyke/wire/ForwardResponse.java
+++ b/src/main/java/org/siskindyke/wire/ForwardResponse.java
@@ -1177,14 +1177,14 @@
           case 3: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<WireHeader>(_list40.size);
-                @org.apache.thrift.annotation.Nullable WireHeader _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<WireHeader>(_list56.size);
+                @org.apache.thrift.annotation.Nullable WireHeader _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem41 = new WireHeader();
-                  _elem41.read(iprot);
-                  struct.headers.add(_elem41);
+                  _elem57 = new WireHeader();
+                  _elem57.read(iprot);
+                  struct.headers.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -1286,9 +1286,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.headers.size()));
-          for (WireHeader _iter43 : struct.headers)
+          for (WireHeader _iter59 : struct.headers)
           {
-            _iter43.write(oprot);
+            _iter59.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1392,9 +1392,9 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (WireHeader _iter44 : struct.headers)
+          for (WireHeader _iter60 : struct.headers)
           {
-            _iter44.write(oprot);
+            _iter60.write(oprot);
           }
         }
       }
@@ -1438,14 +1438,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.headers = new java.util.ArrayList<WireHeader>(_list45.size);
-          @org.apache.thrift.annotation.Nullable WireHeader _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.headers = new java.util.ArrayList<WireHeader>(_list61.size);
+          @org.apache.thrift.annotation.Nullable WireHeader _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
           {
-            _elem46 = new WireHeader();
-            _elem46.read(iprot);
-            struct.headers.add(_elem46);
+            _elem62 = new WireHeader();
+            _elem62.read(iprot);
+            struct.headers.add(_elem62);
           }
         }
         struct.setHeadersIsSet(true);
--- a/src/main/java/org/siskindyke/wire/GossipRequest.java
+++ b/src/main/java/org/siskindyke/wire/GossipRequest.java
@@ -18,7 +18,7 @@
   private static final org.apache.thrift.protocol.TField DELTA_FIELD_DESC = new org.apache.thrift.protocol.TField("delta", org.apache.thrift.protocol.TType.STRUCT, (short)3);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationRevision", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_FIELD_DESC = new org.apache.thrift.protocol.TField("configuration", org.apache.thrift.protocol.TType.STRING, (short)5);
-  private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.LIST, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GossipRequestStandardSchemeFactory();
@@ -29,7 +29,7 @@
   public @org.apache.thrift.annotation.Nullable WireDelta delta; // required
   public long configurationRevision; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String configuration; // optional
-  public long suspectsDigest; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> suspectsDigest; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<WireSuspect> suspects; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -115,9 +115,8 @@
   // isset id assignments
   private static final int __TABLEVERSION_ISSET_ID = 0;
   private static final int __CONFIGURATIONREVISION_ISSET_ID = 1;
-  private static final int __SUSPECTSDIGEST_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS};
+  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS_DIGEST,_Fields.SUSPECTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -131,8 +130,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CONFIGURATION, new org.apache.thrift.meta_data.FieldMetaData("configuration", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     tmpMap.put(_Fields.SUSPECTS, new org.apache.thrift.meta_data.FieldMetaData("suspects", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSuspect.class))));
@@ -147,8 +147,7 @@
     java.lang.String member,
     long tableVersion,
     WireDelta delta,
-    long configurationRevision,
-    long suspectsDigest)
+    long configurationRevision)
   {
     this();
     this.member = member;
@@ -157,8 +156,6 @@
     this.delta = delta;
     this.configurationRevision = configurationRevision;
     setConfigurationRevisionIsSet(true);
-    this.suspectsDigest = suspectsDigest;
-    setSuspectsDigestIsSet(true);
   }
 
   /**
@@ -177,7 +174,10 @@
     if (other.isSetConfiguration()) {
       this.configuration = other.configuration;
     }
-    this.suspectsDigest = other.suspectsDigest;
+    if (other.isSetSuspectsDigest()) {
+      java.util.List<java.lang.Integer> __this__suspectsDigest = new java.util.ArrayList<java.lang.Integer>(other.suspectsDigest);
+      this.suspectsDigest = __this__suspectsDigest;
+    }
     if (other.isSetSuspects()) {
       java.util.List<WireSuspect> __this__suspects = new java.util.ArrayList<WireSuspect>(other.suspects.size());
       for (WireSuspect other_element : other.suspects) {
@@ -201,8 +201,7 @@
     setConfigurationRevisionIsSet(false);
     this.configurationRevision = 0;
     this.configuration = null;
-    setSuspectsDigestIsSet(false);
-    this.suspectsDigest = 0;
+    this.suspectsDigest = null;
     this.suspects = null;
   }
 
@@ -327,27 +326,45 @@
     }
   }
 
-  public long getSuspectsDigest() {
+  public int getSuspectsDigestSize() {
+    return (this.suspectsDigest == null) ? 0 : this.suspectsDigest.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getSuspectsDigestIterator() {
+    return (this.suspectsDigest == null) ? null : this.suspectsDigest.iterator();
+  }
+
+  public void addToSuspectsDigest(int elem) {
+    if (this.suspectsDigest == null) {
+      this.suspectsDigest = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.suspectsDigest.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getSuspectsDigest() {
     return this.suspectsDigest;
   }
 
-  public GossipRequest setSuspectsDigest(long suspectsDigest) {
+  public GossipRequest setSuspectsDigest(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> suspectsDigest) {
     this.suspectsDigest = suspectsDigest;
-    setSuspectsDigestIsSet(true);
     return this;
   }
 
   public void unsetSuspectsDigest() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+    this.suspectsDigest = null;
   }
 
   /** Returns true if field suspectsDigest is set (has been assigned a value) and false otherwise */
   public boolean isSetSuspectsDigest() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+    return this.suspectsDigest != null;
   }
 
   public void setSuspectsDigestIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID, value);
+    if (!value) {
+      this.suspectsDigest = null;
+    }
   }
 
   public int getSuspectsSize() {
@@ -438,7 +455,7 @@
       if (value == null) {
         unsetSuspectsDigest();
       } else {
-        setSuspectsDigest((java.lang.Long)value);
+        setSuspectsDigest((java.util.List<java.lang.Integer>)value);
       }
       break;
 
@@ -566,12 +583,12 @@
         return false;
     }
 
-    boolean this_present_suspectsDigest = true;
-    boolean that_present_suspectsDigest = true;
+    boolean this_present_suspectsDigest = true && this.isSetSuspectsDigest();
+    boolean that_present_suspectsDigest = true && that.isSetSuspectsDigest();
     if (this_present_suspectsDigest || that_present_suspectsDigest) {
       if (!(this_present_suspectsDigest && that_present_suspectsDigest))
         return false;
-      if (this.suspectsDigest != that.suspectsDigest)
+      if (!this.suspectsDigest.equals(that.suspectsDigest))
         return false;
     }
 
@@ -607,7 +624,9 @@
     if (isSetConfiguration())
       hashCode = hashCode * 8191 + configuration.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsDigest);
+    hashCode = hashCode * 8191 + ((isSetSuspectsDigest()) ? 131071 : 524287);
+    if (isSetSuspectsDigest())
+      hashCode = hashCode * 8191 + suspectsDigest.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetSuspects()) ? 131071 : 524287);
     if (isSetSuspects())
@@ -751,10 +770,16 @@
       }
       first = false;
     }
-    if (!first) sb.append(", ");
-    sb.append("suspectsDigest:");
-    sb.append(this.suspectsDigest);
-    first = false;
+    if (isSetSuspectsDigest()) {
+      if (!first) sb.append(", ");
+      sb.append("suspectsDigest:");
+      if (this.suspectsDigest == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.suspectsDigest);
+      }
+      first = false;
+    }
     if (isSetSuspects()) {
       if (!first) sb.append(", ");
       sb.append("suspects:");
@@ -857,8 +882,18 @@
             }
             break;
           case 6: // SUSPECTS_DIGEST
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.suspectsDigest = iprot.readI64();
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list16.size);
+                int _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                {
+                  _elem17 = iprot.readI32();
+                  struct.suspectsDigest.add(_elem17);
+                }
+                iprot.readListEnd();
+              }
               struct.setSuspectsDigestIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -867,14 +902,14 @@
           case 7: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<WireSuspect>(_list16.size);
-                @org.apache.thrift.annotation.Nullable WireSuspect _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<WireSuspect>(_list19.size);
+                @org.apache.thrift.annotation.Nullable WireSuspect _elem20;
+                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
                 {
-                  _elem17 = new WireSuspect();
-                  _elem17.read(iprot);
-                  struct.suspects.add(_elem17);
+                  _elem20 = new WireSuspect();
+                  _elem20.read(iprot);
+                  struct.suspects.add(_elem20);
                 }
                 iprot.readListEnd();
               }
@@ -922,17 +957,28 @@
           oprot.writeFieldEnd();
         }
       }
-      oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
-      oprot.writeI64(struct.suspectsDigest);
-      oprot.writeFieldEnd();
+      if (struct.suspectsDigest != null) {
+        if (struct.isSetSuspectsDigest()) {
+          oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.suspectsDigest.size()));
+            for (int _iter22 : struct.suspectsDigest)
+            {
+              oprot.writeI32(_iter22);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       if (struct.suspects != null) {
         if (struct.isSetSuspects()) {
           oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-            for (WireSuspect _iter19 : struct.suspects)
+            for (WireSuspect _iter23 : struct.suspects)
             {
-              _iter19.write(oprot);
+              _iter23.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -996,14 +1042,20 @@
         oprot.writeString(struct.configuration);
       }
       if (struct.isSetSuspectsDigest()) {
-        oprot.writeI64(struct.suspectsDigest);
+        {
+          oprot.writeI32(struct.suspectsDigest.size());
+          for (int _iter24 : struct.suspectsDigest)
+          {
+            oprot.writeI32(_iter24);
+          }
+        }
       }
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (WireSuspect _iter20 : struct.suspects)
+          for (WireSuspect _iter25 : struct.suspects)
           {
-            _iter20.write(oprot);
+            _iter25.write(oprot);
           }
         }
       }
@@ -1035,19 +1087,28 @@
         struct.setConfigurationIsSet(true);
       }
       if (incoming.get(5)) {
-        struct.suspectsDigest = iprot.readI64();
+        {
+          org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list26.size);
+          int _elem27;
+          for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+          {
+            _elem27 = iprot.readI32();
+            struct.suspectsDigest.add(_elem27);
+          }
+        }
         struct.setSuspectsDigestIsSet(true);
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.suspects = new java.util.ArrayList<WireSuspect>(_list21.size);
-          @org.apache.thrift.annotation.Nullable WireSuspect _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.suspects = new java.util.ArrayList<WireSuspect>(_list29.size);
+          @org.apache.thrift.annotation.Nullable WireSuspect _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
           {
-            _elem22 = new WireSuspect();
-            _elem22.read(iprot);
-            struct.suspects.add(_elem22);
+            _elem30 = new WireSuspect();
+            _elem30.read(iprot);
+            struct.suspects.add(_elem30);
           }
         }
         struct.setSuspectsIsSet(true);
--- a/src/main/java/org/siskindyke/wire/GossipResponse.java
+++ b/src/main/java/org/siskindyke/wire/GossipResponse.java
@@ -14,7 +14,7 @@
   private static final org.apache.thrift.protocol.TField DELTA_FIELD_DESC = new org.apache.thrift.protocol.TField("delta", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationRevision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_FIELD_DESC = new org.apache.thrift.protocol.TField("configuration", org.apache.thrift.protocol.TType.STRING, (short)4);
-  private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.LIST, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GossipResponseStandardSchemeFactory();
@@ -24,7 +24,7 @@
   public @org.apache.thrift.annotation.Nullable WireDelta delta; // required
   public long configurationRevision; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String configuration; // optional
-  public long suspectsDigest; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> suspectsDigest; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<WireSuspect> suspects; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -107,9 +107,8 @@
   // isset id assignments
   private static final int __TABLEVERSION_ISSET_ID = 0;
   private static final int __CONFIGURATIONREVISION_ISSET_ID = 1;
-  private static final int __SUSPECTSDIGEST_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS};
+  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS_DIGEST,_Fields.SUSPECTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -121,8 +120,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CONFIGURATION, new org.apache.thrift.meta_data.FieldMetaData("configuration", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SUSPECTS_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("suspectsDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     tmpMap.put(_Fields.SUSPECTS, new org.apache.thrift.meta_data.FieldMetaData("suspects", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSuspect.class))));
@@ -136,8 +136,7 @@
   public GossipResponse(
     long tableVersion,
     WireDelta delta,
-    long configurationRevision,
-    long suspectsDigest)
+    long configurationRevision)
   {
     this();
     this.tableVersion = tableVersion;
@@ -145,8 +144,6 @@
     this.delta = delta;
     this.configurationRevision = configurationRevision;
     setConfigurationRevisionIsSet(true);
-    this.suspectsDigest = suspectsDigest;
-    setSuspectsDigestIsSet(true);
   }
 
   /**
@@ -162,7 +159,10 @@
     if (other.isSetConfiguration()) {
       this.configuration = other.configuration;
     }
-    this.suspectsDigest = other.suspectsDigest;
+    if (other.isSetSuspectsDigest()) {
+      java.util.List<java.lang.Integer> __this__suspectsDigest = new java.util.ArrayList<java.lang.Integer>(other.suspectsDigest);
+      this.suspectsDigest = __this__suspectsDigest;
+    }
     if (other.isSetSuspects()) {
       java.util.List<WireSuspect> __this__suspects = new java.util.ArrayList<WireSuspect>(other.suspects.size());
       for (WireSuspect other_element : other.suspects) {
@@ -185,8 +185,7 @@
     setConfigurationRevisionIsSet(false);
     this.configurationRevision = 0;
     this.configuration = null;
-    setSuspectsDigestIsSet(false);
-    this.suspectsDigest = 0;
+    this.suspectsDigest = null;
     this.suspects = null;
   }
 
@@ -286,27 +285,45 @@
     }
   }
 
-  public long getSuspectsDigest() {
+  public int getSuspectsDigestSize() {
+    return (this.suspectsDigest == null) ? 0 : this.suspectsDigest.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getSuspectsDigestIterator() {
+    return (this.suspectsDigest == null) ? null : this.suspectsDigest.iterator();
+  }
+
+  public void addToSuspectsDigest(int elem) {
+    if (this.suspectsDigest == null) {
+      this.suspectsDigest = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.suspectsDigest.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getSuspectsDigest() {
     return this.suspectsDigest;
   }
 
-  public GossipResponse setSuspectsDigest(long suspectsDigest) {
+  public GossipResponse setSuspectsDigest(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> suspectsDigest) {
     this.suspectsDigest = suspectsDigest;
-    setSuspectsDigestIsSet(true);
     return this;
   }
 
   public void unsetSuspectsDigest() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+    this.suspectsDigest = null;
   }
 
   /** Returns true if field suspectsDigest is set (has been assigned a value) and false otherwise */
   public boolean isSetSuspectsDigest() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID);
+    return this.suspectsDigest != null;
   }
 
   public void setSuspectsDigestIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTSDIGEST_ISSET_ID, value);
+    if (!value) {
+      this.suspectsDigest = null;
+    }
   }
 
   public int getSuspectsSize() {
@@ -389,7 +406,7 @@
       if (value == null) {
         unsetSuspectsDigest();
       } else {
-        setSuspectsDigest((java.lang.Long)value);
+        setSuspectsDigest((java.util.List<java.lang.Integer>)value);
       }
       break;
 
@@ -503,12 +520,12 @@
         return false;
     }
 
-    boolean this_present_suspectsDigest = true;
-    boolean that_present_suspectsDigest = true;
+    boolean this_present_suspectsDigest = true && this.isSetSuspectsDigest();
+    boolean that_present_suspectsDigest = true && that.isSetSuspectsDigest();
     if (this_present_suspectsDigest || that_present_suspectsDigest) {
       if (!(this_present_suspectsDigest && that_present_suspectsDigest))
         return false;
-      if (this.suspectsDigest != that.suspectsDigest)
+      if (!this.suspectsDigest.equals(that.suspectsDigest))
         return false;
     }
 
@@ -540,7 +557,9 @@
     if (isSetConfiguration())
       hashCode = hashCode * 8191 + configuration.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectsDigest);
+    hashCode = hashCode * 8191 + ((isSetSuspectsDigest()) ? 131071 : 524287);
+    if (isSetSuspectsDigest())
+      hashCode = hashCode * 8191 + suspectsDigest.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetSuspects()) ? 131071 : 524287);
     if (isSetSuspects())
@@ -666,10 +685,16 @@
       }
       first = false;
     }
-    if (!first) sb.append(", ");
-    sb.append("suspectsDigest:");
-    sb.append(this.suspectsDigest);
-    first = false;
+    if (isSetSuspectsDigest()) {
+      if (!first) sb.append(", ");
+      sb.append("suspectsDigest:");
+      if (this.suspectsDigest == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.suspectsDigest);
+      }
+      first = false;
+    }
     if (isSetSuspects()) {
       if (!first) sb.append(", ");
       sb.append("suspects:");
@@ -764,8 +789,18 @@
             }
             break;
           case 5: // SUSPECTS_DIGEST
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.suspectsDigest = iprot.readI64();
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list32.size);
+                int _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                {
+                  _elem33 = iprot.readI32();
+                  struct.suspectsDigest.add(_elem33);
+                }
+                iprot.readListEnd();
+              }
               struct.setSuspectsDigestIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -774,14 +809,14 @@
           case 6: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<WireSuspect>(_list24.size);
-                @org.apache.thrift.annotation.Nullable WireSuspect _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<WireSuspect>(_list35.size);
+                @org.apache.thrift.annotation.Nullable WireSuspect _elem36;
+                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
                 {
-                  _elem25 = new WireSuspect();
-                  _elem25.read(iprot);
-                  struct.suspects.add(_elem25);
+                  _elem36 = new WireSuspect();
+                  _elem36.read(iprot);
+                  struct.suspects.add(_elem36);
                 }
                 iprot.readListEnd();
               }
@@ -824,17 +859,28 @@
           oprot.writeFieldEnd();
         }
       }
-      oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
-      oprot.writeI64(struct.suspectsDigest);
-      oprot.writeFieldEnd();
+      if (struct.suspectsDigest != null) {
+        if (struct.isSetSuspectsDigest()) {
+          oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.suspectsDigest.size()));
+            for (int _iter38 : struct.suspectsDigest)
+            {
+              oprot.writeI32(_iter38);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       if (struct.suspects != null) {
         if (struct.isSetSuspects()) {
           oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-            for (WireSuspect _iter27 : struct.suspects)
+            for (WireSuspect _iter39 : struct.suspects)
             {
-              _iter27.write(oprot);
+              _iter39.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -892,14 +938,20 @@
         oprot.writeString(struct.configuration);
       }
       if (struct.isSetSuspectsDigest()) {
-        oprot.writeI64(struct.suspectsDigest);
+        {
+          oprot.writeI32(struct.suspectsDigest.size());
+          for (int _iter40 : struct.suspectsDigest)
+          {
+            oprot.writeI32(_iter40);
+          }
+        }
       }
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (WireSuspect _iter28 : struct.suspects)
+          for (WireSuspect _iter41 : struct.suspects)
           {
-            _iter28.write(oprot);
+            _iter41.write(oprot);
           }
         }
       }
@@ -927,19 +979,28 @@
         struct.setConfigurationIsSet(true);
       }
       if (incoming.get(4)) {
-        struct.suspectsDigest = iprot.readI64();
+        {
+          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list42.size);
+          int _elem43;
+          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+          {
+            _elem43 = iprot.readI32();
+            struct.suspectsDigest.add(_elem43);
+          }
+        }
         struct.setSuspectsDigestIsSet(true);
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.suspects = new java.util.ArrayList<WireSuspect>(_list29.size);
-          @org.apache.thrift.annotation.Nullable WireSuspect _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.suspects = new java.util.ArrayList<WireSuspect>(_list45.size);
+          @org.apache.thrift.annotation.Nullable WireSuspect _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem30 = new WireSuspect();
-            _elem30.read(iprot);
-            struct.suspects.add(_elem30);
+            _elem46 = new WireSuspect();
+            _elem46.read(iprot);
+            struct.suspects.add(_elem46);
           }
         }
         struct.setSuspectsIsSet(true);
--- a/src/main/java/org/siskindyke/wire/ReleaseRequest.java
+++ b/src/main/java/org/siskindyke/wire/ReleaseRequest.java
@@ -590,13 +590,13 @@
           case 2: // SLICES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                struct.slices = new java.util.ArrayList<java.lang.Integer>(_list48.size);
-                int _elem49;
-                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.slices = new java.util.ArrayList<java.lang.Integer>(_list64.size);
+                int _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem49 = iprot.readI32();
-                  struct.slices.add(_elem49);
+                  _elem65 = iprot.readI32();
+                  struct.slices.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -646,9 +646,9 @@
         oprot.writeFieldBegin(SLICES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.slices.size()));
-          for (int _iter51 : struct.slices)
+          for (int _iter67 : struct.slices)
           {
-            oprot.writeI32(_iter51);
+            oprot.writeI32(_iter67);
           }
           oprot.writeListEnd();
         }
@@ -702,9 +702,9 @@
       if (struct.isSetSlices()) {
         {
           oprot.writeI32(struct.slices.size());
-          for (int _iter52 : struct.slices)
+          for (int _iter68 : struct.slices)
           {
-            oprot.writeI32(_iter52);
+            oprot.writeI32(_iter68);
           }
         }
       }
@@ -726,13 +726,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.slices = new java.util.ArrayList<java.lang.Integer>(_list53.size);
-          int _elem54;
-          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.slices = new java.util.ArrayList<java.lang.Integer>(_list69.size);
+          int _elem70;
+          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
           {
-            _elem54 = iprot.readI32();
-            struct.slices.add(_elem54);
+            _elem70 = iprot.readI32();
+            struct.slices.add(_elem70);
           }
         }
         struct.setSlicesIsSet(true);
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -56,7 +56,7 @@
   3: WireDelta delta,
   4: i64 configurationRevision,
   5: optional string configuration,
-  6: i64 suspectsDigest,
+  6: optional list<i32> suspectsDigest,
   7: optional list<WireSuspect> suspects,
 }
 
@@ -65,7 +65,7 @@
   2: WireDelta delta,
   3: i64 configurationRevision,
   4: optional string configuration,
-  5: i64 suspectsDigest,
+  5: optional list<i32> suspectsDigest,
   6: optional list<WireSuspect> suspects,
 }
 
--- a/src/test/java/org/siskindyke/kernel/crash/CrashSuspectsTest.java
+++ b/src/test/java/org/siskindyke/kernel/crash/CrashSuspectsTest.java
@@ -83,7 +83,7 @@
     @Example
     void clearedEvidenceDoesNotReturnWithAnOlderReport() {
         crash(1, REQUEST, CALLER, 0);
-        List<SuspectReport> older = suspects.reports(10);
+        List<SuspectReport> older = suspects.reportsFor(SuspectDigest.NONE, 10);
         suspects.onAnswered(REQUEST, 20);
         assertTrue(suspects.merge(older, 30).isEmpty());
         assertFalse(suspects.assess(REQUEST, CALLER, 40).isSuspected());
@@ -112,7 +112,7 @@
         assertTrue(suspects.assess(REQUEST, CALLER, lifetimeMillis + 1).isConvicted());
         suspects.expire(2 * lifetimeMillis);
         assertTrue(suspects.isEmpty());
-        assertEquals(0, suspects.digest());
+        assertEquals(SuspectDigest.NONE, suspects.digest());
     }
 
     @Example
@@ -123,8 +123,9 @@
             crash(100 + i, request(100 + i), CALLER, i);
         }
         assertTrue(suspects.assess(REQUEST, CALLER, 1_000).isConvicted());
-        assertTrue(suspects.reports(1_000).size() <= CrashSuspects.MAX_COMPARED_REPORTS);
-        assertEquals(REQUEST, suspects.reports(1_000).get(0).request());
+        assertTrue(suspects.reportsFor(SuspectDigest.NONE, 1_000).size() <= CrashSuspects.MAX_REPORTS);
+        assertEquals(
+                REQUEST, suspects.reportsFor(SuspectDigest.NONE, 1_000).get(0).request());
     }
 
     /** Routers see crashes and answers and exchange reports in a random order; in the end all know the same. */
@@ -147,7 +148,9 @@
                             nowMillis);
                 case 1 -> router.onAnswered(request, nowMillis);
                 case 2 -> router.expire(nowMillis);
-                default -> router.merge(routers.get(random.nextInt(ROUTERS)).reports(nowMillis), nowMillis);
+                default ->
+                    router.merge(
+                            routers.get(random.nextInt(ROUTERS)).reportsFor(router.digest(), nowMillis), nowMillis);
             }
         }
         exchangeAll(routers, nowMillis);
@@ -165,9 +168,9 @@
         IntStream.range(0, 2).forEach(round -> {
             for (CrashSuspects from : routers) {
                 for (CrashSuspects to : routers) {
-                    to.merge(from.reports(nowMillis), nowMillis);
                     from.expire(nowMillis);
                     to.expire(nowMillis);
+                    to.merge(from.reportsFor(to.digest(), nowMillis), nowMillis);
                 }
             }
         });
