--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -29,6 +29,8 @@
     /** Largest body of a response that is collected. */
     static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+    /** Parts in which a body may arrive, since each costs processor time however small it is. */
+    private static final int MAX_BODY_PARTS = 65_536;
     /** Responses that are skipped while one is awaited: interim ones and those that name another request. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
 
@@ -45,6 +47,7 @@
     private Exchange exchange;
     private HttpResponse head;
     private ByteBuf body;
+    private int bodyParts;
     private int skippedResponses;
     private boolean broken;
     private boolean reusable = true;
@@ -140,6 +143,7 @@
         }
         head = response;
         body = Unpooled.buffer();
+        bodyParts = 0;
     }
 
     private void onContent(HttpContent content) {
@@ -152,6 +156,11 @@
             fail(ResponseLoss.BAD_RESPONSE, "response body longer than " + MAX_BODY_BYTES + " bytes");
             return;
         }
+        bodyParts++;
+        if (bodyParts > MAX_BODY_PARTS) {
+            fail(ResponseLoss.BAD_RESPONSE, "response body in more than " + MAX_BODY_PARTS + " parts");
+            return;
+        }
         if (!memory.reserve(bytes.readableBytes())) {
             fail(ResponseLoss.BAD_RESPONSE, "no memory left for partly received responses of this server");
             return;
