Decide in one place when a suspected call may run and which answers are recent

Found by reading the whole change again; behaviour stays as it is. - Both dispatchers combined conviction, wait and retry delay in the same lines; CrashGuard.retryAfterMillis does it for both. - Both detectors had the age of a recent answer as a constant of their own; RecentAnswers has it. - HeartbeatBackendStandin.crash(long) had no caller and is gone. Left: CrashGuard.assess hashes a call's content again where a caller has its fingerprint already, only while any request is suspected.

--- a/src/main/java/org/siskindyke/kernel/crash/RecentAnswers.java
+++ b/src/main/java/org/siskindyke/kernel/crash/RecentAnswers.java
@@ -6,6 +6,8 @@
  */
 public final class RecentAnswers {
     private static final int ENTRIES = 4_096;
+    /** Age of an answer up to which the same request is not suspected of a crash. */
+    private static final long RECENT_MILLIS = 10_000;
 
     private final long[] fingerprints = new long[ENTRIES];
     private final long[] answeredMillis = new long[ENTRIES];
@@ -17,10 +19,10 @@
         answeredMillis[index] = nowMillis;
     }
 
-    /** Returns whether an answer to a request is remembered that came at {@code sinceMillis} or later. */
-    public boolean isAnsweredSince(RequestFingerprint request, long sinceMillis) {
+    /** Returns whether an answer to a request is remembered that is recent enough to clear it of a crash. */
+    public boolean isRecent(RequestFingerprint request, long nowMillis) {
         int index = indexOf(request);
-        return fingerprints[index] == request.low() && answeredMillis[index] >= sinceMillis;
+        return fingerprints[index] == request.low() && answeredMillis[index] >= nowMillis - RECENT_MILLIS;
     }
 
     private static int indexOf(RequestFingerprint request) {
--- a/src/main/java/org/siskindyke/runtime/CrashDetector.java
+++ b/src/main/java/org/siskindyke/runtime/CrashDetector.java
@@ -42,9 +42,6 @@
 final class CrashDetector implements CallObserver {
     private static final System.Logger LOGGER = System.getLogger(CrashDetector.class.getName());
 
-    /** Age of an answer up to which the same call is not suspected of a crash. */
-    private static final long RECENT_ANSWER_MILLIS = 10_000;
-
     private final MonotonicClock clock;
     private final ControlThread control;
     private final Consumer<ServiceName> onUnreachable;
@@ -96,7 +93,7 @@
     private void onFailure(Call call, TargetAnnouncement target, boolean lost) {
         long nowMillis = clock.nowMillis();
         RequestFingerprint request = call.fingerprint();
-        if (lost && !recentAnswers.isAnsweredSince(request, nowMillis - RECENT_ANSWER_MILLIS)) {
+        if (lost && !recentAnswers.isRecent(request, nowMillis)) {
             Loss loss = new Loss(request, call.caller(), isSuspected(call, nowMillis), nowMillis);
             investigation(target.service()).onLost(loss);
         }
--- a/src/main/java/org/siskindyke/runtime/call/CrashGuard.java
+++ b/src/main/java/org/siskindyke/runtime/call/CrashGuard.java
@@ -48,11 +48,16 @@
     }
 
     /**
-     * Returns when a suspected call that is not convicted may run at the backend server beside this router, in
-     * milliseconds from now; 0 for at once. It has to wait while all others of the service have crashed shortly before
-     * and are about to return. A call on trial may run at {@link #trialMember} only.
+     * Returns when a call should be sent again, in milliseconds from now; 0 where it may run at the backend server
+     * beside this router. A convicted call must not run. A suspected one has to wait while all other backend servers of
+     * the service have crashed shortly before and are about to return; one on trial may run at {@link #trialMember}
+     * only.
      */
-    public long waitMillis(Call call, SuspectAssessment assessment) {
+    public long retryAfterMillis(Call call, SuspectAssessment assessment) {
+        return assessment.isSuspected() ? Math.max(waitMillis(call, assessment), assessment.retryAfterMillis()) : 0;
+    }
+
+    private long waitMillis(Call call, SuspectAssessment assessment) {
         boolean elsewhere = assessment.isOnTrial()
                 && call.slice() == null
                 && !trialMember(call).filter(m -> m.id().equals(self.get())).isPresent();
--- a/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
@@ -122,10 +122,10 @@
             return refuse(Refusal.NO_TARGET, 0);
         }
         SuspectAssessment assessment = crashGuard.assess(call);
-        long waitMillis = assessment.isSuspected() ? crashGuard.waitMillis(call, assessment) : 0;
-        if (assessment.isConvicted() || waitMillis > 0) {
+        long retryAfterMillis = crashGuard.retryAfterMillis(call, assessment);
+        if (retryAfterMillis > 0) {
             DecisionLog.suspectRefused(call, assessment);
-            return refuse(Refusal.SUSPECTED_OF_CRASHES, Math.max(waitMillis, assessment.retryAfterMillis()));
+            return refuse(Refusal.SUSPECTED_OF_CRASHES, retryAfterMillis);
         }
         Optional<Reply> notOwner = checkOwnership(call, state);
         if (notOwner.isPresent()) {
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -58,8 +58,6 @@
     private static final int MAX_WAITING_SUSPECTS = 16;
     /** Longest wait of a suspected call until others have run. */
     private static final long MAX_SUSPECT_WAIT_MILLIS = 1_500;
-    /** Age of an answer up to which the same request is not suspected of a crash. */
-    private static final long RECENT_ANSWER_MILLIS = 10_000;
     /** Refusals of suspected calls that are logged in each second, at most. */
     private static final int MAX_LOGGED_SUSPECTS_PER_SECOND = 10;
     /** Smallest delay before a retry that a refusal asks the caller for. */
@@ -300,10 +298,10 @@
 
         private void submitUnlessConvicted() {
             SuspectAssessment assessment = crashGuard.assess(call);
-            long waitMillis = assessment.isSuspected() ? crashGuard.waitMillis(call, assessment) : 0;
-            if (assessment.isConvicted() || waitMillis > 0) {
+            long retryAfterMillis = crashGuard.retryAfterMillis(call, assessment);
+            if (retryAfterMillis > 0) {
                 logSuspect(assessment);
-                refuse(Refusal.SUSPECTED_OF_CRASHES, Math.max(waitMillis, assessment.retryAfterMillis()));
+                refuse(Refusal.SUSPECTED_OF_CRASHES, retryAfterMillis);
             } else if (assessment.isSuspected() || call.scheduling().suspected()) {
                 enterSuspectLane();
             } else {
@@ -464,7 +462,7 @@
 
         private void onConnectionLost() {
             RequestFingerprint fingerprint = call.fingerprint();
-            if (!recentAnswers.isAnsweredSince(fingerprint, clock.nowMillis() - RECENT_ANSWER_MILLIS)) {
+            if (!recentAnswers.isRecent(fingerprint, clock.nowMillis())) {
                 boolean suspected = isInSuspectLane || crashGuard.assess(call).isSuspected();
                 observer.onConnectionLost(new Loss(fingerprint, call.caller(), suspected, clock.nowMillis()));
                 probe.schedule(target.address(), pool);
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -154,11 +154,6 @@
         traffic.execute(this::heartbeatLoop);
     }
 
-    /** Ends the server, which starts again, with a later start time and without keys, after a while. */
-    public void crash(long restartMillis) {
-        traffic.execute(() -> end(restartMillis));
-    }
-
     private void crash(String requestId) {
         if (!down) {
             crashingRequestIds.add(requestId);
