Move logging, crash signs and request creation out of BackendDispatcher

Tests: CrashingRequestTest, EndlessResponseTest, PlatformPathTest, HttpClientConnectionTest, RetryBudgetsTest pass.

--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -10,26 +10,16 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import org.siskindyke.kernel.balance.TargetLoadReport;
 import org.siskindyke.kernel.call.AdmissionQueue;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
-import org.siskindyke.kernel.crash.CrashInvestigation.Loss;
-import org.siskindyke.kernel.crash.RecentAnswers;
-import org.siskindyke.kernel.crash.RequestFingerprint;
 import org.siskindyke.kernel.crash.SuspectAssessment;
 import org.siskindyke.kernel.crash.SuspectLane;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.EventLog;
-import org.siskindyke.runtime.EventRateLimiter;
 import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.CrashGuard;
 import org.siskindyke.runtime.call.Header;
@@ -52,14 +42,10 @@
     private static final long LATE_RESPONSE_GRACE_MILLIS = 150;
     /** How long a non-idempotent request keeps its slot after its caller has been answered at the deadline. */
     private static final long OVERDUE_SLOT_MILLIS = 5_000;
-    /** Lost responses that are logged in each second, at most. */
-    private static final int MAX_LOGGED_LOSSES_PER_SECOND = 20;
     /** Suspected calls that wait until others have run, at most. */
     private static final int MAX_WAITING_SUSPECTS = 16;
     /** Longest wait of a suspected call until others have run. */
     private static final long MAX_SUSPECT_WAIT_MILLIS = 1_500;
-    /** Refusals of suspected calls that are logged in each second, at most. */
-    private static final int MAX_LOGGED_SUSPECTS_PER_SECOND = 10;
     /** Smallest delay before a retry that a refusal asks the caller for. */
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
@@ -70,12 +56,10 @@
     private final BiPredicate<ServiceName, SliceRef> owns;
     private final CrashGuard crashGuard;
     private final TargetObserver observer;
-    private final TargetProbe probe;
-    private final RecentAnswers recentAnswers = new RecentAnswers();
+    private final CrashSigns crashSigns;
+    private final BackendRequestFactory requests;
+    private final DispatchLog log;
     private final SuspectLane<DispatchedCall> suspectLane = new SuspectLane<>(MAX_WAITING_SUSPECTS);
-    private final EventLog log;
-    private final EventRateLimiter suspectRate = new EventRateLimiter(MAX_LOGGED_SUSPECTS_PER_SECOND);
-    private final EventRateLimiter lossRate = new EventRateLimiter(MAX_LOGGED_LOSSES_PER_SECOND);
     private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
     private final AdmissionQueue queue = new AdmissionQueue(0, serviceTimes);
     private final List<DispatchedCall> waitingForGrant = new ArrayList<>();
@@ -115,8 +99,9 @@
         this.owns = owns;
         this.crashGuard = crashGuard;
         this.observer = observer;
-        this.probe = new TargetProbe(traffic, observer);
-        this.log = log;
+        this.crashSigns = new CrashSigns(traffic, clock, crashGuard, observer);
+        this.requests = new BackendRequestFactory(dialect);
+        this.log = new DispatchLog(log, clock);
     }
 
     /**
@@ -300,7 +285,7 @@
             SuspectAssessment assessment = crashGuard.assess(call);
             long retryAfterMillis = crashGuard.retryAfterMillis(call, assessment);
             if (retryAfterMillis > 0) {
-                logSuspect(assessment);
+                log.onSuspectRefused(call, assessment);
                 refuse(Refusal.SUSPECTED_OF_CRASHES, retryAfterMillis);
             } else if (assessment.isSuspected() || call.scheduling().suspected()) {
                 enterSuspectLane();
@@ -309,25 +294,6 @@
             }
         }
 
-        private void logSuspect(SuspectAssessment assessment) {
-            if (suspectRate.tryAcquire(clock.nowMillis())) {
-                log.event(
-                        "suspect-refused",
-                        "request",
-                        call.id(),
-                        "fingerprint",
-                        call.fingerprint(),
-                        "caller",
-                        call.caller(),
-                        "crashed",
-                        assessment.crashed(),
-                        "lastCrashMillisAgo",
-                        assessment.youngestMillis(),
-                        "level",
-                        assessment.level());
-            }
-        }
-
         private void enterSuspectLane() {
             long nowMillis = clock.nowMillis();
             switch (suspectLane.enter(this)) {
@@ -392,25 +358,7 @@
             long remainingMillis = call.remainingMillis(nowMillis);
             sentMillis = nowMillis;
             timer = traffic.schedule(this::onDeadline, remainingMillis + LATE_RESPONSE_GRACE_MILLIS);
-            inFlightRequest = pool.send(request(remainingMillis), call.id(), this);
-        }
-
-        private FullHttpRequest request(long remainingMillis) {
-            FullHttpRequest request = new DefaultFullHttpRequest(
-                    HttpVersion.HTTP_1_1,
-                    HttpMethod.valueOf(call.method()),
-                    call.target(),
-                    Unpooled.wrappedBuffer(call.body()));
-            for (Header header : call.headers()) {
-                request.headers().add(header.name(), header.value());
-            }
-            for (Header header : dialect.backendHeaders(target.name(), call, remainingMillis)) {
-                request.headers().set(header.name(), header.value());
-            }
-            if (call.body().length > 0 || !call.method().equals(HttpMethod.GET.name())) {
-                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
-            }
-            return request;
+            inFlightRequest = pool.send(requests.create(call, target.name(), remainingMillis), call.id(), this);
         }
 
         @Override
@@ -418,7 +366,7 @@
             long nowMillis = clock.nowMillis();
             boolean notRun = dialect.isNotRun(status, headers);
             if (!notRun) {
-                onRan(nowMillis);
+                crashSigns.onAnswered(call);
                 lastAnswerMillis = nowMillis;
                 serviceTimes.onEnded(call.scheduling().kind(), nowMillis - sentMillis, nowMillis);
                 if (call.slice() != null) {
@@ -431,26 +379,18 @@
             } else if (dialect.isGenuine(status, headers)) {
                 end(Reply.answer(status, dialect.returnedHeaders(Headers.endToEnd(headers)), body));
             } else {
-                logLoss("successful response without a signature");
+                log.onAnswerLost(call, target.name(), "successful response without a signature");
                 end(Reply.mayHaveRun(Refusal.ANSWER_LOST));
             }
         }
 
-        private void onRan(long nowMillis) {
-            RequestFingerprint fingerprint = call.fingerprint();
-            recentAnswers.onAnswered(fingerprint, nowMillis);
-            if (crashGuard.assess(call).isSuspected()) {
-                observer.onSuspectAnswered(fingerprint);
-            }
-        }
-
         @Override
         public void onLost(ResponseLoss loss, String cause) {
             if (loss == ResponseLoss.CONNECTION_LOST) {
-                onConnectionLost();
+                crashSigns.onConnectionLost(call, isInSuspectLane, target.address(), pool);
             }
             releaseSlot();
-            logLoss(cause);
+            log.onAnswerLost(call, target.name(), cause);
             if (!loss.isSent()) {
                 observer.onUnreachable();
             }
@@ -460,32 +400,6 @@
                             : Reply.notRun(Refusal.TARGET_UNREACHABLE, MIN_RETRY_AFTER_MILLIS));
         }
 
-        private void onConnectionLost() {
-            RequestFingerprint fingerprint = call.fingerprint();
-            if (!recentAnswers.isRecent(fingerprint, clock.nowMillis())) {
-                boolean suspected = isInSuspectLane || crashGuard.assess(call).isSuspected();
-                observer.onConnectionLost(new Loss(fingerprint, call.caller(), suspected, clock.nowMillis()));
-                probe.schedule(target.address(), pool);
-            }
-        }
-
-        private void logLoss(String cause) {
-            if (lossRate.tryAcquire(clock.nowMillis())) {
-                log.event(
-                        "target-answer-lost",
-                        "request",
-                        call.id(),
-                        "fingerprint",
-                        call.fingerprint(),
-                        "caller",
-                        call.caller(),
-                        "target",
-                        target.name(),
-                        "cause",
-                        cause);
-            }
-        }
-
         private void onDeadline() {
             if (call.idempotent()) {
                 inFlightRequest.cancel();
