Admit waiting suspected requests until one runs

A suspected request waits while another runs at the same backend server. When its turn came and it did not run, since it was convicted, cleared or its slice had moved meanwhile, the ones behind it stayed at a free lane: they were refused after 1.5 s at the latest (QUEUE_TIMEOUT) or followed the next suspected request that came. Callers were held although nothing ran. Cause: SuspectLane.leave returned one request, and only the end of a run asked for the next. Change: SuspectLane.leave admits waiting requests until one runs or none waits. Before: SuspectLaneTest.aWaitingRequestFollowsOneThatDoesNotRun failed (admitted none of [c]). After: it passes, with CrashingRequestTest and the tests of runtime.call.

--- a/src/main/java/org/siskindyke/kernel/crash/SuspectLane.java
+++ b/src/main/java/org/siskindyke/kernel/crash/SuspectLane.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Lets suspected requests run at a backend server one at a time, so that its end is evidence against one of them only.
@@ -20,7 +21,7 @@
     public enum Entry {
         /** It may run now, and leaves by {@link #leave}. */
         RUN,
-        /** It waits until {@link #leave} returns it. */
+        /** It waits until {@link #leave} admits it. */
         WAIT,
         /** Too many wait; it has not entered. */
         FULL
@@ -45,16 +46,29 @@
     }
 
     /**
-     * Ends the run of a request; does nothing if it is not the one that runs.
+     * Ends the run of a request and admits waiting ones until one runs; does nothing if it is not the one that runs.
      *
-     * @return the request that has waited longest, which no longer waits and must enter again
+     * @param request the request
+     * @param admit receives the request that has waited longest, which no longer waits and may enter again
      */
-    public synchronized Optional<T> leave(T request) {
-        if (running != request) {
-            return Optional.empty();
+    public void leave(T request, Consumer<T> admit) {
+        if (!end(request)) {
+            return;
         }
-        running = null;
-        return Optional.ofNullable(waiting.poll());
+        for (Optional<T> next = next(); next.isPresent(); next = next()) {
+            admit.accept(next.get());
+        }
+    }
+
+    private synchronized boolean end(T request) {
+        boolean ran = running == request;
+        running = ran ? null : running;
+        return ran;
+    }
+
+    /** Removes and returns the request that has waited longest; empty while one runs. */
+    private synchronized Optional<T> next() {
+        return running == null ? Optional.ofNullable(waiting.poll()) : Optional.empty();
     }
 
     /** Removes a waiting request; returns whether it waited. */
--- a/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/call/LocalDispatcher.java
@@ -257,7 +257,7 @@
             if (reply.verdict() == Verdict.RAN && !call.idempotent() && !state.hasLease()) {
                 checked = Reply.mayHaveRun(Refusal.LEASE_LAPSED);
             }
-            target.suspectLane().leave(call);
+            leaveSuspectLane();
             target.slots().releaseSlot(clock.nowMillis());
             updateIdempotencyCache(checked);
             if (gate != null) {
@@ -266,6 +266,11 @@
             outcome.onSuccess(checked);
         }
 
+        private void leaveSuspectLane() {
+            // No request waits in the lane of this path.
+            target.suspectLane().leave(call, waiting -> {});
+        }
+
         private void leaveGate(Reply reply, long sentMillis) {
             if (reply.verdict() == Verdict.MAY_HAVE_RUN) {
                 gate.leaveUnfinished(sentMillis + rule.timeoutMillis());
@@ -295,7 +300,7 @@
             if (registeredInCache) {
                 target.idempotencyCache().forget(call.slice(), call.idempotencyKey());
             }
-            target.suspectLane().leave(call);
+            leaveSuspectLane();
             if (gate != null) {
                 gate.leave();
             }
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -319,7 +319,7 @@
         /** Lets the next suspected call run, unless this one still runs or never was one. */
         private void leaveSuspectLane() {
             if (!holdsSlot) {
-                suspectLane.leave(this).ifPresent(DispatchedCall::admit);
+                suspectLane.leave(this, DispatchedCall::admit);
             }
         }
 
