Refuse a request to all callers once it crashed servers for two

A request that comes from instances of several services ended one more backend server for each service, since a caller's request was convicted only by a crash under that caller. Ruled out: leaving the caller out of the verdict, since one caller could then get the requests of another refused. Change: evidence from two callers convicts the request for all; one caller alone still convicts its own only. Before: CrashSuspectsTest.aRequestThatCrashedBackendServersForTwoCallersIsRefusedToAll failed (third caller not refused). After: it passes, with SuspectSpreadTest and CrashingRequestTest. At most one server more than for a single caller, however many callers follow.

--- a/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
+++ b/src/main/java/org/siskindyke/kernel/crash/CrashSuspects.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.siskindyke.kernel.crash.SuspectAssessment.Level;
 import org.siskindyke.kernel.id.ClientAccount;
@@ -18,14 +19,18 @@
  * seen. A request is convicted once {@value #CONVICT_AFTER_CRASHES} backend servers have ended while they ran it, at
  * least one of them while it ran alone or was the only suspected one, and none has answered it since.
  *
- * <p>A caller's request is convicted only if a backend server ended during a run for this caller, so that no caller
- * can get the requests of another refused.
+ * <p>A caller's request is convicted only if a backend server ended during a run for this caller, or during runs for at
+ * least {@value #CONVICT_FOR_ALL_AFTER_CALLERS} others, so that no single caller can get the requests of another
+ * refused.
  *
  * <p>Any thread may read; all changes must be made on one thread.
  */
 public final class CrashSuspects {
     /** Number of crashes from which on a request is refused. */
     public static final int CONVICT_AFTER_CRASHES = 2;
+    /** Number of callers with crashes from which on a convicted request is refused to all callers. */
+    static final int CONVICT_FOR_ALL_AFTER_CALLERS = 2;
+
     /** How long a crash is remembered, in milliseconds. */
     public static final long EVIDENCE_LIFETIME_MILLIS = 600_000;
     /** Largest number of reports in one message to another router. */
@@ -92,10 +97,7 @@
         if (counted.isEmpty()) {
             return SuspectAssessment.NONE;
         }
-        boolean ofCaller = counted.stream().anyMatch(crash -> crash.caller().equals(caller));
-        Level level = counted.size() < CONVICT_AFTER_CRASHES
-                ? Level.SUSPECTED
-                : suspect.isConvicted(nowMillis) && ofCaller ? Level.CONVICTED : Level.ON_TRIAL;
+        Level level = level(suspect, counted, caller, nowMillis);
         long retryAfterMillis = level == Level.CONVICTED
                 ? counted.get(CONVICT_AFTER_CRASHES - 1).atMillis() + EVIDENCE_LIFETIME_MILLIS - nowMillis
                 : 0;
@@ -106,6 +108,15 @@
                 retryAfterMillis);
     }
 
+    private static Level level(Suspect suspect, List<Crash> counted, ClientAccount caller, long nowMillis) {
+        if (counted.size() < CONVICT_AFTER_CRASHES) {
+            return Level.SUSPECTED;
+        }
+        Set<ClientAccount> callers = counted.stream().map(Crash::caller).collect(Collectors.toSet());
+        boolean appliesToCaller = callers.contains(caller) || callers.size() >= CONVICT_FOR_ALL_AFTER_CALLERS;
+        return suspect.isConvicted(nowMillis) && appliesToCaller ? Level.CONVICTED : Level.ON_TRIAL;
+    }
+
     /** Returns the names of the backend servers that have ended within a span of time up to now. */
     public Set<TargetName> crashedWithin(long spanMillis, long nowMillis) {
         Set<TargetName> crashed = new HashSet<>();
--- a/src/test/java/org/siskindyke/kernel/crash/CrashSuspectsTest.java
+++ b/src/test/java/org/siskindyke/kernel/crash/CrashSuspectsTest.java
@@ -20,6 +20,7 @@
 class CrashSuspectsTest {
     private static final ClientAccount CALLER = ClientAccount.of("catalogue");
     private static final ClientAccount OTHER_CALLER = ClientAccount.of("orders");
+    private static final ClientAccount THIRD_CALLER = ClientAccount.of("third");
     private static final RequestFingerprint REQUEST = request(1);
     private static final int ROUTERS = 4;
     private static final int STEPS = 120;
@@ -101,6 +102,17 @@
         assertTrue(suspects.assess(REQUEST, CALLER, 30).isConvicted());
     }
 
+    /** Guards against a request that ends one more backend server for each further caller. */
+    @Example
+    void aRequestThatCrashedBackendServersForTwoCallersIsRefusedToAll() {
+        crash(1, REQUEST, OTHER_CALLER, 0);
+        crash(2, REQUEST, OTHER_CALLER, 0);
+        crash(3, REQUEST, CALLER, 20);
+        assertTrue(suspects.assess(REQUEST, THIRD_CALLER, 30).isConvicted());
+        suspects.onAnswered(REQUEST, 40);
+        assertFalse(suspects.assess(REQUEST, THIRD_CALLER, 50).isSuspected());
+    }
+
     @Example
     void convictionsExpireAndOneMoreCrashConvictsAgainWhileTheOtherIsRemembered() {
         long lifetimeMillis = CrashSuspects.EVIDENCE_LIFETIME_MILLIS;
