Do not expect the route of a configuration that the next one has replaced

Trace: asked at 2548109, the millisecond in which configuration 3, which has no route /v2/, was written; in force at n5 at 2548119; answered 404 at 2548134. The answer is right and the check was wrong: it asked for the age of configuration 2 only. Change: a route must be found as long as its configuration is the latest one written when the answer comes; as strict for that one as before. SoakInvariantsTest failed before and passes after; it also checks that a late 404 is still found.

--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -218,27 +218,30 @@
     private static List<String> configurationApplied(List<SoakEvent> events) {
         List<String> violations = new ArrayList<>();
         Map<String, SoakEvent> requests = requestsById(events);
-        Map<String, Long> writtenAtMillis = new HashMap<>();
+        SoakEvent latest = null;
         for (SoakEvent event : events) {
             if (event.what() == What.CONFIGURED) {
-                writtenAtMillis.put("/v" + event.detail() + "/", event.atMillis());
+                latest = event;
+                continue;
             }
-        }
-        for (SoakEvent event : events) {
             SoakEvent request = event.what() == What.ANSWERED ? requests.get(event.requestId()) : null;
-            if (request == null || event.status() != NOT_FOUND || !writtenAtMillis.containsKey(request.detail())) {
+            // A route of an earlier configuration may be gone as soon as a later one is written.
+            if (request == null || latest == null || event.status() != NOT_FOUND || !hasRoute(latest, request)) {
                 continue;
             }
-            boolean late = request.atMillis() > writtenAtMillis.get(request.detail()) + MAX_APPLY_MILLIS;
-            if (late && isUndisturbed(events, request)) {
+            long sinceMillis = request.atMillis() - latest.atMillis();
+            if (sinceMillis > MAX_APPLY_MILLIS && isUndisturbed(events, request)) {
                 violations.add(request.requestId() + " on " + request.detail() + " at " + request.who()
-                        + " was not found " + (request.atMillis() - writtenAtMillis.get(request.detail()))
-                        + " ms after its configuration was written");
+                        + " was not found " + sinceMillis + " ms after its configuration was written");
             }
         }
         return violations;
     }
 
+    private static boolean hasRoute(SoakEvent configured, SoakEvent request) {
+        return SoakTopology.markedPath(Integer.parseInt(configured.detail())).equals(request.detail());
+    }
+
     /** Returns whether neither router nor store had a fault for {@link #UNDISTURBED_MILLIS} before a request. */
     private static boolean isUndisturbed(List<SoakEvent> events, SoakEvent request) {
         long sinceMillis = request.atMillis() - UNDISTURBED_MILLIS;
--- /dev/null
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -0,0 +1,56 @@
+package org.siskindyke.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.Example;
+import org.siskindyke.soak.SoakEvent.What;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class SoakInvariantsTest {
+    private static final String ROUTER = "127.0.0.1:7000";
+    private static final SoakPlan NO_FAULTS = new SoakPlan(List.of(), false, false);
+    private static final long WRITTEN_MILLIS = 1_000;
+    private static final long LATE_MILLIS = WRITTEN_MILLIS + 3_589;
+
+    private final List<SoakEvent> events = new ArrayList<>();
+
+    private static List<String> violations(List<SoakEvent> events) {
+        return SoakInvariants.all().stream()
+                .filter(invariant -> invariant.name().equals("the configuration is in force in time"))
+                .findFirst()
+                .orElseThrow()
+                .violations(events, NO_FAULTS);
+    }
+
+    private void configured(long atMillis, int version) {
+        events.add(SoakEvent.of(atMillis, What.CONFIGURED, "operator", Integer.toString(version)));
+    }
+
+    private void asked(long atMillis, String path) {
+        events.add(SoakEvent.asked(atMillis, ROUTER, "c1", -1, path));
+    }
+
+    private void notFound(long atMillis) {
+        events.add(SoakEvent.answered(atMillis, ROUTER, "c1", 404, null));
+    }
+
+    @Example
+    void aRouteOfTheLatestConfigurationMustBeFoundInTime() {
+        configured(WRITTEN_MILLIS, 2);
+        asked(LATE_MILLIS, "/v2/");
+        notFound(LATE_MILLIS + 25);
+        assertEquals(1, violations(events).size());
+    }
+
+    /** Guards against a violation for a route that the next configuration removed while the request was on its way. */
+    @Example
+    void aRouteThatTheNextConfigurationRemovesNeedNotBeFound() {
+        configured(WRITTEN_MILLIS, 2);
+        asked(LATE_MILLIS, "/v2/");
+        configured(LATE_MILLIS, 3);
+        notFound(LATE_MILLIS + 25);
+        assertEquals(List.of(), violations(events));
+    }
+}
