--- a/src/test/java/org/siskindyke/platform/CrashingRequestTest.java
+++ b/src/test/java/org/siskindyke/platform/CrashingRequestTest.java
@@ -25,6 +25,7 @@
     private static final int SENDS = 24;
     private static final int RESETS = 4;
     private static final int HARMLESS = 3;
+    private static final List<String> CALLING_SERVICES = List.of("orders", "search", "mail", "pictures");
     /** Well below the time for which a crash is remembered. */
     private static final double MIN_RETRY_AFTER_SECONDS = 300;
     /** Backend servers that one request may end, by the rules of the users' platform. */
@@ -65,6 +66,18 @@
         assertCrashesAtMost(2);
     }
 
+    /** Guards against a request that ends one more server for each service from whose instances it comes. */
+    @Example
+    void aRequestFromInstancesOfSeveralServicesIsNotSentOnAfterItEndedThree() throws InterruptedException {
+        startSix();
+        for (String service : CALLING_SERVICES) {
+            cluster.start(service, false, "a");
+        }
+        awaitAllServing();
+        sendRepeatedly("/safe/crash/0");
+        assertCrashesAtMost(MAX_CRASHES);
+    }
+
     /** Guards against refusals that callers repeat at once, or take for a request that may have run. */
     @Example
     void aConvictedRequestIsRefusedAsNotRunWithTheTimeUntilItMayRunAgain() throws InterruptedException {
