--- a/src/main/java/org/siskindyke/kernel/crash/SuspectLane.java
+++ b/src/main/java/org/siskindyke/kernel/crash/SuspectLane.java
@@ -61,9 +61,11 @@
     }
 
     private synchronized boolean end(T request) {
-        boolean ran = running == request;
-        running = ran ? null : running;
-        return ran;
+        if (running != request) {
+            return false;
+        }
+        running = null;
+        return true;
     }
 
     /** Removes and returns the request that has waited longest; empty while one runs. */
