Hash the content of a call once where its fingerprint is known

CrashSigns and CrashDetector had the fingerprint of a call and assessed the call itself, which hashed its content again while any request was suspected; on the router command's path the control thread hashed the content of each answered call. Change: CrashGuard assesses a known fingerprint; CrashDetector hashes on the thread that brings the answer.

--- a/src/main/java/org/siskindyke/runtime/CrashDetector.java
+++ b/src/main/java/org/siskindyke/runtime/CrashDetector.java
@@ -21,6 +21,7 @@
 import org.siskindyke.kernel.crash.RecentAnswers;
 import org.siskindyke.kernel.crash.RequestFingerprint;
 import org.siskindyke.kernel.crash.TargetIncarnation;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.time.MonotonicClock;
@@ -70,7 +71,8 @@
     public void onReply(Call call, LocalTarget target, Reply reply) {
         boolean lost = reply.refusal() == Refusal.ANSWER_LOST;
         if (reply.isAnswer()) {
-            control.execute(() -> onAnswer(call.fingerprint()));
+            RequestFingerprint request = call.fingerprint();
+            control.execute(() -> onAnswer(request));
         } else if (lost || reply.refusal() == Refusal.TARGET_UNREACHABLE) {
             control.execute(() -> onFailure(call, target.announcement(), lost));
         }
@@ -94,7 +96,7 @@
         long nowMillis = clock.nowMillis();
         RequestFingerprint request = call.fingerprint();
         if (lost && !recentAnswers.isRecent(request, nowMillis)) {
-            Loss loss = new Loss(request, call.caller(), isSuspected(call, nowMillis), nowMillis);
+            Loss loss = new Loss(request, call.caller(), isSuspected(request, call.caller(), nowMillis), nowMillis);
             investigation(target.service()).onLost(loss);
         }
         if (probesInProgress.add(target.service())) {
@@ -102,12 +104,8 @@
         }
     }
 
-    private boolean isSuspected(Call call, long nowMillis) {
-        return member.get()
-                .view()
-                .suspects()
-                .assess(call.fingerprint(), call.caller(), nowMillis)
-                .isSuspected();
+    private boolean isSuspected(RequestFingerprint request, ClientAccount caller, long nowMillis) {
+        return member.get().view().suspects().assess(request, caller, nowMillis).isSuspected();
     }
 
     private void probe(TargetAnnouncement target) {
--- a/src/main/java/org/siskindyke/runtime/call/CrashGuard.java
+++ b/src/main/java/org/siskindyke/runtime/call/CrashGuard.java
@@ -8,6 +8,7 @@
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.crash.RequestFingerprint;
 import org.siskindyke.kernel.crash.SuspectAssessment;
+import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.membership.MemberRow;
@@ -42,9 +43,12 @@
 
     /** Returns how strongly a call is suspected; hashes its content only while any call is suspected. */
     public SuspectAssessment assess(Call call) {
-        return view.get().suspects().isEmpty()
-                ? SuspectAssessment.NONE
-                : view.get().suspects().assess(call.fingerprint(), call.caller(), clock.nowMillis());
+        return view.get().suspects().isEmpty() ? SuspectAssessment.NONE : assess(call.fingerprint(), call.caller());
+    }
+
+    /** Returns how strongly the call of a caller with a known fingerprint is suspected. */
+    public SuspectAssessment assess(RequestFingerprint fingerprint, ClientAccount caller) {
+        return view.get().suspects().assess(fingerprint, caller, clock.nowMillis());
     }
 
     /**
--- a/src/main/java/org/siskindyke/runtime/traffic/CrashSigns.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CrashSigns.java
@@ -31,7 +31,7 @@
     void onAnswered(Call call) {
         RequestFingerprint fingerprint = call.fingerprint();
         recentAnswers.onAnswered(fingerprint, clock.nowMillis());
-        if (crashGuard.assess(call).isSuspected()) {
+        if (crashGuard.assess(fingerprint, call.caller()).isSuspected()) {
             observer.onSuspectAnswered(fingerprint);
         }
     }
@@ -48,7 +48,8 @@
     void onConnectionLost(Call call, boolean apart, InetSocketAddress address, HttpClientPool pool) {
         RequestFingerprint fingerprint = call.fingerprint();
         if (!recentAnswers.isRecent(fingerprint, clock.nowMillis())) {
-            boolean suspected = apart || crashGuard.assess(call).isSuspected();
+            boolean suspected =
+                    apart || crashGuard.assess(fingerprint, call.caller()).isSuspected();
             observer.onConnectionLost(new Loss(fingerprint, call.caller(), suspected, clock.nowMillis()));
             probe.schedule(address, pool);
         }
