Log what configuration reads saw, and which configuration decided about a request

The log could not tell the hypotheses apart: nothing said which revision an answer of the store held, which version the answer named, or whether the store or another router brought a configuration.

New events configuration-read (revision of the row, version of the answer, version watched after) and configuration-history-gone; configuration-in-force names the revision and the member that sent it; request-failed names the configuration's version; gauge siskindyke.configuration.version. No behaviour is changed.

--- a/src/main/java/org/siskindyke/kernel/control/ControlListener.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlListener.java
@@ -41,8 +41,13 @@
     /** Called when an action of the state machine threw an unexpected exception. */
     void onInternalError(RuntimeException exception);
 
-    /** Called when a newer configuration was accepted. */
-    default void onConfiguration(ConfigurationText configuration) {}
+    /**
+     * Called when a newer configuration was accepted.
+     *
+     * @param configuration the configuration
+     * @param from the member that sent it; null where this router read it from the table or had it before
+     */
+    default void onConfiguration(ConfigurationText configuration, MemberId from) {}
 
     /** Called when this member learns that a request is refused, since backend servers ended while they ran it. */
     default void onConvicted(SuspectReport evidence) {}
--- a/src/main/java/org/siskindyke/kernel/control/MemberController.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberController.java
@@ -222,7 +222,7 @@
 
     /** Accepts a configuration that is newer than the known one, and spreads it by gossip. */
     public void onConfiguration(ConfigurationText configuration) {
-        sync.acceptConfiguration(configuration);
+        sync.acceptConfiguration(configuration, null);
     }
 
     /**
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -148,11 +148,16 @@
                         : List.of());
     }
 
-    /** Accepts a configuration if it is newer than the known one. */
-    void acceptConfiguration(ConfigurationText offered) {
+    /**
+     * Accepts a configuration if it is newer than the known one.
+     *
+     * @param offered the configuration
+     * @param from the member that sent it; null for none
+     */
+    void acceptConfiguration(ConfigurationText offered, MemberId from) {
         if (offered.revision() > configuration.revision()) {
             configuration = offered;
-            context.listener().onConfiguration(offered);
+            context.listener().onConfiguration(offered, from);
         }
     }
 
@@ -210,7 +215,7 @@
             notifyOf(context.view().apply(gossip.changes(), context.nowMillis()));
         }
         if (gossip.configuration() != null) {
-            acceptConfiguration(gossip.configuration());
+            acceptConfiguration(gossip.configuration(), gossip.member());
         }
         if (!gossip.suspects().isEmpty()) {
             onSuspects.accept(gossip.suspects());
--- a/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
@@ -62,10 +62,12 @@
         }
         updateFailing(false, "");
         if (answer.status() == StoreClient.HISTORY_GONE) {
+            log.event("configuration-history-gone", "after", version);
             traffic.schedule(this::start, COALESCE_MILLIS);
             return;
         }
         for (JsonNode row : answer.body().path("rows")) {
+            logRead(row, answer);
             if (row.path("key").asText().equals(KEY) && !row.path("tombstone").asBoolean(false)) {
                 offer(row);
             }
@@ -74,6 +76,19 @@
         traffic.schedule(this::watch, COALESCE_MILLIS);
     }
 
+    private void logRead(JsonNode row, StoreClient.Answer answer) {
+        log.event(
+                "configuration-read",
+                "row",
+                row.path("key").asText(),
+                "revision",
+                row.path("ver").asLong(),
+                "storeVersion",
+                answer.body().path("ver").asLong(),
+                "after",
+                version);
+    }
+
     private void offer(JsonNode row) {
         try {
             onConfiguration.accept(new ConfigurationText(row.path("ver").asLong(), StoreClient.decodeValue(row)));
--- a/src/main/java/org/siskindyke/runtime/ActiveConfiguration.java
+++ b/src/main/java/org/siskindyke/runtime/ActiveConfiguration.java
@@ -13,18 +13,20 @@
 import org.siskindyke.kernel.document.MatchRule;
 import org.siskindyke.kernel.document.ServiceDocument;
 import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.TeamName;
 import org.siskindyke.kernel.route.CallerLimits;
 import org.siskindyke.kernel.route.RoutingConfiguration;
 import org.siskindyke.kernel.route.ServiceSettings;
 
-/** The routing configuration in force. Confined to the control thread, except for {@link #limits()}. */
+/** The routing configuration in force. Confined to the control thread, except where a method says otherwise. */
 final class ActiveConfiguration {
     private final Function<ConfigurationText, RoutingConfiguration> decoder;
     private final int sliceCount;
     private final Consumer<RoutingConfiguration> onApplied;
     private final EventLog log;
+    private volatile long version;
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
     private ConfigurationText text = ConfigurationText.NONE;
     private RoutingConfiguration routing;
@@ -48,8 +50,13 @@
         this.log = log;
     }
 
-    /** Puts a configuration into force. If it cannot be decoded, logs an event and keeps the previous one. */
-    void apply(ConfigurationText received) {
+    /**
+     * Puts a configuration into force. If it cannot be decoded, logs an event and keeps the previous one.
+     *
+     * @param received the configuration
+     * @param from the member that sent it; null where this router read it from the table or had it before
+     */
+    void apply(ConfigurationText received, MemberId from) {
         RoutingConfiguration decoded;
         try {
             decoded = decoder.apply(received);
@@ -60,11 +67,16 @@
         text = received;
         routing = decoded;
         limits = decoded.limits();
+        version = decoded.version();
         onApplied.accept(decoded);
         log.event(
                 "configuration-in-force",
                 "version",
                 decoded.version(),
+                "revision",
+                received.revision(),
+                "from",
+                from,
                 "routes",
                 decoded.routes().size());
     }
@@ -74,6 +86,11 @@
         return text;
     }
 
+    /** Returns the version in force; 0 before the first configuration. Safe for any thread. */
+    long version() {
+        return version;
+    }
+
     /** Returns the limits on caller requests; the defaults before the first configuration. Safe for any thread. */
     CallerLimits limits() {
         return limits;
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -231,7 +231,8 @@
                         backend::waiting,
                         log::dropped,
                         this::convictedRequests,
-                        this::membersServing),
+                        this::membersServing,
+                        configuration::version),
                 METRICS_START_DELAY_MILLIS);
         log.event(
                 "router-started",
--- a/src/main/java/org/siskindyke/runtime/MemberEventListener.java
+++ b/src/main/java/org/siskindyke/runtime/MemberEventListener.java
@@ -1,6 +1,6 @@
 package org.siskindyke.runtime;
 
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 import org.siskindyke.kernel.control.ConfigurationText;
 import org.siskindyke.kernel.control.ControlListener;
@@ -16,7 +16,7 @@
     private final EventLog log;
     private final Runnable onJoined;
     private final Runnable onDeclaredDead;
-    private final Consumer<ConfigurationText> onConfiguration;
+    private final BiConsumer<ConfigurationText, MemberId> onConfiguration;
 
     /**
      * Creates a listener.
@@ -25,14 +25,14 @@
      * @param log receives the events
      * @param onJoined called when the member has joined
      * @param onDeclaredDead called when the member was declared dead
-     * @param onConfiguration called with each newer configuration
+     * @param onConfiguration called with each newer configuration and the member that sent it
      */
     MemberEventListener(
             MemberId self,
             EventLog log,
             Runnable onJoined,
             Runnable onDeclaredDead,
-            Consumer<ConfigurationText> onConfiguration) {
+            BiConsumer<ConfigurationText, MemberId> onConfiguration) {
         this.self = self;
         this.log = log;
         this.onJoined = onJoined;
@@ -70,8 +70,8 @@
     }
 
     @Override
-    public void onConfiguration(ConfigurationText received) {
-        onConfiguration.accept(received);
+    public void onConfiguration(ConfigurationText received, MemberId from) {
+        onConfiguration.accept(received, from);
     }
 
     @Override
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -75,6 +75,8 @@
                 outcome.attempts(),
                 "lastMember",
                 outcome.lastMember(),
+                "configurationVersion",
+                outcome.configurationVersion(),
                 "tookMillis",
                 outcome.tookMillis());
     }
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -34,13 +34,15 @@
             Supplier<Number> callsWaiting,
             Supplier<Number> eventsDropped,
             Supplier<Number> convictedRequests,
-            Supplier<Number> membersServing) {
+            Supplier<Number> membersServing,
+            Supplier<Number> configurationVersion) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         Gauge.builder("siskindyke.slots.used", slotsUsed).register(registry);
         Gauge.builder("siskindyke.calls.waiting", callsWaiting).register(registry);
         Gauge.builder("siskindyke.convicted.requests", convictedRequests).register(registry);
         Gauge.builder("siskindyke.members.serving", membersServing).register(registry);
+        Gauge.builder("siskindyke.configuration.version", configurationVersion).register(registry);
         Gauge.builder("siskindyke.log.events.dropped", eventsDropped).register(registry);
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/CallOutcome.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallOutcome.java
@@ -19,6 +19,7 @@
  * @param nested whether a request that runs at the backend server beside this router made it and waits for it
  * @param attempts the number of attempts, at this router or others
  * @param lastMember the member that the last attempt was sent to; null where there was none
+ * @param configurationVersion the version of the configuration that decided; 0 before the first
  * @param tookMillis the time from reading the request to its response, in milliseconds
  */
 public record CallOutcome(
@@ -32,4 +33,5 @@
         boolean nested,
         int attempts,
         MemberId lastMember,
+        long configurationVersion,
         long tookMillis) {}
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -112,7 +112,11 @@
     @Override
     public Cancellable handle(HttpExchange.Request request, HttpExchange.Responder responder) {
         CallDialect.CallerFields fields = dialect.read(request.headers());
-        RequestAttempts attempts = new RequestAttempts(context, fields.requestId(), responder);
+        RequestAttempts attempts = new RequestAttempts(
+                context,
+                fields.requestId(),
+                responder,
+                routes == null ? 0 : routes.configuration().version());
         if (routes == null) {
             attempts.refuse(Refusal.NO_SERVICE, RequestAttempts.UNAVAILABLE, RequestAttempts.NO_OWNER_RETRY_MILLIS);
             return Cancellable.NONE;
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -62,6 +62,7 @@
     private final MonotonicClock clock;
     private final String requestId;
     private final HttpExchange.Responder responder;
+    private final long configurationVersion;
     private final long startMillis;
     private final Set<MemberId> tried = new HashSet<>();
     private boolean divided;
@@ -86,8 +87,17 @@
     private Reply lastFailure;
     private boolean ended;
 
-    RequestAttempts(Context context, String requestId, HttpExchange.Responder responder) {
+    /**
+     * Creates a request that has not been sent.
+     *
+     * @param context the objects that all requests share
+     * @param requestId the id of the request; null where the caller sent none
+     * @param responder receives the response
+     * @param configurationVersion the version of the configuration that decides about it; 0 for none
+     */
+    RequestAttempts(Context context, String requestId, HttpExchange.Responder responder, long configurationVersion) {
         this.context = context;
+        this.configurationVersion = configurationVersion;
         this.clock = context.clock();
         this.requestId = requestId;
         this.responder = responder;
@@ -385,6 +395,7 @@
                         call != null && call.scheduling().nested(),
                         attemptCount,
                         lastMember,
+                        configurationVersion,
                         clock.nowMillis() - startMillis));
     }
 
