--- a/src/main/java/org/siskindyke/standin/StoreStandin.java
+++ b/src/main/java/org/siskindyke/standin/StoreStandin.java
@@ -3,9 +3,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -24,7 +28,7 @@
 
 /**
  * Stand-in for the store of the users' platform: rows with versions, conditional transactions and watches, with
- * switchable faults. Requests are handled on the traffic loop; {@code setFault}, {@code put} and
+ * switchable faults. Requests are handled on the traffic loop; the methods that set faults, {@code put} and
  * {@code calls} may be called on any thread.
  */
 public final class StoreStandin {
@@ -42,16 +46,27 @@
     /** Maximum number of conditions, writes and removals of a transaction together, as on the users' platform. */
     private static final int MAX_TRANSACTION_ENTRIES = 100;
 
+    /** States kept of each row. */
+    private static final int MAX_ROW_STATES = 50;
+
     private static final Header JSON = new Header("Content-Type", "application/json");
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
     private final TrafficLoop traffic;
     private final MonotonicClock clock;
-    private final Map<String, TreeMap<String, StoredRow>> tables = new TreeMap<>();
+    private final Map<String, TreeMap<String, RowHistory>> tables = new TreeMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Map<InetSocketAddress, Fault> faultByAddress = new ConcurrentHashMap<>();
+    /** Other ends of connections on which calls are neither executed nor answered. */
+    private final Set<InetSocketAddress> silentConnections = new HashSet<>();
+
+    private final Set<InetSocketAddress> openedConnections = new HashSet<>();
     private volatile int calls;
+    private volatile long staleMillis;
+    private volatile boolean watchesHearNothing;
     private long version;
+    /** Version before which the history has been dropped. */
+    private long historyStart;
 
     /** Faults of the store. */
     public enum Fault {
@@ -71,7 +86,32 @@
         HISTORY_GONE
     }
 
-    private record StoredRow(String value, long version, boolean deleted) {}
+    private record StoredRow(String value, long version, boolean deleted, long writtenMillis) {}
+
+    /** The states of one row that a stale read may return, oldest first. */
+    private static final class RowHistory {
+        private final Deque<StoredRow> states = new ArrayDeque<>();
+
+        private void add(StoredRow state) {
+            states.add(state);
+            while (states.size() > MAX_ROW_STATES) {
+                states.remove();
+            }
+        }
+
+        private StoredRow latest() {
+            return states.getLast();
+        }
+
+        /** Returns the state at a time; null where the row did not exist yet. */
+        private StoredRow at(long millis) {
+            StoredRow found = null;
+            for (StoredRow state : states) {
+                found = state.writtenMillis() <= millis ? state : found;
+            }
+            return found;
+        }
+    }
 
     /** A watch that has not been answered yet. */
     private record Watch(String table, long after, HttpExchange.Responder responder) {}
@@ -99,6 +139,39 @@
         faultByAddress.put(address, fault);
     }
 
+    /**
+     * Lets reads of rows return the state of some time ago, with the newest version in the answer. Watches and
+     * transactions are not affected.
+     *
+     * @param millis how far reads are behind; 0 ends the fault
+     */
+    public void setStaleReads(long millis) {
+        staleMillis = millis;
+    }
+
+    /** Sets whether watches are not told of changes; they are answered without rows once their wait is over. */
+    public void setWatchesHearNothing(boolean hearNothing) {
+        watchesHearNothing = hearNothing;
+    }
+
+    /** Drops the history of all changes so far, and fails all watches that wait. */
+    public void dropHistory() {
+        traffic.execute(() -> {
+            historyStart = version;
+            List<Watch> waiting = List.copyOf(watches);
+            watches.clear();
+            waiting.forEach(watch -> watch.responder().respond(HttpExchange.Response.empty(SERVICE_UNAVAILABLE)));
+        });
+    }
+
+    /** Lets the connections that are open now go silent for good; new ones work. */
+    public void silenceOpenConnections() {
+        traffic.execute(() -> {
+            silentConnections.addAll(openedConnections);
+            watches.clear();
+        });
+    }
+
     /** Returns the number of calls received so far. */
     public int calls() {
         return calls;
@@ -116,6 +189,10 @@
     private Cancellable handle(
             InetSocketAddress address, HttpExchange.Request request, HttpExchange.Responder responder) {
         calls++;
+        openedConnections.add(request.remote());
+        if (silentConnections.contains(request.remote())) {
+            return Cancellable.NONE;
+        }
         Fault fault = faultByAddress.get(address);
         switch (fault) {
             case SILENT -> {}
@@ -155,7 +232,7 @@
         }
         for (JsonNode condition : transaction.path("precondition")) {
             if (versionOf(condition) != condition.path("ver").asLong()) {
-                responder.respond(json(CONDITION_FAILED, newResponseBody()));
+                responder.respond(json(CONDITION_FAILED, currentRows(transaction.path("precondition"))));
                 return;
             }
         }
@@ -175,16 +252,36 @@
     }
 
     private long versionOf(JsonNode name) {
-        StoredRow row = table(name.path("table").asText()).get(name.path("key").asText());
+        StoredRow row = latest(name);
         return row == null || row.deleted() ? 0 : row.version();
     }
 
-    private TreeMap<String, StoredRow> table(String name) {
+    private StoredRow latest(JsonNode name) {
+        RowHistory history =
+                table(name.path("table").asText()).get(name.path("key").asText());
+        return history == null ? null : history.latest();
+    }
+
+    private ObjectNode currentRows(JsonNode names) {
+        ObjectNode answer = newResponseBody();
+        ArrayNode rows = answer.putArray("rows");
+        for (JsonNode name : names) {
+            StoredRow row = latest(name);
+            if (row != null && !row.deleted()) {
+                append(rows, name.path("table").asText(), name.path("key").asText(), row);
+            }
+        }
+        return answer;
+    }
+
+    private TreeMap<String, RowHistory> table(String name) {
         return tables.computeIfAbsent(name, n -> new TreeMap<>());
     }
 
     private void write(String table, String key, String value, boolean deleted) {
-        table(table).put(key, new StoredRow(value, version, deleted));
+        table(table)
+                .computeIfAbsent(key, k -> new RowHistory())
+                .add(new StoredRow(value, version, deleted, clock.nowMillis()));
     }
 
     private void read(QueryStringDecoder query, HttpExchange.Responder responder) {
@@ -194,9 +291,11 @@
         ObjectNode answer = newResponseBody();
         ArrayNode rows = answer.putArray("rows");
         String table = parameter(query, "table", "");
-        for (Map.Entry<String, StoredRow> row : table(table).subMap(from, to).entrySet()) {
-            if (rows.size() < limit && !row.getValue().deleted()) {
-                append(rows, table, row.getKey(), row.getValue());
+        long asOfMillis = staleMillis == 0 ? Long.MAX_VALUE : clock.nowMillis() - staleMillis;
+        for (Map.Entry<String, RowHistory> entry : table(table).subMap(from, to).entrySet()) {
+            StoredRow row = entry.getValue().at(asOfMillis);
+            if (rows.size() < limit && row != null && !row.deleted()) {
+                append(rows, table, entry.getKey(), row);
             }
         }
         answer.put("has_more", false);
@@ -204,18 +303,18 @@
     }
 
     private void watch(QueryStringDecoder query, Fault fault, HttpExchange.Responder responder) {
-        if (fault == Fault.HISTORY_GONE) {
+        long after = Long.parseLong(parameter(query, "after", "0"));
+        if (fault == Fault.HISTORY_GONE || after < historyStart) {
             responder.respond(json(GONE, newResponseBody()));
             return;
         }
-        Watch watch =
-                new Watch(parameter(query, "table", ""), Long.parseLong(parameter(query, "after", "0")), responder);
+        Watch watch = new Watch(parameter(query, "table", ""), after, responder);
         watches.add(watch);
         long waitMillis = Long.parseLong(parameter(query, "wait_ms", "0"));
         traffic.schedule(
                 () -> {
                     if (watches.remove(watch)) {
-                        responder.respond(json(OK, changes(watch)));
+                        responder.respond(json(OK, watchesHearNothing ? noChanges() : changes(watch)));
                     }
                 },
                 waitMillis);
@@ -223,6 +322,9 @@
     }
 
     private void answerWatches() {
+        if (watchesHearNothing) {
+            return;
+        }
         for (Watch watch : List.copyOf(watches)) {
             ObjectNode changes = changes(watch);
             if (!changes.path("rows").isEmpty()) {
@@ -235,7 +337,8 @@
     private ObjectNode changes(Watch watch) {
         ObjectNode answer = newResponseBody();
         ArrayNode rows = answer.putArray("rows");
-        table(watch.table()).forEach((key, row) -> {
+        table(watch.table()).forEach((key, history) -> {
+            StoredRow row = history.latest();
             if (row.version() > watch.after()) {
                 append(rows, watch.table(), key, row);
             }
@@ -243,6 +346,12 @@
         return answer;
     }
 
+    private ObjectNode noChanges() {
+        ObjectNode answer = newResponseBody();
+        answer.putArray("rows");
+        return answer;
+    }
+
     private static void append(ArrayNode rows, String table, String key, StoredRow row) {
         ObjectNode node = rows.addObject();
         node.put("table", table).put("part", "").put("key", key).put("ver", row.version());
