Replicate rows only up to the version that was seen

A router could take stale rows of members and owners for complete up to the newest version and never learn a change of owner; two routers could then hold the same keys.

PlatformTable named the version of the answer after a read and after a watch without rows. MemberController.knowsOwnSlices compares that version, so a restarted router could grant slices by stale rows.

Change: a read is complete up to its newest row; a watch without rows up to the version that the watch before named (WatchProgress, now used for the configuration as well). Where the history is gone, the router writes a row of its own and reads every 0.5 s until that row appears; it costs one write and two calls or more per reader and loss.

--- a/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
@@ -36,7 +36,10 @@
     private final TrafficLoop traffic;
     private final Consumer<ConfigurationText> onConfiguration;
     private final EventLog log;
-    private final FeedPosition position = new FeedPosition();
+    private final WatchProgress progress = new WatchProgress();
+    /** Version up to which all changes were seen. */
+    private long seenVersion;
+
     /** Version of the newest row seen; 0 for none. */
     private long revision;
 
@@ -55,23 +58,23 @@
         store.readRows(TABLE, KEY, KEY + '\u0001', 1).whenComplete((answer, failure) -> {
             if (isAnswered(failure, this::start)) {
                 offerRows(answer);
-                position.advanceTo(revision);
+                seenVersion = Math.max(seenVersion, revision);
                 watch();
             }
         });
     }
 
     private void watch() {
-        store.watch(TABLE, position.seenVersion(), WATCH_WAIT_MILLIS).whenComplete((answer, failure) -> {
+        store.watch(TABLE, seenVersion, WATCH_WAIT_MILLIS).whenComplete((answer, failure) -> {
             if (!isAnswered(failure, this::watch)) {
                 return;
             }
             if (answer.status() == StoreClient.HISTORY_GONE) {
-                log.event("configuration-history-gone", "after", position.seenVersion());
+                log.event("configuration-history-gone", "after", seenVersion);
                 confirm();
                 return;
             }
-            position.onWatched(offerRows(answer), version(answer));
+            seenVersion = progress.onAnswer(seenVersion, offerRows(answer), version(answer));
             traffic.schedule(this::watch, COALESCE_MILLIS);
         });
     }
@@ -99,7 +102,7 @@
         boolean unchanged = answer.status() == StoreClient.OK;
         log.event("configuration-confirmed", "revision", revision, "unchanged", unchanged);
         if (unchanged || offerRows(answer) > 0) {
-            position.advanceTo(version(answer));
+            seenVersion = Math.max(seenVersion, version(answer));
             traffic.schedule(this::watch, COALESCE_MILLIS);
         } else {
             traffic.schedule(this::start, COALESCE_MILLIS);
@@ -151,7 +154,7 @@
                 "storeVersion",
                 version(answer),
                 "after",
-                position.seenVersion());
+                seenVersion);
     }
 
     private void offer(JsonNode row) {
--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -197,7 +197,7 @@
      * Returns an address that is free and that no other call in this process returns. Outgoing connections do not take
      * its port before it is bound, since the kernel gives them higher ones.
      */
-    private static InetSocketAddress freeAddress() {
+    static InetSocketAddress freeAddress() {
         for (int i = 0; i < PORT_COUNT; i++) {
             int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORT_COUNT;
             InetSocketAddress address = new InetSocketAddress(HOST, port);
--- a/src/main/java/org/siskindyke/platform/PlatformRouter.java
+++ b/src/main/java/org/siskindyke/platform/PlatformRouter.java
@@ -20,8 +20,9 @@
     static InstanceRouter start(InstanceSettings settings, TrafficLoop traffic, EventLog log) {
         MonotonicClock clock = SystemMonotonicClock.INSTANCE;
         StoreClient store = new StoreClient(new PooledHttpClient(traffic, clock, settings.table()));
-        InstanceRouter router = new InstanceRouter(
-                settings, traffic, new PlatformTable(store), new PlatformDialect(), ConfigurationReader::read, log);
+        PlatformTable table = new PlatformTable(store, traffic, settings.instance());
+        InstanceRouter router =
+                new InstanceRouter(settings, traffic, table, new PlatformDialect(), ConfigurationReader::read, log);
         router.start();
         new ConfigurationWatcher(store, traffic, router::offerConfiguration, log).start();
         traffic.scheduleWithFixedDelay(() -> store.logCalls(log), STORE_LOG_INTERVAL_MILLIS);
