Read single rows by a transaction without writes, since reads may lag

TableWriter settles a write whose answer was lost by reading its own row; a stale read makes a committed transaction a conflict, and all later ones fail on the condition on that row. MemberRegistration ends a member whose row a stale read does not show yet.

Change: PlatformTable.read sends a transaction with the condition that the row does not exist; its failure brings the present row. StoreClient.check is shared with the configuration. Cost: a write call in place of a read call for each such read.

PlatformTableTest.aRowThatIsReadByItselfIsNeverStale: failed before (the row was read as absent), now passes.

--- a/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
@@ -4,8 +4,6 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.siskindyke.kernel.control.ConfigurationText;
 import org.siskindyke.runtime.EventLog;
 import org.siskindyke.runtime.traffic.TrafficLoop;
@@ -81,17 +79,7 @@
 
     /** Finds out whether the row that was seen is still the newest. */
     private void confirm() {
-        ObjectNode transaction = JsonNodeFactory.instance.objectNode();
-        transaction
-                .putArray("precondition")
-                .addObject()
-                .put("table", TABLE)
-                .put("part", "")
-                .put("key", KEY)
-                .put("ver", revision);
-        transaction.putArray("writes");
-        transaction.putArray("remove");
-        store.transact(transaction).whenComplete((answer, failure) -> {
+        store.check(TABLE, KEY, revision).whenComplete((answer, failure) -> {
             if (isAnswered(failure, this::start)) {
                 onConfirmed(answer);
             }
--- a/src/main/java/org/siskindyke/platform/PlatformTable.java
+++ b/src/main/java/org/siskindyke/platform/PlatformTable.java
@@ -148,14 +148,15 @@
         return path.isReplicated() || path.isIn(MARKERS) ? REPLICATED_TABLE : UNREPLICATED_TABLE;
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Sends a transaction without writes and the condition that the row does not exist, since reads may lag.
+     */
     @Override
     public CompletionStage<Row> read(RowPath path) {
-        // No other key lies between a key and the same key followed by U+0001.
-        return store.readRows(table(path), path.value(), path.value() + '\u0001', 1)
-                .thenApply(answer -> {
-                    JsonNode rows = answer.body().path("rows");
-                    return rows.isEmpty() ? Row.absent(path) : row(rows.get(0));
-                });
+        return store.readCurrent(table(path), path.value(), 0)
+                .thenApply(current -> current.map(PlatformTable::row).orElse(Row.absent(path)));
     }
 
     @Override
--- a/src/main/java/org/siskindyke/platform/StoreClient.java
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -4,12 +4,14 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.LongAdder;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.runtime.EventLog;
@@ -103,6 +105,52 @@
                 httpClient.call("GET", target, NO_BODY, CALL_TIMEOUT_MILLIS).thenCompose(r -> decode(r, OK)));
     }
 
+    /**
+     * Reads the present state of a row by a transaction without writes: unlike {@link #readRows}, it never lags.
+     *
+     * @param table the table
+     * @param key the key of the row
+     * @param knownVersion the version of the row that the caller knows; 0 for no row
+     * @return the row, or empty if it still has the known version; fails with {@code TABLE_UNAVAILABLE} for no answer
+     *     and where the answer does not contain the row
+     */
+    CompletionStage<Optional<JsonNode>> readCurrent(String table, String key, long knownVersion) {
+        return check(table, key, knownVersion).thenCompose(answer -> currentRow(answer, key));
+    }
+
+    private static CompletionStage<Optional<JsonNode>> currentRow(Answer answer, String key) {
+        if (answer.status() == OK) {
+            return CompletableFuture.completedStage(Optional.empty());
+        }
+        for (JsonNode row : answer.body().path("rows")) {
+            if (row.path("key").asText().equals(key)) {
+                return CompletableFuture.completedStage(Optional.of(row));
+            }
+        }
+        return CompletableFuture.failedStage(
+                new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "store names no row of a failed condition"));
+    }
+
+    /**
+     * Checks by a transaction without writes whether a row still has a version.
+     *
+     * @return the answer, with status 200 if it has, or 412 and its present state if not; fails with
+     *     {@code TABLE_UNAVAILABLE} for any other status or no answer
+     */
+    CompletionStage<Answer> check(String table, String key, long version) {
+        ObjectNode transaction = MAPPER.createObjectNode();
+        transaction
+                .putArray("precondition")
+                .addObject()
+                .put("table", table)
+                .put("part", "")
+                .put("key", key)
+                .put("ver", version);
+        transaction.putArray("writes");
+        transaction.putArray("remove");
+        return transact(transaction);
+    }
+
     /**
      * Waits for changes of a table after a version.
      *
--- a/src/test/java/org/siskindyke/platform/PlatformTableTest.java
+++ b/src/test/java/org/siskindyke/platform/PlatformTableTest.java
@@ -15,6 +15,7 @@
 import org.siskindyke.runtime.traffic.TrafficLoop;
 import org.siskindyke.standin.StoreStandin;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Replicates rows from the stand-in for the store while it has the faults of the users' platform. */
@@ -69,6 +70,15 @@
         assertTrue(seen || started.version() < changedVersion, () -> "claims to know all up to " + started.version());
     }
 
+    /** Guards against a committed write that a stale read shows as not done, and a living member as deleted. */
+    @Example
+    void aRowThatIsReadByItselfIsNeverStale() throws Exception {
+        start();
+        store.setStaleReads(TIMEOUT_MILLIS);
+        assertEquals("before", await(table.read(ROW)).value());
+        assertTrue(await(table.read(RowPath.of("holdings/keyed/n9-1"))).deleted());
+    }
+
     /** Changes the row so that only reads can tell, which lag behind; returns the version of the change. */
     private long changeUnheard() throws Exception {
         store.setWatchesHearNothing(true);
