Notice within 5 seconds that the connections of all watches went silent

Callers could see an older configuration for up to 9.5 s after open connections went silent together: the platform's store, its path or a device between lost track of them. TCP keep-alive shows it only where probes are not answered.

Cause: a watch waited 8 s and its answer 1.5 s more, and all watches, renewed at the same moment by the last change, were noticed at the same moment; then a change took several rounds of gossip.

Change: the readers of each failure domain (two each) wait 1 to 4 s, at random, and 1 s for the answer; others still 8 s. A member that accepts a configuration exchanges versions with three random members 0.15 s later, so that a change which one router read reaches all. After an answer without rows the next watch starts at once.

--- a/src/main/java/org/siskindyke/kernel/control/MemberController.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberController.java
@@ -220,6 +220,11 @@
         }
     }
 
+    /** Returns whether this member is one of those in its failure domain that read the table. */
+    public boolean isReader() {
+        return sync.isReader();
+    }
+
     /** Accepts a configuration that is newer than the known one, and spreads it by gossip. */
     public void onConfiguration(ConfigurationText configuration) {
         sync.acceptConfiguration(configuration, null);
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -35,6 +35,10 @@
 
     private static final long STALE_AFTER_POLLS = 8;
     private static final int MAX_PUSHES_PER_CHANGE = 8;
+    /** Delay before a new configuration is spread; most members have received it from the table by then. */
+    private static final long SPREAD_DELAY_MILLIS = 150;
+    /** Members to which each member spreads a new configuration; three reach nearly all, gossip reaches the rest. */
+    private static final int SPREAD_MEMBERS = 3;
 
     private final ControlContext context;
     private final FailureDomain domain;
@@ -49,6 +53,9 @@
     /** Number of members in this failure domain, in state {@code ALIVE}, whose ids are lower than this member's. */
     private int readerRank;
 
+    /** When to spread the configuration; {@link Long#MAX_VALUE} if it was spread. */
+    private long spreadAtMillis = Long.MAX_VALUE;
+
     private boolean synced;
     private boolean polling;
     private boolean pollAgain;
@@ -95,6 +102,10 @@
             nextGossipMillis = nowMillis + jittered(context.settings().gossipMillis());
             gossipWithRandomMember();
         }
+        if (nowMillis >= spreadAtMillis) {
+            spreadAtMillis = Long.MAX_VALUE;
+            randomOthers(SPREAD_MEMBERS).forEach(this::gossipWith);
+        }
     }
 
     /** Reads changes from the table now or, if a poll is in progress, after the next poll that succeeds. */
@@ -157,6 +168,7 @@
     void acceptConfiguration(ConfigurationText offered, MemberId from) {
         if (offered.revision() > configuration.revision()) {
             configuration = offered;
+            spreadAtMillis = context.nowMillis() + SPREAD_DELAY_MILLIS;
             context.listener().onConfiguration(offered, from);
         }
     }
@@ -188,12 +200,19 @@
 
     /** Sends evidence against requests to random members at once. */
     void pushSuspects(List<SuspectReport> suspects, int recipients) {
+        for (MemberRow chosen : randomOthers(recipients)) {
+            context.peers().gossip(chosen, versionsWith(suspects), this::accept);
+        }
+    }
+
+    private List<MemberRow> randomOthers(int count) {
         List<MemberRow> others = new ArrayList<>(context.view().members().serving());
         others.removeIf(member -> member.id().equals(context.self()));
-        for (int i = 0; i < recipients && !others.isEmpty(); i++) {
-            MemberRow chosen = others.remove(context.random().nextInt(others.size()));
-            context.peers().gossip(chosen, versionsWith(suspects), this::accept);
+        List<MemberRow> chosen = new ArrayList<>();
+        for (int i = 0; i < count && !others.isEmpty(); i++) {
+            chosen.add(others.remove(context.random().nextInt(others.size())));
         }
+        return chosen;
     }
 
     private void onGossipReply(PeerMessenger.Gossip reply) {
@@ -281,7 +300,8 @@
                 > STALE_AFTER_POLLS * context.settings().pollMillis();
     }
 
-    private boolean isReader() {
+    /** Returns whether this member is a reader of its failure domain. */
+    boolean isReader() {
         long changes = context.view().members().changeCount();
         if (changes != readerRankAsOfChanges) {
             readerRankAsOfChanges = changes;
--- a/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
@@ -1,6 +1,7 @@
 package org.siskindyke.platform;
 
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -27,12 +28,20 @@
      * platform requires a configuration to be applied, which is 2 to 2.5 seconds, depending on the deployment.
      */
     private static final long COALESCE_MILLIS = 800;
-    /** How long a watch waits for a change; a router whose watch was lost receives the change from its peers. */
-    private static final long WATCH_WAIT_MILLIS = 8_000;
+    /**
+     * Longest wait of a reader's watch. The platform requires changes to be applied in time again 3 seconds after open
+     * connections were lost, so a lost watch has to be noticed within 5 seconds.
+     */
+    private static final long READER_WAIT_MILLIS = 4_000;
+    /** Shortest wait of a reader's watch; waits differ, so that not all watches that were lost are noticed last. */
+    private static final long MIN_READER_WAIT_MILLIS = 1_000;
+    /** How long the watch of other routers waits; they receive changes from the readers as well. */
+    private static final long WAIT_MILLIS = 8_000;
 
     private final StoreClient store;
     private final TrafficLoop traffic;
     private final Consumer<ConfigurationText> onConfiguration;
+    private final BooleanSupplier reader;
     private final EventLog log;
     private final WatchProgress progress = new WatchProgress();
     /** Version up to which all changes were seen. */
@@ -43,11 +52,25 @@
 
     private boolean failing;
 
+    /**
+     * Creates a watcher.
+     *
+     * @param store the store
+     * @param traffic delays calls
+     * @param onConfiguration receives each configuration that was read
+     * @param reader returns whether other routers rely on this one to notice changes soon
+     * @param log receives an event for each row that was read and when the store fails or answers again
+     */
     ConfigurationWatcher(
-            StoreClient store, TrafficLoop traffic, Consumer<ConfigurationText> onConfiguration, EventLog log) {
+            StoreClient store,
+            TrafficLoop traffic,
+            Consumer<ConfigurationText> onConfiguration,
+            BooleanSupplier reader,
+            EventLog log) {
         this.store = store;
         this.traffic = traffic;
         this.onConfiguration = onConfiguration;
+        this.reader = reader;
         this.log = log;
     }
 
@@ -63,7 +86,7 @@
     }
 
     private void watch() {
-        store.watch(TABLE, seenVersion, WATCH_WAIT_MILLIS).whenComplete((answer, failure) -> {
+        store.watch(TABLE, seenVersion, waitMillis()).whenComplete((answer, failure) -> {
             if (!isAnswered(failure, this::watch)) {
                 return;
             }
@@ -72,11 +95,18 @@
                 confirm();
                 return;
             }
-            seenVersion = progress.onAnswer(seenVersion, offerRows(answer), version(answer));
-            traffic.schedule(this::watch, COALESCE_MILLIS);
+            long newestRow = offerRows(answer);
+            seenVersion = progress.onAnswer(seenVersion, newestRow, version(answer));
+            traffic.schedule(this::watch, newestRow > 0 ? COALESCE_MILLIS : 0);
         });
     }
 
+    private long waitMillis() {
+        return reader.getAsBoolean()
+                ? MIN_READER_WAIT_MILLIS + randomUpTo(READER_WAIT_MILLIS - MIN_READER_WAIT_MILLIS)
+                : WAIT_MILLIS;
+    }
+
     /** Finds out whether the row that was seen is still the newest. */
     private void confirm() {
         store.check(TABLE, KEY, revision).whenComplete((answer, failure) -> {
--- a/src/main/java/org/siskindyke/platform/PlatformRouter.java
+++ b/src/main/java/org/siskindyke/platform/PlatformRouter.java
@@ -24,7 +24,7 @@
         InstanceRouter router =
                 new InstanceRouter(settings, traffic, table, new PlatformDialect(), ConfigurationReader::read, log);
         router.start();
-        new ConfigurationWatcher(store, traffic, router::offerConfiguration, log).start();
+        new ConfigurationWatcher(store, traffic, router::offerConfiguration, router::isReader, log).start();
         traffic.scheduleWithFixedDelay(() -> store.logCalls(log), STORE_LOG_INTERVAL_MILLIS);
         InstanceSettings.Addresses addresses = settings.addresses();
         new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, new HeartbeatEndpoint(router, log))
--- a/src/main/java/org/siskindyke/platform/StoreClient.java
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -25,6 +25,8 @@
     static final int HISTORY_GONE = 410;
     /** Timeout of a call; a slow store needs tens of times its usual few milliseconds. */
     static final long CALL_TIMEOUT_MILLIS = 1_500;
+    /** How much later than its wait a watch is answered at most. */
+    private static final long WATCH_GRACE_MILLIS = 1_000;
 
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final byte[] NO_BODY = {};
@@ -157,7 +159,7 @@
      * @param table the table
      * @param after the version
      * @param waitMillis how long the store waits for a change. A lost answer is noticed only after this time and {@link
-     *     #CALL_TIMEOUT_MILLIS}, since nothing else distinguishes an unchanged table from a silent connection
+     *     #WATCH_GRACE_MILLIS}, since nothing else distinguishes an unchanged table from a silent connection
      * @return the answer, with status 200, or 410 where the store no longer has the history since the version; fails
      *     with {@code TABLE_UNAVAILABLE} for any other status or no answer
      */
@@ -165,7 +167,7 @@
         watches.increment();
         String target = "/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + waitMillis;
         return countFailures(httpClient
-                .call("GET", target, NO_BODY, waitMillis + CALL_TIMEOUT_MILLIS)
+                .call("GET", target, NO_BODY, waitMillis + WATCH_GRACE_MILLIS)
                 .thenCompose(r -> decode(r, HISTORY_GONE)));
     }
 
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -116,6 +116,7 @@
     private final SuspensionDetector suspensionDetector;
     private volatile MemberController member;
     private volatile boolean configured;
+    private volatile boolean reader;
     private volatile boolean stopping;
 
     /**
@@ -279,6 +280,11 @@
         control.execute(() -> targets.setDrain(changed.bounds().drain()));
     }
 
+    /** Returns whether this router is one of those in its failure domain that read the table; for any thread. */
+    public boolean isReader() {
+        return reader;
+    }
+
     /** Passes on a configuration read from the table; it is applied if newer than the present one. For any thread. */
     public void offerConfiguration(ConfigurationText offered) {
         control.execute(() -> member.onConfiguration(offered));
@@ -332,6 +338,7 @@
     private void tick() {
         checkSuspension();
         member.tick();
+        reader = member.isReader();
         targets.tick(member);
         meter.updateAverages();
     }
--- a/src/test/java/org/siskindyke/platform/ConfigurationFaultsTest.java
+++ b/src/test/java/org/siskindyke/platform/ConfigurationFaultsTest.java
@@ -18,6 +18,11 @@
     /** How far reads are behind while they are stale, on the users' platform. */
     private static final long STALE_MILLIS = 3_000;
 
+    /** Time after a disruption of connections from which changes must be in force in time again. */
+    private static final long STABLE_MILLIS = 3_000;
+    /** Time within which a change must be in force. */
+    private static final long APPLY_MILLIS = 2_000;
+
     private static final long TIMEOUT_MILLIS = 15_000;
     private static final List<String> DOMAINS = List.of("a", "b", "c", "a", "b", "c");
     private static final String ROUTE = "{\"name\":\"%s\",\"prefix\":\"/%s/\",\"route_type\":\"safe\","
@@ -38,6 +43,39 @@
         awaitOnlyNewRoute();
     }
 
+    /**
+     * Guards against a change that is late everywhere, since the connections of all watches went silent together. The
+     * platform allows 3 seconds from then until the change, and 2 from the change until it is in force.
+     */
+    @Example
+    void aChangeIsInForceInTimeThoughTheConnectionsOfAllWatchesWentSilent() throws InterruptedException {
+        startSix();
+        cluster.configure(configuration(2, "second"));
+        awaitWatching();
+        cluster.store().silenceOpenConnections();
+        long silentNanos = System.nanoTime();
+        while (millisSince(silentNanos) < STABLE_MILLIS) {
+            awaitStatus(cluster.instances().get(0).settings(), "/second/0", OK);
+        }
+        cluster.configure(configuration(3, "new"));
+        awaitOnlyNewRoute();
+        long tookMillis = millisSince(silentNanos);
+        assertTrue(tookMillis < STABLE_MILLIS + APPLY_MILLIS, () -> "took " + tookMillis + " ms: " + events());
+    }
+
+    /** Waits until each router applies the second configuration and watches again, which it does with some delay. */
+    private void awaitWatching() throws InterruptedException {
+        for (LoopbackCluster.Instance instance : cluster.instances()) {
+            awaitStatus(instance.settings(), "/second/0", OK);
+        }
+        int calls = cluster.store().calls();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+        while (cluster.store().calls() < calls + cluster.instances().size()) {
+            assertTrue(System.nanoTime() < endNanos, this::events);
+            awaitStatus(cluster.instances().get(0).settings(), "/second/0", OK);
+        }
+    }
+
     private void startSix() throws InterruptedException {
         cluster.configure(configuration(1, "old"));
         for (String domain : DOMAINS) {
@@ -63,6 +101,10 @@
         }
     }
 
+    private static long millisSince(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
     private String events() {
         return events.toString(StandardCharsets.UTF_8);
     }
