Leave malformed routes out, and keep the previous configuration where none is readable

One malformed route kept the old version of all routes in force. A text without hosts was taken as one without routes, so all requests were answered 404; a route with an empty prefix received all requests of its host. A router that started after a change that cannot be read served nothing: its peers offered it that change only.

Cause: the revision was accepted before the text was decoded, and only the form of JSON was checked. Class: progress taken before the result is known.

Change: ConfigurationReader leaves out malformed routes and services, each logged (configuration-entry-omitted), and refuses a text without hosts or without any valid route. TableSync keeps and spreads a configuration only once it was applied.

ConfigurationFaultsTest.aRouterThatStartsAfterAnUnreadableChangeServesThePreviousConfiguration: before, 503 for 15 s; now passes. ConfigurationReaderTest is new (3 tests); it needs the new list of omitted entries, so it was not run on the old code. ConfigurationFaultsTest, ConfigurationReaderTest, PlatformDecodersTest and RouteTableTest: 15 tests pass.

--- a/src/main/java/org/siskindyke/kernel/control/ControlListener.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlListener.java
@@ -42,12 +42,15 @@
     void onInternalError(RuntimeException exception);
 
     /**
-     * Called when a newer configuration was accepted.
+     * Called when a newer configuration was received.
      *
      * @param configuration the configuration
      * @param from the member that sent it; null where this router read it from the table or had it before
+     * @return whether it can be applied; if not, the member keeps and spreads the previous one
      */
-    default void onConfiguration(ConfigurationText configuration, MemberId from) {}
+    default boolean onConfiguration(ConfigurationText configuration, MemberId from) {
+        return true;
+    }
 
     /** Called when this member learns that a request is refused, since backend servers ended while they ran it. */
     default void onConvicted(SuspectReport evidence) {}
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -160,16 +160,15 @@
     }
 
     /**
-     * Accepts a configuration if it is newer than the known one.
+     * Accepts a configuration if it is newer than the known one and can be applied.
      *
      * @param offered the configuration
      * @param from the member that sent it; null for none
      */
     void acceptConfiguration(ConfigurationText offered, MemberId from) {
-        if (offered.revision() > configuration.revision()) {
+        if (offered.revision() > configuration.revision() && context.listener().onConfiguration(offered, from)) {
             configuration = offered;
             spreadAtMillis = context.nowMillis() + SPREAD_DELAY_MILLIS;
-            context.listener().onConfiguration(offered, from);
         }
     }
 
--- a/src/main/java/org/siskindyke/kernel/route/RoutingConfiguration.java
+++ b/src/main/java/org/siskindyke/kernel/route/RoutingConfiguration.java
@@ -12,12 +12,18 @@
  * @param routes the routes
  * @param services the services by name
  * @param limits limits on callers
+ * @param omitted malformed routes and services that were left out, each with the reason
  */
 public record RoutingConfiguration(
-        long version, List<Route> routes, Map<ServiceName, ServiceSettings> services, CallerLimits limits) {
+        long version,
+        List<Route> routes,
+        Map<ServiceName, ServiceSettings> services,
+        CallerLimits limits,
+        List<String> omitted) {
     /** Copies the collections. */
     public RoutingConfiguration {
         routes = List.copyOf(routes);
         services = Map.copyOf(services);
+        omitted = List.copyOf(omitted);
     }
 }
--- a/src/main/java/org/siskindyke/platform/ConfigurationReader.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationReader.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -29,47 +30,73 @@
     private static final int DEFAULT_MAX_CONNECTIONS = 32;
     private static final int LOWEST_PRIORITY = 9;
 
+    private final List<String> omitted = new ArrayList<>();
+
     private ConfigurationReader() {}
 
     /**
-     * Parses a configuration.
+     * Parses a configuration. Malformed routes and services are left out, see {@link RoutingConfiguration#omitted}.
      *
-     * @throws SiskindykeException with code {@code INVALID_DOCUMENT} where the text is not JSON or has no valid
-     *     version, or {@code INVALID_NAME} for a malformed service name
+     * @throws SiskindykeException with code {@code INVALID_DOCUMENT} where the text is not JSON, has no valid version
+     *     or no list of hosts, or lists routes of which none is valid
      */
     static RoutingConfiguration read(ConfigurationText text) {
         try {
-            JsonNode root = MAPPER.readTree(text.text());
-            return new RoutingConfiguration(version(root), routes(root), services(root), limits(root));
+            return new ConfigurationReader().read(MAPPER.readTree(text.text()));
         } catch (IOException | NumberFormatException e) {
             throw new SiskindykeException(
                     ErrorCode.INVALID_DOCUMENT, "configuration cannot be parsed: " + e.getMessage(), e);
         }
     }
 
+    private RoutingConfiguration read(JsonNode root) {
+        check(root.path("virtual_hosts").isArray(), "configuration has no list virtual_hosts");
+        List<Route> routes = routes(root);
+        check(!routes.isEmpty() || omitted.isEmpty(), "configuration has no valid route: " + omitted);
+        return new RoutingConfiguration(version(root), routes, services(root), limits(root), omitted);
+    }
+
+    private static void check(boolean condition, String problem) {
+        if (!condition) {
+            throw new SiskindykeException(ErrorCode.INVALID_DOCUMENT, problem);
+        }
+    }
+
     /** Returns the number of a version, which is written as lower-case letters followed by a number. */
     private static long version(JsonNode root) {
         String text = root.path("version").asText();
         return Long.parseLong(text.replaceFirst("^[a-z]+", ""));
     }
 
-    private static List<Route> routes(JsonNode root) {
+    private List<Route> routes(JsonNode root) {
         List<Route> routes = new ArrayList<>();
         for (JsonNode host : root.path("virtual_hosts")) {
             String name = host.path("hostname").asText().toLowerCase(Locale.ROOT);
             for (JsonNode path : host.path("paths")) {
-                routes.add(route(name, path));
+                addOrOmit(routes, () -> route(name, path), path);
             }
         }
         return routes;
     }
 
+    private <T> void addOrOmit(List<T> entries, Supplier<T> reader, JsonNode encoded) {
+        try {
+            entries.add(reader.get());
+        } catch (SiskindykeException e) {
+            omitted.add(encoded.path("name").asText() + ": " + e.getMessage());
+        }
+    }
+
     private static Route route(String host, JsonNode path) {
+        String prefix = path.path("prefix").asText();
         long timeoutMillis = path.path("timeout_ms").asLong(DEFAULT_TIMEOUT_MILLIS);
+        check(!host.isEmpty(), "hostname is required");
+        check(prefix.startsWith("/") && prefix.endsWith("/"), "prefix must begin and end with a slash");
+        check(timeoutMillis > 0, "timeout_ms must be positive");
         return new Route(
                 path.path("name").asText(),
                 host,
-                path.path("prefix").asText(),
+                prefix,
                 path.path("route_type").asText().equals("safe") ? RouteKind.SAFE : RouteKind.UNSAFE,
                 timeoutMillis,
                 path.path("aim_ms").asLong(timeoutMillis),
@@ -84,27 +111,31 @@
         }
         List<ServiceShare> shares = new ArrayList<>();
         for (JsonNode share : path.path("traffic_split")) {
-            shares.add(new ServiceShare(
-                    ServiceName.of(share.path("service").asText()),
-                    share.path("weight").asDouble(0)));
+            double weight = share.path("weight").asDouble(0);
+            check(weight >= 0 && Double.isFinite(weight), "weight must not be negative");
+            shares.add(new ServiceShare(ServiceName.of(share.path("service").asText()), weight));
         }
+        check(!shares.isEmpty(), "a service or traffic_split is required");
         return shares;
     }
 
-    private static Map<ServiceName, ServiceSettings> services(JsonNode root) {
-        Map<ServiceName, ServiceSettings> services = new HashMap<>();
+    private Map<ServiceName, ServiceSettings> services(JsonNode root) {
+        List<ServiceSettings> read = new ArrayList<>();
         for (JsonNode service : root.path("services")) {
-            ServiceName name = ServiceName.of(service.path("name").asText());
-            services.put(
-                    name,
-                    new ServiceSettings(
-                            name,
-                            service.path("sharded").asBoolean(false),
-                            service.path("max_connections").asInt(DEFAULT_MAX_CONNECTIONS)));
+            addOrOmit(read, () -> service(service), service);
         }
+        Map<ServiceName, ServiceSettings> services = new HashMap<>();
+        read.forEach(settings -> services.put(settings.service(), settings));
         return services;
     }
 
+    private static ServiceSettings service(JsonNode service) {
+        return new ServiceSettings(
+                ServiceName.of(service.path("name").asText()),
+                service.path("sharded").asBoolean(false),
+                service.path("max_connections").asInt(DEFAULT_MAX_CONNECTIONS));
+    }
+
     private static CallerLimits limits(JsonNode root) {
         JsonNode limits = root.path("limits");
         CallerLimits defaults = CallerLimits.DEFAULT;
--- a/src/main/java/org/siskindyke/runtime/ActiveConfiguration.java
+++ b/src/main/java/org/siskindyke/runtime/ActiveConfiguration.java
@@ -51,18 +51,23 @@
     }
 
     /**
-     * Puts a configuration into force. If it cannot be decoded, logs an event and keeps the previous one.
+     * Puts a configuration into force. If it cannot be decoded, logs an event and keeps the previous one; entries that
+     * were left out are logged.
      *
      * @param received the configuration
      * @param from the member that sent it; null where this router read it from the table or had it before
+     * @return whether the configuration is in force
      */
-    void apply(ConfigurationText received, MemberId from) {
+    boolean apply(ConfigurationText received, MemberId from) {
         RoutingConfiguration decoded;
         try {
             decoded = decoder.apply(received);
         } catch (SiskindykeException e) {
             log.event("configuration-unreadable", "revision", received.revision(), "cause", e.getMessage());
-            return;
+            return false;
+        }
+        for (String entry : decoded.omitted()) {
+            log.event("configuration-entry-omitted", "version", decoded.version(), "entry", entry);
         }
         text = received;
         routing = decoded;
@@ -79,6 +84,7 @@
                 from,
                 "routes",
                 decoded.routes().size());
+        return true;
     }
 
     /** Returns the encoded configuration in force; {@link ConfigurationText#NONE} before the first. */
--- a/src/main/java/org/siskindyke/runtime/MemberEventListener.java
+++ b/src/main/java/org/siskindyke/runtime/MemberEventListener.java
@@ -1,6 +1,6 @@
 package org.siskindyke.runtime;
 
-import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
 
 import org.siskindyke.kernel.control.ConfigurationText;
 import org.siskindyke.kernel.control.ControlListener;
@@ -16,7 +16,7 @@
     private final EventLog log;
     private final Runnable onJoined;
     private final Runnable onDeclaredDead;
-    private final BiConsumer<ConfigurationText, MemberId> onConfiguration;
+    private final BiPredicate<ConfigurationText, MemberId> onConfiguration;
 
     /**
      * Creates a listener.
@@ -25,14 +25,15 @@
      * @param log receives the events
      * @param onJoined called when the member has joined
      * @param onDeclaredDead called when the member was declared dead
-     * @param onConfiguration called with each newer configuration and the member that sent it
+     * @param onConfiguration called with each newer configuration and the member that sent it; returns whether it
+     *     can be applied
      */
     MemberEventListener(
             MemberId self,
             EventLog log,
             Runnable onJoined,
             Runnable onDeclaredDead,
-            BiConsumer<ConfigurationText, MemberId> onConfiguration) {
+            BiPredicate<ConfigurationText, MemberId> onConfiguration) {
         this.self = self;
         this.log = log;
         this.onJoined = onJoined;
@@ -70,8 +71,8 @@
     }
 
     @Override
-    public void onConfiguration(ConfigurationText received, MemberId from) {
-        onConfiguration.accept(received, from);
+    public boolean onConfiguration(ConfigurationText received, MemberId from) {
+        return onConfiguration.test(received, from);
     }
 
     @Override
--- a/src/test/java/org/siskindyke/kernel/route/RouteTableTest.java
+++ b/src/test/java/org/siskindyke/kernel/route/RouteTableTest.java
@@ -19,7 +19,7 @@
     }
 
     private static RouteTable table(Route... routes) {
-        return new RouteTable(new RoutingConfiguration(1, List.of(routes), Map.of(), CallerLimits.DEFAULT));
+        return new RouteTable(new RoutingConfiguration(1, List.of(routes), Map.of(), CallerLimits.DEFAULT, List.of()));
     }
 
     @Example
--- a/src/test/java/org/siskindyke/platform/ConfigurationFaultsTest.java
+++ b/src/test/java/org/siskindyke/platform/ConfigurationFaultsTest.java
@@ -63,6 +63,15 @@
         assertTrue(tookMillis < STABLE_MILLIS + APPLY_MILLIS, () -> "took " + tookMillis + " ms: " + events());
     }
 
+    /** Guards against a router that serves nothing, since its peers offer it only a configuration it cannot read. */
+    @Example
+    void aRouterThatStartsAfterAnUnreadableChangeServesThePreviousConfiguration() throws InterruptedException {
+        startSix();
+        cluster.configure("{\"version\":");
+        cluster.start("plain", false, "a");
+        awaitStatus(cluster.instances().get(6).settings(), "/old/0", OK);
+    }
+
     /** Waits until each router applies the second configuration and watches again, which it does with some delay. */
     private void awaitWatching() throws InterruptedException {
         for (LoopbackCluster.Instance instance : cluster.instances()) {
