--- a/src/main/java/org/siskindyke/platform/PlatformDialect.java
+++ b/src/main/java/org/siskindyke/platform/PlatformDialect.java
@@ -14,6 +14,7 @@
 import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.Header;
 import org.siskindyke.runtime.call.Headers;
+import org.siskindyke.runtime.traffic.AnnouncedLimit;
 import org.siskindyke.runtime.traffic.CallDialect;
 
 /** Reads and writes the header fields of the users' platform. */
@@ -25,6 +26,11 @@
     private static final String EXPECTED_TARGET = "X-Siskindyke-Expected-Instance";
     private static final String NOT_RUN = "X-Siskindyke-Not-Executed";
     private static final String SIGNATURE = "X-Siskindyke-Response-Signature";
+    /** Calls per second that a backend server accepts from all callers together, a decimal number. */
+    private static final String LIMIT = "Server-Limit";
+
+    private static final String LEAVING = "Server-Leaving";
+    private static final String LEAVING_VALUE = "1";
     private static final Set<String> NOT_FORWARDED = Set.of(
             REQUEST_ID.toLowerCase(Locale.ROOT),
             TIMEOUT_MILLIS.toLowerCase(Locale.ROOT),
@@ -109,6 +115,31 @@
         return !success || Headers.firstIgnoringCase(headers, SIGNATURE) != null;
     }
 
+    @Override
+    public AnnouncedLimit limit(List<Header> headers) {
+        AnnouncedLimit limit = AnnouncedLimit.NONE;
+        for (Header header : headers) {
+            if (header.name().equalsIgnoreCase(LIMIT)) {
+                limit = limit.stricter(parseLimit(header.value()));
+            }
+        }
+        return limit;
+    }
+
+    private static AnnouncedLimit parseLimit(String text) {
+        try {
+            return AnnouncedLimit.of(Double.parseDouble(text.trim()));
+        } catch (NumberFormatException e) {
+            // The dispatcher logs malformed limits.
+            return AnnouncedLimit.MALFORMED;
+        }
+    }
+
+    @Override
+    public boolean isLeaving(List<Header> headers) {
+        return LEAVING_VALUE.equals(Headers.firstIgnoringCase(headers, LEAVING));
+    }
+
     @Override
     public String answeredRequestId(List<Header> headers) {
         return Headers.firstIgnoringCase(headers, REQUEST_ID);
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -365,6 +365,7 @@
         public void onResponse(int status, List<Header> headers, byte[] body) {
             long nowMillis = clock.nowMillis();
             boolean notRun = dialect.isNotRun(status, headers);
+            log.onLimit(dialect.limit(headers), target.name());
             if (!notRun) {
                 crashSigns.onAnswered(call);
                 lastAnswerMillis = nowMillis;
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
@@ -52,6 +52,12 @@
     /** Returns whether a response has the fields that a backend server sets on responses of this status. */
     boolean isGenuine(int status, List<Header> headers);
 
+    /** Returns the limit on requests that a response names; the lowest where it names several. */
+    AnnouncedLimit limit(List<Header> headers);
+
+    /** Returns whether a response says that its backend server is about to leave. */
+    boolean isLeaving(List<Header> headers);
+
     /** Returns the id of the request that a response belongs to, or null where the response names none. */
     String answeredRequestId(List<Header> headers);
 
--- a/src/main/java/org/siskindyke/runtime/traffic/DispatchLog.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/DispatchLog.java
@@ -11,11 +11,14 @@
 final class DispatchLog {
     private static final int MAX_LOSSES_PER_SECOND = 20;
     private static final int MAX_SUSPECTS_PER_SECOND = 10;
+    private static final int MAX_LIMITS_PER_SECOND = 2;
 
     private final EventLog log;
     private final MonotonicClock clock;
     private final EventRateLimiter losses = new EventRateLimiter(MAX_LOSSES_PER_SECOND);
     private final EventRateLimiter suspects = new EventRateLimiter(MAX_SUSPECTS_PER_SECOND);
+    private final EventRateLimiter limits = new EventRateLimiter(MAX_LIMITS_PER_SECOND);
+    private AnnouncedLimit lastLimit = AnnouncedLimit.NONE;
 
     DispatchLog(EventLog log, MonotonicClock clock) {
         this.log = log;
@@ -40,6 +43,23 @@
         }
     }
 
+    /** Logs the limit in a response where it differs from that in the previous one. */
+    void onLimit(AnnouncedLimit limit, TargetName target) {
+        if (!limit.equals(lastLimit) && limits.tryAcquire(clock.nowMillis())) {
+            log.event(
+                    "target-limit",
+                    "target",
+                    target,
+                    "state",
+                    limit.state(),
+                    "callsPerSecond",
+                    limit.callsPerSecond(),
+                    "beforeCallsPerSecond",
+                    lastLimit.callsPerSecond());
+        }
+        lastLimit = limit;
+    }
+
     /** Logs that a call is refused as a suspect, with the evidence against it. */
     void onSuspectRefused(Call call, SuspectAssessment assessment) {
         if (suspects.tryAcquire(clock.nowMillis())) {
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -52,6 +52,7 @@
     private final ConcurrentLinkedQueue<String> crashingRequestIds = new ConcurrentLinkedQueue<>();
     private long startMillis;
     private HttpListener callers;
+    private volatile List<Header> announcements = List.of();
     private volatile long downMillis = -1;
     private volatile boolean down;
     private final List<GrantedRange> grantedRanges = new ArrayList<>();
@@ -201,6 +202,11 @@
         return List.copyOf(crashingRequestIds);
     }
 
+    /** Adds header fields to all responses from now on, in place of those added before. May be called on any thread. */
+    public void announce(Header... fields) {
+        announcements = List.of(fields);
+    }
+
     /** Reports the state {@code draining} from the next heartbeat on. */
     public void leave() {
         leaving = true;
@@ -309,7 +315,7 @@
         String id = Headers.firstIgnoringCase(request.headers(), "X-Siskindyke-Request-Id");
         String expected = Headers.firstIgnoringCase(request.headers(), "X-Siskindyke-Expected-Instance");
         String key = Headers.firstIgnoringCase(request.headers(), "X-Siskindyke-Shard-Key");
-        List<Header> headers = new ArrayList<>();
+        List<Header> headers = new ArrayList<>(announcements);
         if (id != null) {
             headers.add(new Header("X-Siskindyke-Request-Id", id));
         }
