Keep the limit on requests that a backend server names

Cause: nothing read Server-Limit.

Change: all work for a server passes the router beside it, so that router alone paces it, evenly and below the limit (ArrivalPace, used by AdmissionQueue). Calls wait for their turn in the order of the queue; one whose turn comes after its deadline is refused at once, with the time of the next turn as Retry-After. Replies tell other routers the interval, and they choose by it as by slots. A limited owner of slices counts only the slots that it can keep busy, so that slices move away from it.

Ruled out: division of the limit among routers, which a restart or cut makes wrong.

ServerLimitTest: before, 636 requests within 4 s where 35 are allowed; now passes.

--- a/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
+++ b/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
@@ -3,7 +3,7 @@
 /** Load of a target by its latest report and this router's own calls in flight. Confined to one thread. */
 public final class ReportedTargetLoad {
     /** Assumed until the first report: 6 slots and 100 ms per call, as of a typical small server. */
-    private static final TargetLoadReport DEFAULT_REPORT = new TargetLoadReport(6, 0, 0, 100);
+    private static final TargetLoadReport DEFAULT_REPORT = new TargetLoadReport(6, 0, 0, 100, 0);
     /** Age from which a report's busy slots and waiting calls are ignored; its slots and call duration stay in use. */
     private static final long REPORT_VALIDITY_MILLIS = 2_000;
     /** How long the target is avoided after one lost answer; the time doubles with each further one. */
@@ -57,13 +57,18 @@
         return nowMillis < avoidUntilMillis;
     }
 
-    /** Returns the expected time of a call that is sent now, in milliseconds, including its wait for a slot. */
+    /**
+     * Returns the expected time of a call that is sent now, in milliseconds, including its wait for a slot and for its
+     * turn under the limit on calls.
+     */
     public double expectedMillis(long nowMillis) {
         boolean fresh = nowMillis - reportedMillis < REPORT_VALIDITY_MILLIS;
         int sinceReport = Math.max(0, inFlight - inFlightAtReport);
         int load = fresh ? report.busy() + report.waiting() + sinceReport : inFlight;
         int ahead = Math.max(0, load + 1 - report.slots());
         double waitMillis = (double) ahead * report.millisPerCall() / Math.max(1, report.slots());
-        return report.millisPerCall() + waitMillis;
+        int queued = (fresh ? report.waiting() : 0) + sinceReport;
+        double turnMillis = (double) queued * report.intervalMillis();
+        return report.millisPerCall() + Math.max(waitMillis, turnMillis);
     }
 }
--- a/src/main/java/org/siskindyke/kernel/balance/TargetLoadReport.java
+++ b/src/main/java/org/siskindyke/kernel/balance/TargetLoadReport.java
@@ -7,5 +7,6 @@
  * @param busy slots in use
  * @param waiting calls that wait for a slot
  * @param millisPerCall average duration of a call
+ * @param intervalMillis minimum time between two calls that the target's limit on calls requires; 0 without a limit
  */
-public record TargetLoadReport(int slots, int busy, int waiting, int millisPerCall) {}
+public record TargetLoadReport(int slots, int busy, int waiting, int millisPerCall, int intervalMillis) {}
--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -7,7 +7,8 @@
 import java.util.function.BiConsumer;
 
 /**
- * Limits the concurrent calls of one target to its slots and orders the calls that wait. Confined to one thread. All
+ * Limits the concurrent calls of one target to its slots, spaces them by its {@link ArrivalPace}, and orders the calls
+ * that wait. Confined to one thread. All
  * times are on the monotonic clock.
  *
  * <p>Nested calls go first, since a running call waits for them, then calls of higher priority. Within a priority,
@@ -25,6 +26,7 @@
 
     private final List<Entry> waiting = new ArrayList<>();
     private final ServiceTimeEstimator times;
+    private final ArrivalPace pace;
     private int slots;
     private int used;
     private long nextSequenceNumber;
@@ -62,10 +64,12 @@
      *
      * @param slots calls that may run concurrently
      * @param times estimates the service time of calls
+     * @param pace decides when the next call may start
      */
-    public AdmissionQueue(int slots, ServiceTimeEstimator times) {
+    public AdmissionQueue(int slots, ServiceTimeEstimator times, ArrivalPace pace) {
         this.slots = slots;
         this.times = times;
+        this.pace = pace;
     }
 
     /** Changes the number of slots. Admitted calls keep theirs; {@link #admit} gives new ones to waiting calls. */
@@ -90,9 +94,8 @@
     /** Admits, enqueues or refuses a call; its callback may run before this method returns. */
     public void submit(Entry entry, long nowMillis) {
         entry.sequenceNumber = nextSequenceNumber++;
-        if (used < slots && waiting.isEmpty()) {
-            used++;
-            entry.onAdmitted.run();
+        if (waiting.isEmpty() && isAdmitting(nowMillis)) {
+            start(entry, nowMillis);
             return;
         }
         double waitMillis = waitMillis(entry, nowMillis);
@@ -107,16 +110,45 @@
         }
     }
 
-    /** Estimates how long a call that arrives now would wait for a slot. */
+    private boolean isAdmitting(long nowMillis) {
+        return used < slots && pace.allows(used, nowMillis);
+    }
+
+    private void start(Entry entry, long nowMillis) {
+        used++;
+        pace.onStarted(nowMillis);
+        entry.onAdmitted.run();
+    }
+
+    /** Estimates how long a call that arrives now would wait for a slot and its turn. */
     private double waitMillis(Entry entry, long nowMillis) {
         Comparator<Entry> order = order(nowMillis);
         double aheadMillis = 0;
+        int aheadCount = 0;
         for (Entry ahead : waiting) {
             if (order.compare(ahead, entry) < 0) {
                 aheadMillis += times.expectedMillis(ahead.attributes.kind(), nowMillis);
+                aheadCount++;
             }
         }
-        return (aheadMillis + times.averageMillis(nowMillis)) / Math.max(1, slots);
+        return startDelayMillis(aheadMillis, aheadCount, nowMillis);
+    }
+
+    /**
+     * Estimates when a call can start, in milliseconds from now.
+     *
+     * @param aheadMillis expected service time of the waiting calls that go first, in all
+     * @param aheadCount their number
+     */
+    private double startDelayMillis(double aheadMillis, int aheadCount, long nowMillis) {
+        double untilFreeMillis = used < slots ? 0 : times.averageMillis(nowMillis);
+        double slotMillis = (aheadMillis + untilFreeMillis) / Math.max(1, slots);
+        return Math.max(slotMillis, pace.delayMillis(nowMillis) + aheadCount * pace.intervalMillis());
+    }
+
+    /** Returns in how many milliseconds {@link #admit} may start a call that waits for its turn; 0 if none does. */
+    public long turnDelayMillis(long nowMillis) {
+        return waiting.isEmpty() || used >= slots ? 0 : pace.delayMillis(nowMillis);
     }
 
     private Comparator<Entry> order(long nowMillis) {
@@ -146,39 +178,40 @@
         admit(nowMillis);
     }
 
-    /** Admits waiting calls to free slots and refuses those whose turn comes too late for their deadline. */
+    /** Admits waiting calls as slots and pace allow, and refuses those whose turn comes too late for their deadline. */
     public void admit(long nowMillis) {
-        while (used < slots && !waiting.isEmpty()) {
+        while (!waiting.isEmpty() && isAdmitting(nowMillis)) {
             Entry next = Collections.min(waiting, order(nowMillis));
             waiting.remove(next);
             double minServiceMillis = times.expectedMillis(next.attributes.kind(), nowMillis) * MIN_SERVICE_TIME_SHARE;
             if (nowMillis + minServiceMillis > next.deadlineMillis) {
                 next.onRefused.accept(Refusal.QUEUE_TIMEOUT, 0L);
             } else {
-                used++;
-                next.onAdmitted.run();
+                start(next, nowMillis);
             }
         }
     }
 
     /** Refuses the waiting calls that will miss their deadline, such as those that more urgent calls have overtaken. */
     public void refusePredictedTimeouts(long nowMillis) {
-        double aheadMillis = times.averageMillis(nowMillis);
+        double aheadMillis = 0;
+        int aheadCount = 0;
         List<Entry> late = new ArrayList<>();
         List<Entry> ordered = new ArrayList<>(waiting);
         ordered.sort(order(nowMillis));
         for (Entry entry : ordered) {
             double ownMillis = times.expectedMillis(entry.attributes.kind(), nowMillis);
-            double startMillis = nowMillis + aheadMillis / Math.max(1, slots);
+            double startMillis = nowMillis + startDelayMillis(aheadMillis, aheadCount, nowMillis);
             if (startMillis + ownMillis * MIN_SERVICE_TIME_SHARE > entry.deadlineMillis) {
                 late.add(entry);
             } else {
                 aheadMillis += ownMillis;
+                aheadCount++;
             }
         }
         for (Entry entry : late) {
             waiting.remove(entry);
-            entry.onRefused.accept(Refusal.QUEUE_TIMEOUT, (long) (aheadMillis / Math.max(1, slots)));
+            entry.onRefused.accept(Refusal.QUEUE_TIMEOUT, (long) startDelayMillis(aheadMillis, aheadCount, nowMillis));
         }
     }
 
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -318,7 +318,8 @@
         }
         if (reply.load() != null) {
             TargetLoadReport load = reply.load();
-            wire.setLoad(new WireLoad(load.slots(), load.busy(), load.waiting(), load.millisPerCall()));
+            wire.setLoad(new WireLoad(
+                    load.slots(), load.busy(), load.waiting(), load.millisPerCall(), load.intervalMillis()));
         }
         return wire;
     }
@@ -342,7 +343,8 @@
     }
 
     private static TargetLoadReport fromWire(WireLoad load) {
-        return new TargetLoadReport(load.getSlots(), load.getBusy(), load.getWaiting(), load.getMillisPerCall());
+        return new TargetLoadReport(
+                load.getSlots(), load.getBusy(), load.getWaiting(), load.getMillisPerCall(), load.getIntervalMillis());
     }
 
     /** Converts header fields to their wire form. */
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -12,6 +12,7 @@
 
 import org.siskindyke.kernel.balance.TargetLoadReport;
 import org.siskindyke.kernel.call.AdmissionQueue;
+import org.siskindyke.kernel.call.ArrivalPace;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
 import org.siskindyke.kernel.crash.SuspectAssessment;
@@ -61,12 +62,17 @@
     private final DispatchLog log;
     private final SuspectLane<DispatchedCall> suspectLane = new SuspectLane<>(MAX_WAITING_SUSPECTS);
     private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
-    private final AdmissionQueue queue = new AdmissionQueue(0, serviceTimes);
+    private final ArrivalPace pace = new ArrivalPace();
+    private final AdmissionQueue queue = new AdmissionQueue(0, serviceTimes, pace);
     private final List<DispatchedCall> waitingForGrant = new ArrayList<>();
     private final Set<String> runningRequestIds = new HashSet<>();
     private volatile LocalTargetInfo target;
     private HttpClientPool pool;
     private boolean accepting;
+    private boolean turnScheduled;
+    /** Slots that the backend server can keep busy within its limit. */
+    private volatile int usableSlots;
+
     private BitSet granted = new BitSet();
     private long grantEndMillis;
     private long lastAnswerMillis = Long.MIN_VALUE / 2;
@@ -114,6 +120,7 @@
         queue.resize(announced.slots());
         if (previous == null || !previous.isSameIncarnation(announced)) {
             granted = new BitSet();
+            pace.reset();
             if (pool != null) {
                 pool.close();
             }
@@ -156,13 +163,13 @@
     }
 
     /**
-     * Returns the number of slots of the backend server; empty where it does not run the service. May be called on any
-     * thread.
+     * Returns the number of slots that the backend server can keep busy within the limit it names; empty where it does
+     * not run the service. May be called on any thread.
      */
     public OptionalInt slots(ServiceName service) {
         LocalTargetInfo current = target;
         return current != null && current.service().equals(service)
-                ? OptionalInt.of(current.slots())
+                ? OptionalInt.of(Math.min(usableSlots, current.slots()))
                 : OptionalInt.empty();
     }
 
@@ -207,6 +214,9 @@
     public void tick() {
         long nowMillis = clock.nowMillis();
         queue.refusePredictedTimeouts(nowMillis);
+        queue.admit(nowMillis);
+        scheduleTurn();
+        usableSlots = usableSlots(nowMillis);
         List<DispatchedCall> expired = waitingForGrant.stream()
                 .filter(t -> nowMillis >= t.grantWaitEndMillis || !t.isOwned())
                 .toList();
@@ -218,6 +228,40 @@
                 t -> t.refuse(t.isOwned() ? Refusal.NOT_GRANTED : Refusal.NOT_OWNER, MAX_GRANT_WAIT_MILLIS / 2));
     }
 
+    private int usableSlots(long nowMillis) {
+        if (!pace.isLimited()) {
+            return Integer.MAX_VALUE;
+        }
+        return (int) Math.max(1, Math.ceil(serviceTimes.averageMillis(nowMillis) / pace.intervalMillis()));
+    }
+
+    /** Admits the next waiting call when the limit of the backend server allows it. */
+    private void scheduleTurn() {
+        long delayMillis = queue.turnDelayMillis(clock.nowMillis());
+        if (delayMillis > 0 && !turnScheduled) {
+            turnScheduled = true;
+            traffic.schedule(this::onTurn, delayMillis);
+        }
+    }
+
+    private void onTurn() {
+        turnScheduled = false;
+        queue.admit(clock.nowMillis());
+        scheduleTurn();
+    }
+
+    private void applyLimit(AnnouncedLimit limit, boolean ranAndGenuine, long nowMillis) {
+        switch (limit.state()) {
+            case NAMED -> pace.onLimit(limit.callsPerSecond(), nowMillis);
+            case NONE -> {
+                if (ranAndGenuine) {
+                    pace.onNoLimit();
+                }
+            }
+            default -> pace.onEnded();
+        }
+    }
+
     /**
      * Admits a call, lets it wait or refuses it.
      *
@@ -228,12 +272,14 @@
     Cancellable submit(Call call, Consumer<Reply> onReply) {
         DispatchedCall dispatched = new DispatchedCall(call, onReply);
         dispatched.admit();
+        scheduleTurn();
         return dispatched;
     }
 
     private TargetLoadReport report() {
         return new TargetLoadReport(
-                queue.slots(), queue.used(), queue.waiting(), (int) serviceTimes.averageMillis(clock.nowMillis()));
+                queue.slots(), queue.used(), queue.waiting(), (int) serviceTimes.averageMillis(clock.nowMillis()), (int)
+                        Math.ceil(pace.intervalMillis()));
     }
 
     /** One call, from its admission to its reply. */
@@ -365,7 +411,9 @@
         public void onResponse(int status, List<Header> headers, byte[] body) {
             long nowMillis = clock.nowMillis();
             boolean notRun = dialect.isNotRun(status, headers);
-            log.onLimit(dialect.limit(headers), target.name());
+            AnnouncedLimit limit = dialect.limit(headers);
+            log.onLimit(limit, target.name());
+            applyLimit(limit, !notRun && dialect.isGenuine(status, headers), nowMillis);
             if (!notRun) {
                 crashSigns.onAnswered(call);
                 lastAnswerMillis = nowMillis;
@@ -427,6 +475,7 @@
                 holdsSlot = false;
                 runningRequestIds.remove(call.id());
                 timer.cancel();
+                pace.onEnded();
                 queue.releaseSlot(clock.nowMillis());
                 leaveSuspectLane();
             }
--- a/src/main/java/org/siskindyke/wire/WireLoad.java
+++ b/src/main/java/org/siskindyke/wire/WireLoad.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField BUSY_FIELD_DESC = new org.apache.thrift.protocol.TField("busy", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField MILLIS_PER_CALL_FIELD_DESC = new org.apache.thrift.protocol.TField("millisPerCall", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField INTERVAL_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("intervalMillis", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireLoadTupleSchemeFactory();
@@ -25,13 +26,15 @@
   public int busy; // required
   public int waiting; // required
   public int millisPerCall; // required
+  public int intervalMillis; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SLOTS((short)1, "slots"),
     BUSY((short)2, "busy"),
     WAITING((short)3, "waiting"),
-    MILLIS_PER_CALL((short)4, "millisPerCall");
+    MILLIS_PER_CALL((short)4, "millisPerCall"),
+    INTERVAL_MILLIS((short)5, "intervalMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +58,8 @@
           return WAITING;
         case 4: // MILLIS_PER_CALL
           return MILLIS_PER_CALL;
+        case 5: // INTERVAL_MILLIS
+          return INTERVAL_MILLIS;
         default:
           return null;
       }
@@ -102,6 +107,7 @@
   private static final int __BUSY_ISSET_ID = 1;
   private static final int __WAITING_ISSET_ID = 2;
   private static final int __MILLISPERCALL_ISSET_ID = 3;
+  private static final int __INTERVALMILLIS_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -114,6 +120,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.MILLIS_PER_CALL, new org.apache.thrift.meta_data.FieldMetaData("millisPerCall", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.INTERVAL_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("intervalMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireLoad.class, metaDataMap);
   }
@@ -125,7 +133,8 @@
     int slots,
     int busy,
     int waiting,
-    int millisPerCall)
+    int millisPerCall,
+    int intervalMillis)
   {
     this();
     this.slots = slots;
@@ -136,6 +145,8 @@
     setWaitingIsSet(true);
     this.millisPerCall = millisPerCall;
     setMillisPerCallIsSet(true);
+    this.intervalMillis = intervalMillis;
+    setIntervalMillisIsSet(true);
   }
 
   /**
@@ -147,6 +158,7 @@
     this.busy = other.busy;
     this.waiting = other.waiting;
     this.millisPerCall = other.millisPerCall;
+    this.intervalMillis = other.intervalMillis;
   }
 
   @Override
@@ -164,6 +176,8 @@
     this.waiting = 0;
     setMillisPerCallIsSet(false);
     this.millisPerCall = 0;
+    setIntervalMillisIsSet(false);
+    this.intervalMillis = 0;
   }
 
   public int getSlots() {
@@ -258,6 +272,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MILLISPERCALL_ISSET_ID, value);
   }
 
+  public int getIntervalMillis() {
+    return this.intervalMillis;
+  }
+
+  public WireLoad setIntervalMillis(int intervalMillis) {
+    this.intervalMillis = intervalMillis;
+    setIntervalMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetIntervalMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INTERVALMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field intervalMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetIntervalMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INTERVALMILLIS_ISSET_ID);
+  }
+
+  public void setIntervalMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INTERVALMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -293,6 +330,14 @@
       }
       break;
 
+    case INTERVAL_MILLIS:
+      if (value == null) {
+        unsetIntervalMillis();
+      } else {
+        setIntervalMillis((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -312,6 +357,9 @@
     case MILLIS_PER_CALL:
       return getMillisPerCall();
 
+    case INTERVAL_MILLIS:
+      return getIntervalMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -332,6 +380,8 @@
       return isSetWaiting();
     case MILLIS_PER_CALL:
       return isSetMillisPerCall();
+    case INTERVAL_MILLIS:
+      return isSetIntervalMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -385,6 +435,15 @@
         return false;
     }
 
+    boolean this_present_intervalMillis = true;
+    boolean that_present_intervalMillis = true;
+    if (this_present_intervalMillis || that_present_intervalMillis) {
+      if (!(this_present_intervalMillis && that_present_intervalMillis))
+        return false;
+      if (this.intervalMillis != that.intervalMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -400,6 +459,8 @@
 
     hashCode = hashCode * 8191 + millisPerCall;
 
+    hashCode = hashCode * 8191 + intervalMillis;
+
     return hashCode;
   }
 
@@ -451,6 +512,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetIntervalMillis(), other.isSetIntervalMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIntervalMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.intervalMillis, other.intervalMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -490,6 +561,10 @@
     sb.append("millisPerCall:");
     sb.append(this.millisPerCall);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("intervalMillis:");
+    sb.append(this.intervalMillis);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -569,6 +644,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // INTERVAL_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.intervalMillis = iprot.readI32();
+              struct.setIntervalMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -597,6 +680,9 @@
       oprot.writeFieldBegin(MILLIS_PER_CALL_FIELD_DESC);
       oprot.writeI32(struct.millisPerCall);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(INTERVAL_MILLIS_FIELD_DESC);
+      oprot.writeI32(struct.intervalMillis);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -628,7 +714,10 @@
       if (struct.isSetMillisPerCall()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetIntervalMillis()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetSlots()) {
         oprot.writeI32(struct.slots);
       }
@@ -641,12 +730,15 @@
       if (struct.isSetMillisPerCall()) {
         oprot.writeI32(struct.millisPerCall);
       }
+      if (struct.isSetIntervalMillis()) {
+        oprot.writeI32(struct.intervalMillis);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.slots = iprot.readI32();
         struct.setSlotsIsSet(true);
@@ -663,6 +755,10 @@
         struct.millisPerCall = iprot.readI32();
         struct.setMillisPerCallIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.intervalMillis = iprot.readI32();
+        struct.setIntervalMillisIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -111,6 +111,7 @@
   2: i32 busy,
   3: i32 waiting,
   4: i32 millisPerCall,
+  5: i32 intervalMillis,
 }
 
 struct ForwardResponse {
--- a/src/test/java/org/siskindyke/kernel/balance/LocalityAwareSelectorTest.java
+++ b/src/test/java/org/siskindyke/kernel/balance/LocalityAwareSelectorTest.java
@@ -50,24 +50,24 @@
 
     @Example
     void callsStayInTheirDomainWhileTheyEndInTime() {
-        load(near.id()).onReport(new TargetLoadReport(4, 4, 2, 100), NOW_MILLIS);
-        load(far.id()).onReport(new TargetLoadReport(4, 0, 0, 100), NOW_MILLIS);
+        load(near.id()).onReport(new TargetLoadReport(4, 4, 2, 100, 0), NOW_MILLIS);
+        load(far.id()).onReport(new TargetLoadReport(4, 0, 0, 100, 0), NOW_MILLIS);
         assertEquals(near, choose(300, Set.of()));
     }
 
     /** The target in the own domain is full and others are free: calls that would be late there go to another one. */
     @Example
     void callsThatWouldBeLateInTheirDomainGoToAnother() {
-        load(near.id()).onReport(new TargetLoadReport(4, 4, 20, 100), NOW_MILLIS);
-        load(far.id()).onReport(new TargetLoadReport(4, 0, 0, 100), NOW_MILLIS);
+        load(near.id()).onReport(new TargetLoadReport(4, 4, 20, 100, 0), NOW_MILLIS);
+        load(far.id()).onReport(new TargetLoadReport(4, 0, 0, 100, 0), NOW_MILLIS);
         assertEquals(far, choose(300, Set.of()));
     }
 
     /** Guards against the cost of another failure domain for calls that are late anyway, when all are overloaded. */
     @Example
     void aCallThatIsLateInAllDomainsStaysInItsOwn() {
-        load(near.id()).onReport(new TargetLoadReport(4, 4, 24, 100), NOW_MILLIS);
-        load(far.id()).onReport(new TargetLoadReport(4, 4, 20, 100), NOW_MILLIS);
+        load(near.id()).onReport(new TargetLoadReport(4, 4, 24, 100, 0), NOW_MILLIS);
+        load(far.id()).onReport(new TargetLoadReport(4, 4, 20, 100, 0), NOW_MILLIS);
         assertEquals(near, choose(300, Set.of()));
     }
 
--- a/src/test/java/org/siskindyke/kernel/call/AdmissionQueueTest.java
+++ b/src/test/java/org/siskindyke/kernel/call/AdmissionQueueTest.java
@@ -11,12 +11,19 @@
 class AdmissionQueueTest {
     private final List<String> events = new ArrayList<>();
     private final ServiceTimeEstimator times = new ServiceTimeEstimator();
-    private final AdmissionQueue queue = new AdmissionQueue(1, times);
+    private final AdmissionQueue queue = new AdmissionQueue(1, times, knownPace());
 
     AdmissionQueueTest() {
         times.onEnded("k", 100, 0);
     }
 
+    /** Returns the pace of a target that has answered without naming a limit. */
+    static ArrivalPace knownPace() {
+        ArrivalPace pace = new ArrivalPace();
+        pace.onNoLimit();
+        return pace;
+    }
+
     private AdmissionQueue.Entry entry(
             String name, int priority, long objectiveMillis, long deadlineMillis, boolean nested, boolean movable) {
         SchedulingAttributes attributes =
@@ -81,7 +88,7 @@
     /** A target with six slots is offered twice its capacity; it must stay busy and ask for short retry delays. */
     @Example
     void underTwiceItsCapacityATargetServesItsCapacityAndAsksForShortRetryDelays() {
-        AdmissionQueue overloaded = new AdmissionQueue(6, times);
+        AdmissionQueue overloaded = new AdmissionQueue(6, times, knownPace());
         int[] served = new int[1];
         long[] maxRetryAfterMillis = new long[1];
         List<Long> ends = new ArrayList<>();
@@ -115,4 +122,33 @@
         assertTrue(served[0] >= 570, "served " + served[0] + " of 600");
         assertTrue(maxRetryAfterMillis[0] <= 700, "retry after " + maxRetryAfterMillis[0]);
     }
+
+    /** Guards against a call that waits until its deadline although its turn under the target's limit comes later. */
+    @Example
+    void aCallWhoseTurnComesAfterItsDeadlineIsRefusedAtOnce() {
+        ArrivalPace pace = knownPace();
+        pace.onLimit(2, 0);
+        AdmissionQueue limited = new AdmissionQueue(4, times, pace);
+        limited.submit(entry("first", 1, 1_000, 1_200, false, false), 0);
+        limited.submit(entry("second", 1, 1_000, 1_200, false, false), 0);
+        limited.submit(entry("third", 1, 1_000, 1_200, false, false), 0);
+        limited.submit(entry("fourth", 1, 1_000, 1_200, false, false), 0);
+        assertEquals(List.of("first", "fourth QUEUE_FULL"), events);
+        limited.admit(500);
+        limited.admit(1_000);
+        assertEquals(List.of("first", "fourth QUEUE_FULL", "second", "third"), events);
+    }
+
+    /** Guards against less urgent calls that take the places under a limit from more urgent ones. */
+    @Example
+    void moreUrgentCallsGetTheFirstPlacesUnderALimit() {
+        ArrivalPace pace = knownPace();
+        pace.onLimit(10, 0);
+        AdmissionQueue limited = new AdmissionQueue(4, times, pace);
+        limited.submit(entry("first", 2, 5_000, 9_000, false, false), 0);
+        limited.submit(entry("less urgent", 2, 5_000, 9_000, false, false), 0);
+        limited.submit(entry("urgent", 1, 5_000, 9_000, false, false), 0);
+        limited.admit(100);
+        assertEquals(List.of("first", "urgent"), events);
+    }
 }
--- a/src/test/java/org/siskindyke/kernel/call/ServiceTimeEstimatorTest.java
+++ b/src/test/java/org/siskindyke/kernel/call/ServiceTimeEstimatorTest.java
@@ -19,7 +19,7 @@
         for (int i = 0; i < 100; i++) {
             times.onEnded("booking", 1_200, 0);
         }
-        AdmissionQueue queue = new AdmissionQueue(6, times);
+        AdmissionQueue queue = new AdmissionQueue(6, times, AdmissionQueueTest.knownPace());
         List<String> events = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             queue.submit(entry("booking", 5_000, false, events), 0);
--- a/src/test/java/org/siskindyke/platform/ServerLimitTest.java
+++ b/src/test/java/org/siskindyke/platform/ServerLimitTest.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.AddLifecycleHook;
-import org.siskindyke.KnownRed;
 import org.siskindyke.runtime.call.Header;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -41,7 +39,6 @@
 
     /** Guards against a server in need that gets more requests than the limit it named. */
     @Example
-    @AddLifecycleHook(KnownRed.class)
     void serversThatNameALimitGetNoMoreThanTheRulesAllow() throws InterruptedException {
         startSix();
         cluster.instances()
