Stop sending to backend servers whose responses say that they leave

Cause: nothing read Server-Leaving; the same class as the limit.

Change: the router beside the server treats such a response like a deregistration, also while the store is away: no new calls to an undivided service at once, to a divided one after three quarters of the drain time while its slices are handed over. Each router that receives such a response remembers it (LeavingTargets) and does not send there, since the router beside the server may restart and forget.

ServerAnnouncementsTest.aServerWhoseAnswersSayThatItLeavesGetsNoRequestAfterTheDrainTime: failed before (store silent, heartbeats say ready), now passes.

--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -147,8 +147,13 @@
         this.meter = new SliceMeter(clock, service -> backendSlots(service));
         CrashGuard crashGuard =
                 new CrashGuard(clock, this::view, () -> member.row().id());
-        this.crashes =
-                new TargetCrashes(clock, control, () -> member, () -> targets().onUnreachable(clock.nowMillis()), log);
+        this.crashes = new TargetCrashes(
+                clock,
+                control,
+                () -> member,
+                () -> targets().onUnreachable(clock.nowMillis()),
+                target -> targets().onLeavingAnnounced(target, member),
+                log);
         this.backend = new BackendDispatcher(
                 traffic,
                 clock,
@@ -176,6 +181,7 @@
                         new LocalityAwareSelector(settings.failureDomain()),
                         this::newBudget,
                         crashGuard,
+                        () -> this.settings.bounds().drain(),
                         this::onRetryDecided,
                         this::onRequestEnded));
         this.targets =
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -24,6 +24,7 @@
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.traffic.BackendDispatcher;
 import org.siskindyke.runtime.traffic.LocalTargetInfo;
+import org.siskindyke.runtime.traffic.TargetDrain;
 import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
@@ -39,11 +40,6 @@
     private static final int DEFAULT_CONNECTIONS = 32;
     /** Time after which the reply to a heartbeat has reached the backend server on the same host. */
     private static final long ACKNOWLEDGEMENT_MILLIS = 5;
-    /**
-     * Fraction of the drain time for which a leaving backend server of a divided service still gets new calls, so that
-     * its keys are served while they move.
-     */
-    private static final double DRAIN_SHARE = 0.75;
 
     private final InstanceSettings settings;
     private final MonotonicClock clock;
@@ -202,7 +198,7 @@
     }
 
     private void stopAfterDrain(TargetHeartbeat heartbeat) {
-        long delayMillis = (long) (drain.toMillis() * DRAIN_SHARE);
+        long delayMillis = (long) (drain.toMillis() * TargetDrain.SERVED_SHARE);
         traffic.schedule(
                 () -> {
                     LocalTargetInfo current = backend.target();
@@ -225,6 +221,20 @@
             return;
         }
         log.event("target-deregistered", "target", target);
+        startLeaving(member);
+    }
+
+    /** Stops new calls to a backend server whose responses say that it leaves, as after a deregistration. */
+    void onLeavingAnnounced(TargetIncarnation target, MemberController member) {
+        boolean present = lastHeartbeat != null
+                && target.equals(new TargetIncarnation(lastHeartbeat.target(), lastHeartbeat.startMillis()));
+        if (present && !leaving) {
+            log.event("target-leaving-announced", "target", target);
+            startLeaving(member);
+        }
+    }
+
+    private void startLeaving(MemberController member) {
         if (leaving) {
             return;
         }
--- a/src/main/java/org/siskindyke/runtime/TargetCrashes.java
+++ b/src/main/java/org/siskindyke/runtime/TargetCrashes.java
@@ -1,6 +1,7 @@
 package org.siskindyke.runtime;
 
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.siskindyke.kernel.control.MemberController;
@@ -20,6 +21,7 @@
     private final ControlThread control;
     private final Supplier<MemberController> member;
     private final Runnable onUnreachable;
+    private final Consumer<TargetIncarnation> onLeavingAnnounced;
     private final EventLog log;
     private final CrashInvestigation investigation = new CrashInvestigation();
     private TargetIncarnation present;
@@ -31,6 +33,7 @@
      * @param control the control thread
      * @param member returns the current member
      * @param onUnreachable runs on the control thread when a call could not be sent to the backend server
+     * @param onLeavingAnnounced runs on the control thread when the backend server says in a response that it leaves
      * @param log receives the crashes
      */
     TargetCrashes(
@@ -38,11 +41,13 @@
             ControlThread control,
             Supplier<MemberController> member,
             Runnable onUnreachable,
+            Consumer<TargetIncarnation> onLeavingAnnounced,
             EventLog log) {
         this.clock = clock;
         this.control = control;
         this.member = member;
         this.onUnreachable = onUnreachable;
+        this.onLeavingAnnounced = onLeavingAnnounced;
         this.log = log;
     }
 
@@ -51,6 +56,11 @@
         control.execute(onUnreachable);
     }
 
+    @Override
+    public void onLeavingAnnounced(TargetIncarnation target) {
+        control.execute(() -> onLeavingAnnounced.accept(target));
+    }
+
     @Override
     public void onConnectionLost(Loss loss) {
         control.execute(() -> investigation.onLost(loss));
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -17,6 +17,7 @@
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
 import org.siskindyke.kernel.crash.SuspectAssessment;
 import org.siskindyke.kernel.crash.SuspectLane;
+import org.siskindyke.kernel.crash.TargetIncarnation;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.time.MonotonicClock;
@@ -413,6 +414,9 @@
             boolean notRun = dialect.isNotRun(status, headers);
             AnnouncedLimit limit = dialect.limit(headers);
             log.onLimit(limit, target.name());
+            if (dialect.isLeaving(headers)) {
+                observer.onLeavingAnnounced(new TargetIncarnation(target.name(), target.startMillis()));
+            }
             applyLimit(limit, !notRun && dialect.isGenuine(status, headers), nowMillis);
             if (!notRun) {
                 crashSigns.onAnswered(call);
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -1,5 +1,6 @@
 package org.siskindyke.runtime.traffic;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -56,7 +57,7 @@
         this.dialect = dialect;
         this.dispatcher = dispatcher;
         this.ownService = policies.ownService();
-        this.targets = new TargetSelector(view, policies.chooser());
+        this.targets = new TargetSelector(view, policies.chooser(), policies.drain());
         this.context = new RequestAttempts.Context(
                 traffic,
                 clock,
@@ -78,6 +79,7 @@
      * @param budgets creates a service's retry budget, given a function that returns the number of routers that share
      *     the allowance
      * @param crashGuard tells which requests may crash backend servers
+     * @param drain returns the time within which a leaving backend server stops getting calls
      * @param retryListener receives each decision of a retry budget
      * @param listener receives the outcome of each request, except those cancelled because their caller's connection
      *     closed
@@ -87,6 +89,7 @@
             LocalityAwareSelector chooser,
             Function<IntSupplier, SharedRetryBudget> budgets,
             CrashGuard crashGuard,
+            Supplier<Duration> drain,
             Consumer<RetryDecision> retryListener,
             Consumer<CallOutcome> listener) {}
 
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -139,7 +139,7 @@
 
     private void sendToOwner() {
         Optional<MemberRow> owner =
-                call.slice() == null ? Optional.empty() : context.targets().owner(call.slice());
+                call.slice() == null ? Optional.empty() : context.targets().owner(call.slice(), clock.nowMillis());
         if (owner.isEmpty()) {
             waitForTarget(Refusal.NO_OWNER);
         } else {
@@ -188,7 +188,8 @@
     /** Sends a request that may run at one target only; it is not sent there twice. */
     private void sendToTrialTarget() {
         MemberRow member = context.crashGuard().trialMember(call).orElse(null);
-        if (member == null || !tried.add(member.id())) {
+        boolean usable = member != null && context.targets().accepts(member, service, clock.nowMillis());
+        if (!usable || !tried.add(member.id())) {
             refuse(Refusal.SUSPECTED_OF_CRASHES, statusOf(verdict), CrashGuard.RETRY_MILLIS);
         } else {
             send(member, false);
@@ -212,6 +213,9 @@
         boolean[] replied = new boolean[1];
         Cancellable work = context.sender().send(attempt, member, load, reply -> {
             replied[0] = true;
+            if (context.dialect().isLeaving(reply.headers())) {
+                context.targets().onLeavingAnnounced(member, service, clock.nowMillis());
+            }
             onReply(load, reply);
         });
         if (!replied[0]) {
@@ -276,7 +280,7 @@
     }
 
     private boolean hasUntried() {
-        return context.targets().hasUntriedMember(service, tried);
+        return context.targets().hasUntriedMember(service, tried, clock.nowMillis());
     }
 
     /** Retries or gives up; an attempt that no target has received is not charged to the retry budget. */
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetObserver.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetObserver.java
@@ -2,12 +2,16 @@
 
 import org.siskindyke.kernel.crash.CrashInvestigation;
 import org.siskindyke.kernel.crash.RequestFingerprint;
+import org.siskindyke.kernel.crash.TargetIncarnation;
 
 /** Receives the signs of a lost or crashed backend server, as a {@link BackendDispatcher} sees them on its loop. */
 public interface TargetObserver {
     /** Called when a call could not be sent to the backend server. */
     void onUnreachable();
 
+    /** Called when a response of an incarnation of the backend server says that it leaves. */
+    void onLeavingAnnounced(TargetIncarnation target);
+
     /** Called when the connection of a running request was lost before any byte of its response. */
     void onConnectionLost(CrashInvestigation.Loss loss);
 
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -1,5 +1,6 @@
 package org.siskindyke.runtime.traffic;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -7,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
+import org.siskindyke.kernel.balance.LeavingTargets;
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.balance.ReportedTargetLoad;
 import org.siskindyke.kernel.control.ClusterView;
@@ -24,11 +26,21 @@
 final class TargetSelector {
     private final Supplier<ClusterView> clusterView;
     private final LocalityAwareSelector chooser;
+    private final Supplier<Duration> drain;
     private final Map<MemberId, ReportedTargetLoad> loadByMember = new HashMap<>();
+    private final LeavingTargets leaving = new LeavingTargets();
 
-    TargetSelector(Supplier<ClusterView> clusterView, LocalityAwareSelector chooser) {
+    /**
+     * Creates a selector.
+     *
+     * @param clusterView returns the present view of the cluster
+     * @param chooser chooses among the targets of an undivided service
+     * @param drain returns the time within which a leaving backend server stops getting calls
+     */
+    TargetSelector(Supplier<ClusterView> clusterView, LocalityAwareSelector chooser, Supplier<Duration> drain) {
         this.clusterView = clusterView;
         this.chooser = chooser;
+        this.drain = drain;
     }
 
     /**
@@ -45,14 +57,31 @@
         return slices == 0 ? null : new SliceRef(service, KeyRange.sliceOf(key, slices));
     }
 
-    /** Returns the owner of a slice; empty where there is none or it is not serving. */
-    Optional<MemberRow> owner(SliceRef slice) {
+    /** Records that a response of a member's target says that the target leaves. */
+    void onLeavingAnnounced(MemberRow member, ServiceName service, long nowMillis) {
+        member.targetOf(service).ifPresent(target -> leaving.onAnnounced(target.target(), nowMillis));
+    }
+
+    /** Returns whether a member's target has said for at least {@code sinceMillis} that it leaves. */
+    private boolean isLeaving(MemberRow member, ServiceName service, long sinceMillis, long nowMillis) {
+        return member.targetOf(service)
+                .filter(target -> leaving.isLeaving(target.target(), sinceMillis, nowMillis))
+                .isPresent();
+    }
+
+    /**
+     * Returns the owner of a slice; empty where there is none, it is not serving, or its target has been leaving for
+     * most of the drain time.
+     */
+    Optional<MemberRow> owner(SliceRef slice, long nowMillis) {
+        long servesWhileLeavingMillis = (long) (drain.get().toMillis() * TargetDrain.SERVED_SHARE);
         return clusterView
                 .get()
                 .ownership()
                 .owner(slice)
                 .map(SliceOwner::member)
-                .flatMap(member -> clusterView.get().members().serving(member));
+                .flatMap(member -> clusterView.get().members().serving(member))
+                .filter(member -> !isLeaving(member, slice.service(), servesWhileLeavingMillis, nowMillis));
     }
 
     /**
@@ -65,7 +94,7 @@
      * @return the choice; empty where no member accepts requests for the service or all that do have been tried
      */
     Optional<Choice> choose(ServiceName service, Set<MemberId> tried, long leftMillis, long nowMillis) {
-        List<MemberRow> candidates = clusterView.get().members().acceptingMembers(service);
+        List<MemberRow> candidates = acceptingMembers(service, nowMillis);
         return chooser.choose(candidates, tried, this::observedLoad, leftMillis, nowMillis)
                 .map(chosen -> new Choice(
                         chosen,
@@ -73,8 +102,19 @@
     }
 
     /** Returns whether a member that accepts requests for the service has not been tried yet. */
-    boolean hasUntriedMember(ServiceName service, Set<MemberId> tried) {
-        return clusterView.get().members().acceptingMembers(service).stream().anyMatch(m -> !tried.contains(m.id()));
+    boolean hasUntriedMember(ServiceName service, Set<MemberId> tried, long nowMillis) {
+        return acceptingMembers(service, nowMillis).stream().anyMatch(m -> !tried.contains(m.id()));
+    }
+
+    /** Returns whether a member's target is among those that accept calls. */
+    boolean accepts(MemberRow member, ServiceName service, long nowMillis) {
+        return !isLeaving(member, service, 0, nowMillis);
+    }
+
+    private List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
+        return clusterView.get().members().acceptingMembers(service).stream()
+                .filter(member -> !isLeaving(member, service, 0, nowMillis))
+                .toList();
     }
 
     /** Returns the load that this router has observed at a member's target. */
--- a/src/test/java/org/siskindyke/platform/ServerLimitTest.java
+++ b/src/test/java/org/siskindyke/platform/ServerAnnouncementsTest.java
@@ -12,11 +12,13 @@
 
 import net.jqwik.api.Example;
 import org.siskindyke.runtime.call.Header;
+import org.siskindyke.standin.StoreStandin.Fault;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Sends requests through six routers to backend servers that name a limit or say that they leave. */
-class ServerLimitTest {
+class ServerAnnouncementsTest {
     private static final int OK = 200;
     private static final double LIMIT_PER_SECOND = 5;
     /** Requests that a server may get in the window, by the rules of the users' platform. */
@@ -24,6 +26,9 @@
 
     private static final long WINDOW_MILLIS = 4_000;
     private static final long STABLE_MILLIS = 3_000;
+    /** Time within which a leaving server stops getting requests, as in the settings of the cluster. */
+    private static final long DRAIN_MILLIS = 2_000;
+
     private static final long TIMEOUT_MILLIS = 15_000;
     private static final int CALLERS = 24;
     private static final Executor NEXT_REQUEST = CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS);
@@ -55,6 +60,21 @@
         }
     }
 
+    /** Guards against requests to a server whose answers say that it leaves, though its heartbeats do not. */
+    @Example
+    void aServerWhoseAnswersSayThatItLeavesGetsNoRequestAfterTheDrainTime() throws InterruptedException {
+        startSix();
+        LoopbackCluster.Instance leaving = cluster.instances().get(2);
+        leaving.backend().announce(new Header("Server-Leaving", "1"));
+        cluster.store().setFault(Fault.SILENT);
+        startCallers();
+        awaitMillis(DRAIN_MILLIS);
+        int before = leaving.backend().executedRequestIds().size();
+        awaitMillis(DRAIN_MILLIS);
+        done.set(true);
+        assertEquals(before, leaving.backend().executedRequestIds().size(), this::events);
+    }
+
     private void startSix() throws InterruptedException {
         cluster.configure(CONFIGURATION);
         for (String domain : DOMAINS) {
