Refuse at once what finds no place within its objective under a limit

Change: under a limit, a call that cannot meet its objective behind those that wait is refused when it arrives, with the time until a place is free as Retry-After. Nested calls are excepted, since their refusal fails the running call that waits for them.

--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -101,9 +101,11 @@
         double waitMillis = waitMillis(entry, nowMillis);
         double ownMillis = times.expectedMillis(entry.attributes.kind(), nowMillis);
         boolean tooLate = nowMillis + waitMillis + ownMillis * MIN_SERVICE_TIME_SHARE > entry.deadlineMillis;
-        boolean retryElsewhere =
-                entry.attributes.movable() && nowMillis + waitMillis + ownMillis > entry.attributes.objectiveMillis();
-        if (waiting.size() >= slots * MAX_WAITING_PER_SLOT || tooLate || retryElsewhere) {
+        boolean late = nowMillis + waitMillis + ownMillis > entry.attributes.objectiveMillis();
+        boolean retryElsewhere = entry.attributes.movable() && late;
+        // Under a limit that is used up, newer calls would overtake a late one until its deadline.
+        boolean crowdedOut = pace.isLimited() && late && !waiting.isEmpty() && !entry.attributes.nested();
+        if (waiting.size() >= slots * MAX_WAITING_PER_SLOT || tooLate || retryElsewhere || crowdedOut) {
             entry.onRefused.accept(Refusal.QUEUE_FULL, (long) Math.max(ownMillis, waitMillis));
         } else {
             waiting.add(entry);
