Try targets without reports, and those whose reports are old

An undivided service's server beside a router that had just started got no request from any router at light load, and a server that was slow once got none for good.

Cause: a target without reports was assumed to take 100 ms, more than the others measure, and LocalityAwareSelector takes the lowest; a reported duration never aged, and without calls there is no new report. Class: an assumption that only its own result can revise.

Change: without a report only the calls in flight count, so each router sends one call at first; a reported duration halves every 2 s from the age of 2 s on.

--- a/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
+++ b/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
@@ -2,17 +2,20 @@
 
 /** Load of a target by its latest report and this router's own calls in flight. Confined to one thread. */
 public final class ReportedTargetLoad {
-    /** Assumed until the first report: 6 slots and 100 ms per call, as of a typical small server. */
+    /** Assumed of calls in flight until the first report: 6 slots and 100 ms per call, as of a small server. */
     private static final TargetLoadReport DEFAULT_REPORT = new TargetLoadReport(6, 0, 0, 100, 0);
-    /** Age from which a report's busy slots and waiting calls are ignored; its slots and call duration stay in use. */
+    /** Age from which a report's busy slots and waiting calls are ignored; its slots stay in use. */
     private static final long REPORT_VALIDITY_MILLIS = 2_000;
+    /** Half-life of a reported call duration from then on, so that a target which was slow once is tried again. */
+    private static final double DURATION_HALF_LIFE_MILLIS = 2_000;
     /** How long the target is avoided after one lost answer; the time doubles with each further one. */
     private static final long FIRST_LOSS_AVOID_MILLIS = 50;
     /** Lost answers from which on the time no longer doubles; it is 6.4 s then. */
     private static final int MAX_LOSSES_IN_A_ROW = 8;
 
     private TargetLoadReport report = DEFAULT_REPORT;
-    private long reportedMillis = Long.MIN_VALUE / 2;
+    private boolean reported;
+    private long reportedMillis;
     private int lostInARow;
     private int inFlight;
     private int inFlightAtReport;
@@ -31,6 +34,7 @@
     /** Records a report of the target's router. */
     public void onReport(TargetLoadReport newReport, long nowMillis) {
         report = newReport;
+        reported = true;
         reportedMillis = nowMillis;
         inFlightAtReport = inFlight;
     }
@@ -62,13 +66,22 @@
      * turn under the limit on calls.
      */
     public double expectedMillis(long nowMillis) {
-        boolean fresh = nowMillis - reportedMillis < REPORT_VALIDITY_MILLIS;
+        if (!reported) {
+            return (double) inFlight * report.millisPerCall();
+        }
+        long ageMillis = nowMillis - reportedMillis;
+        boolean fresh = ageMillis < REPORT_VALIDITY_MILLIS;
+        double callMillis = fresh ? report.millisPerCall() : decayedCallMillis(ageMillis - REPORT_VALIDITY_MILLIS);
         int sinceReport = Math.max(0, inFlight - inFlightAtReport);
         int load = fresh ? report.busy() + report.waiting() + sinceReport : inFlight;
         int ahead = Math.max(0, load + 1 - report.slots());
-        double waitMillis = (double) ahead * report.millisPerCall() / Math.max(1, report.slots());
+        double slotMillis = ahead * callMillis / Math.max(1, report.slots());
         int queued = (fresh ? report.waiting() : 0) + sinceReport;
         double turnMillis = (double) queued * report.intervalMillis();
-        return report.millisPerCall() + Math.max(waitMillis, turnMillis);
+        return callMillis + Math.max(slotMillis, turnMillis);
+    }
+
+    private double decayedCallMillis(long outdatedMillis) {
+        return report.millisPerCall() * Math.pow(0.5, outdatedMillis / DURATION_HALF_LIFE_MILLIS);
     }
 }
