Play dropped histories, silent connections and named limits in the soak

Three faults and one invariant (a named limit is kept: at most one and a half times the limit and 5 requests within 4 s, from 3 s after it was named). SoakInvariantsTest shows that the check can fail.

--- a/src/main/java/org/siskindyke/soak/SoakEvent.java
+++ b/src/main/java/org/siskindyke/soak/SoakEvent.java
@@ -47,6 +47,8 @@
         ASKED,
         /** A caller received an answer, or its connection failed. */
         ANSWERED,
+        /** A backend server names a limit from now on; the detail is the limit, 0 for none. */
+        LIMITED,
         /** A configuration was written; the detail is its version. */
         CONFIGURED,
         /** A fault began; the detail is its name. */
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -53,7 +53,13 @@
             Component.CALLERS,
             false,
             (cluster, instanceIndex) -> cluster.startCrashingRequest(),
-            (cluster, instanceIndex) -> cluster.stopCrashingRequest());
+            (cluster, instanceIndex) -> cluster.stopCrashingRequest()),
+    /** Watches of the store hear nothing for a second; then its history is dropped and its reads are stale. */
+    STORE_HISTORY_DROPPED(Fault.HISTORY_DROPPED),
+    /** The open connections of the store go silent for good. */
+    STORE_CONNECTIONS_SILENT(Fault.CONNECTIONS_SILENT),
+    /** A backend server names a limit on requests in its responses. */
+    LIMIT_TARGET(Component.TARGET, false, SoakInstance::limitTarget, SoakInstance::unlimitTarget);
 
     /** A leaving backend server may receive requests until the drain time after its acknowledgement has passed. */
     private static final long MIN_REPLACEMENT_MILLIS = SoakTopology.DRAIN_MILLIS + 1_500;
@@ -61,6 +67,9 @@
     /** Longer than the time after the third crash from which on the users' platform counts runs. */
     private static final long MIN_CRASHING_MILLIS = 8_000;
 
+    /** The time after which the limit must be kept and twice the window in which requests are counted. */
+    private static final long MIN_LIMITED_MILLIS = 11_000;
+
     /** Longest time that a router takes to stop if it wrongly treats SIGHUP as a request to stop. */
     private static final long MAX_STOP_MILLIS = SoakTopology.GRACE_SECONDS * 1_000L + 1_500;
 
@@ -138,6 +147,7 @@
         return switch (this) {
             case REPLACE_TARGET -> Math.max(MIN_REPLACEMENT_MILLIS, drawnMillis);
             case CRASHING_REQUEST -> Math.max(MIN_CRASHING_MILLIS, drawnMillis);
+            case LIMIT_TARGET -> Math.max(MIN_LIMITED_MILLIS, drawnMillis);
             case HANG_UP_ROUTER -> Math.max(MAX_STOP_MILLIS, drawnMillis);
             default -> drawnMillis;
         };
--- a/src/main/java/org/siskindyke/soak/SoakInstance.java
+++ b/src/main/java/org/siskindyke/soak/SoakInstance.java
@@ -151,6 +151,20 @@
         }
     }
 
+    void limitTarget() {
+        writeLimit(SoakTopology.LIMIT_PER_SECOND);
+    }
+
+    void unlimitTarget() {
+        writeLimit(0);
+    }
+
+    private void writeLimit(int perSecond) {
+        if (target.isAlive()) {
+            target.writeLine(SoakStandinMain.LIMIT + perSecond);
+        }
+    }
+
     /** Kills the backend server and starts another one with a new name. */
     void replaceTarget() {
         killTarget();
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -1,6 +1,8 @@
 package org.siskindyke.soak;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +26,12 @@
 
     private static final int MAX_LATE_RUNS = 3;
 
+    /** Window in which the requests of a limited backend server are counted. */
+    private static final long LIMIT_WINDOW_MILLIS = 4_000;
+    /** Requests that a backend server may get in the window, by the rules of the users' platform. */
+    private static final double MAX_LIMITED_RUNS =
+            1.5 * SoakTopology.LIMIT_PER_SECOND * LIMIT_WINDOW_MILLIS / 1_000 + 5;
+
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
     private static final int NOT_FOUND = 404;
 
@@ -40,6 +48,7 @@
                 invariant("a leaving server drains in time", (events, plan) -> drainsInTime(events)),
                 invariant("the configuration is in force in time", (events, plan) -> configurationApplied(events)),
                 invariant("requests that end servers are refused", (events, plan) -> crashingRequestsRefused(events)),
+                invariant("a named limit is kept", (events, plan) -> limitsKept(events)),
                 invariant("served again in time", (events, plan) -> faultsRecordedAs(events, SoakRun.NOT_SERVED)),
                 invariant(
                         "no router ends by itself",
@@ -284,6 +293,37 @@
                 .toList();
     }
 
+    /** Checks the requests that a limited backend server gets, from some time after it named its limit. */
+    private static List<String> limitsKept(List<SoakEvent> events) {
+        List<String> violations = new ArrayList<>();
+        Map<String, Long> limitedSinceMillis = new HashMap<>();
+        Map<String, Deque<Long>> recentRuns = new HashMap<>();
+        for (SoakEvent event : events) {
+            if (event.what() == What.LIMITED) {
+                recentRuns.remove(event.who());
+                limitedSinceMillis.remove(event.who());
+                if (!event.detail().equals("0")) {
+                    limitedSinceMillis.put(event.who(), event.atMillis());
+                }
+                continue;
+            }
+            Long sinceMillis = event.what() == What.RUN ? limitedSinceMillis.get(event.who()) : null;
+            if (sinceMillis == null || event.atMillis() - sinceMillis < UNDISTURBED_MILLIS) {
+                continue;
+            }
+            Deque<Long> runs = recentRuns.computeIfAbsent(event.who(), who -> new ArrayDeque<>());
+            runs.add(event.atMillis());
+            while (event.atMillis() - runs.getFirst() >= LIMIT_WINDOW_MILLIS) {
+                runs.remove();
+            }
+            if (runs.size() > MAX_LIMITED_RUNS) {
+                violations.add(event.atMillis() + ": " + event.who() + " ran " + runs.size() + " requests within "
+                        + LIMIT_WINDOW_MILLIS + " ms");
+            }
+        }
+        return violations;
+    }
+
     /** Returns the part of a request's id that is the same each time it is sent; null for other requests. */
     private static String crashingRequestOf(SoakEvent event) {
         String id = event.requestId();
--- a/src/main/java/org/siskindyke/soak/SoakStandinMain.java
+++ b/src/main/java/org/siskindyke/soak/SoakStandinMain.java
@@ -12,6 +12,7 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import org.siskindyke.runtime.Logging;
 import org.siskindyke.runtime.SystemMonotonicClock;
+import org.siskindyke.runtime.call.Header;
 import org.siskindyke.runtime.http.Json;
 import org.siskindyke.runtime.traffic.TrafficLoop;
 import org.siskindyke.standin.HeartbeatBackendStandin;
@@ -25,6 +26,7 @@
     static final String CALLERS = "callers";
     static final String HIDE_KEYS = "--hide-keys";
     static final String LEAVE = "leave";
+    static final String LIMIT = "limit ";
     static final String FAULT = "fault ";
     /** Time after which a backend server is up again that has ended since it ran a certain request. */
     private static final long CRASH_RESTART_MILLIS = 1_500;
@@ -121,6 +123,11 @@
         return line -> {
             if (line.equals(LEAVE)) {
                 target.leave();
+            } else if (line.startsWith(LIMIT)) {
+                String perSecond = line.substring(LIMIT.length());
+                boolean limited = !perSecond.equals("0");
+                target.announce(limited ? new Header[] {new Header("Server-Limit", perSecond)} : new Header[0]);
+                print(SoakEvent.of(SoakJournal.nowMillis(), SoakEvent.What.LIMITED, name, perSecond));
             }
         };
     }
--- a/src/main/java/org/siskindyke/soak/SoakTopology.java
+++ b/src/main/java/org/siskindyke/soak/SoakTopology.java
@@ -16,6 +16,8 @@
     static final long HEARTBEAT_MILLIS = 300;
     static final long DRAIN_MILLIS = 2_000;
     static final int GRACE_SECONDS = 6;
+    /** Requests a second that a limited backend server names. */
+    static final int LIMIT_PER_SECOND = 2;
 
     private static final int PEER_PORT = 7001;
     private static final int READINESS_PORT = 7002;
--- a/src/main/java/org/siskindyke/standin/StoreStandin.java
+++ b/src/main/java/org/siskindyke/standin/StoreStandin.java
@@ -46,6 +46,10 @@
     /** Maximum number of conditions, writes and removals of a transaction together, as on the users' platform. */
     private static final int MAX_TRANSACTION_ENTRIES = 100;
 
+    /** How long watches hear nothing before the history is dropped, as on the users' platform. */
+    private static final long UNHEARD_MILLIS = 1_000;
+    /** How far reads are behind then, as on the users' platform. */
+    private static final long STALE_MILLIS = 3_000;
     /** States kept of each row. */
     private static final int MAX_ROW_STATES = 50;
 
@@ -83,7 +87,11 @@
         /** The store executes each call late, if its conditions hold then, and never answers. */
         LATE_WRITE,
         /** The store has dropped the history that watches need; it answers them with status 410. */
-        HISTORY_GONE
+        HISTORY_GONE,
+        /** Watches hear nothing for a second; then the history is dropped and reads lag some seconds behind. */
+        HISTORY_DROPPED,
+        /** Connections that are open when the fault begins go silent for good. */
+        CONNECTIONS_SILENT
     }
 
     private record StoredRow(String value, long version, boolean deleted, long writtenMillis) {}
@@ -132,6 +140,21 @@
     /** Sets the fault for the callers of all addresses listened on so far; {@code NONE} ends it. */
     public void setFault(Fault fault) {
         faultByAddress.replaceAll((address, previous) -> fault);
+        setStaleReads(0);
+        setWatchesHearNothing(fault == Fault.HISTORY_DROPPED);
+        if (fault == Fault.HISTORY_DROPPED) {
+            traffic.schedule(this::dropUnheardHistory, UNHEARD_MILLIS);
+        } else if (fault == Fault.CONNECTIONS_SILENT) {
+            silenceOpenConnections();
+        }
+    }
+
+    private void dropUnheardHistory() {
+        if (faultByAddress.containsValue(Fault.HISTORY_DROPPED)) {
+            setStaleReads(STALE_MILLIS);
+            dropHistory();
+            setWatchesHearNothing(false);
+        }
     }
 
     /** Sets the fault for the callers of one address; {@code NONE} ends it. */
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -17,8 +17,12 @@
     private final List<SoakEvent> events = new ArrayList<>();
 
     private static List<String> violations(List<SoakEvent> events) {
+        return violations("the configuration is in force in time", events);
+    }
+
+    private static List<String> violations(String name, List<SoakEvent> events) {
         return SoakInvariants.all().stream()
-                .filter(invariant -> invariant.name().equals("the configuration is in force in time"))
+                .filter(invariant -> invariant.name().equals(name))
                 .findFirst()
                 .orElseThrow()
                 .violations(events, NO_FAULTS);
@@ -53,4 +57,15 @@
         notFound(LATE_MILLIS + 25);
         assertEquals(List.of(), violations(events));
     }
+
+    /** Guards against a check of limits that cannot fail. */
+    @Example
+    void aLimitedServerThatRunsTooManyRequestsIsFound() {
+        events.add(SoakEvent.of(0, What.LIMITED, "t0-n0", Integer.toString(SoakTopology.LIMIT_PER_SECOND)));
+        for (int i = 0; i < 18; i++) {
+            assertEquals(List.of(), violations("a named limit is kept", events));
+            events.add(SoakEvent.run(3_000 + i * 200, "t0-n0", "c" + i, -1, -1));
+        }
+        assertEquals(1, violations("a named limit is kept", events).size());
+    }
 }
