Move the pace of calls out of BackendDispatcher, and wait 0.1 s after a watch without changes

No change of behaviour but for the delay, which limits the calls to a store that answers a watch too soon. PacedAdmission holds the queue and its pace; the fraction of the drain time stands in LeavingTargets. 24 tests pass (ServerAnnouncementsTest, ArrivalPaceTest, AdmissionQueueTest, LeavingTargetsTest, ConfigurationFaultsTest, PlatformPathTest).

--- a/src/main/java/org/siskindyke/kernel/balance/LeavingTargets.java
+++ b/src/main/java/org/siskindyke/kernel/balance/LeavingTargets.java
@@ -10,6 +10,12 @@
  * target has restarted and does not know it. Confined to one thread; times are on the monotonic clock.
  */
 public final class LeavingTargets {
+    /**
+     * Fraction of the drain time for which a leaving target of a divided service still gets calls, so that its keys are
+     * served while they move.
+     */
+    public static final double SERVED_SHARE_OF_DRAIN = 0.75;
+
     /** How long after its last such response a target is left out; another incarnation may take its name later. */
     private static final long REMEMBERED_MILLIS = 30_000;
 
--- a/src/main/java/org/siskindyke/kernel/call/ArrivalPace.java
+++ b/src/main/java/org/siskindyke/kernel/call/ArrivalPace.java
@@ -69,7 +69,7 @@
         return isLimited() ? (long) Math.ceil(Math.max(0, nextMillis - nowMillis)) : 0;
     }
 
-    /** Returns whether a call may start now, beside those that run. */
+    /** Returns whether a call may start now, beside those that run; forgets the limit of a silent target. */
     public boolean allows(int running, long nowMillis) {
         if (isLimited() && nowMillis - lastResponseMillis > SILENCE_MILLIS) {
             reset();
--- a/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
@@ -28,6 +28,8 @@
      * platform requires a configuration to be applied, which is 2 to 2.5 seconds, depending on the deployment.
      */
     private static final long COALESCE_MILLIS = 800;
+    /** Delay before the next watch after one without changes; limits the calls to a store that answers too soon. */
+    private static final long UNCHANGED_DELAY_MILLIS = 100;
     /**
      * Longest wait of a reader's watch. The platform requires changes to be applied in time again 3 seconds after open
      * connections were lost, so a lost watch has to be noticed within 5 seconds.
@@ -97,7 +99,7 @@
             }
             long newestRow = offerRows(answer);
             seenVersion = progress.onAnswer(seenVersion, newestRow, version(answer));
-            traffic.schedule(this::watch, newestRow > 0 ? COALESCE_MILLIS : 0);
+            traffic.schedule(this::watch, newestRow > 0 ? COALESCE_MILLIS : UNCHANGED_DELAY_MILLIS);
         });
     }
 
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.siskindyke.kernel.balance.LeavingTargets;
 import org.siskindyke.kernel.control.MemberController;
 import org.siskindyke.kernel.control.SliceTraffic;
 import org.siskindyke.kernel.crash.TargetIncarnation;
@@ -24,7 +25,6 @@
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.traffic.BackendDispatcher;
 import org.siskindyke.runtime.traffic.LocalTargetInfo;
-import org.siskindyke.runtime.traffic.TargetDrain;
 import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
@@ -198,7 +198,7 @@
     }
 
     private void stopAfterDrain(TargetHeartbeat heartbeat) {
-        long delayMillis = (long) (drain.toMillis() * TargetDrain.SERVED_SHARE);
+        long delayMillis = (long) (drain.toMillis() * LeavingTargets.SERVED_SHARE_OF_DRAIN);
         traffic.schedule(
                 () -> {
                     LocalTargetInfo current = backend.target();
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -12,7 +12,6 @@
 
 import org.siskindyke.kernel.balance.TargetLoadReport;
 import org.siskindyke.kernel.call.AdmissionQueue;
-import org.siskindyke.kernel.call.ArrivalPace;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
 import org.siskindyke.kernel.crash.SuspectAssessment;
@@ -63,16 +62,13 @@
     private final DispatchLog log;
     private final SuspectLane<DispatchedCall> suspectLane = new SuspectLane<>(MAX_WAITING_SUSPECTS);
     private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
-    private final ArrivalPace pace = new ArrivalPace();
-    private final AdmissionQueue queue = new AdmissionQueue(0, serviceTimes, pace);
+    private final PacedAdmission admission;
+    private final AdmissionQueue queue;
     private final List<DispatchedCall> waitingForGrant = new ArrayList<>();
     private final Set<String> runningRequestIds = new HashSet<>();
     private volatile LocalTargetInfo target;
     private HttpClientPool pool;
     private boolean accepting;
-    private boolean turnScheduled;
-    /** Slots that the backend server can keep busy within its limit. */
-    private volatile int usableSlots;
 
     private BitSet granted = new BitSet();
     private long grantEndMillis;
@@ -108,6 +104,8 @@
         this.observer = observer;
         this.crashSigns = new CrashSigns(traffic, clock, crashGuard, observer);
         this.requests = new BackendRequestFactory(dialect);
+        this.admission = new PacedAdmission(traffic, clock, serviceTimes);
+        this.queue = admission.queue();
         this.log = new DispatchLog(log, clock);
     }
 
@@ -121,7 +119,7 @@
         queue.resize(announced.slots());
         if (previous == null || !previous.isSameIncarnation(announced)) {
             granted = new BitSet();
-            pace.reset();
+            admission.onNewIncarnation();
             if (pool != null) {
                 pool.close();
             }
@@ -170,7 +168,7 @@
     public OptionalInt slots(ServiceName service) {
         LocalTargetInfo current = target;
         return current != null && current.service().equals(service)
-                ? OptionalInt.of(Math.min(usableSlots, current.slots()))
+                ? OptionalInt.of(Math.min(admission.usableSlots(), current.slots()))
                 : OptionalInt.empty();
     }
 
@@ -214,10 +212,7 @@
      */
     public void tick() {
         long nowMillis = clock.nowMillis();
-        queue.refusePredictedTimeouts(nowMillis);
-        queue.admit(nowMillis);
-        scheduleTurn();
-        usableSlots = usableSlots(nowMillis);
+        admission.tick();
         List<DispatchedCall> expired = waitingForGrant.stream()
                 .filter(t -> nowMillis >= t.grantWaitEndMillis || !t.isOwned())
                 .toList();
@@ -229,40 +224,6 @@
                 t -> t.refuse(t.isOwned() ? Refusal.NOT_GRANTED : Refusal.NOT_OWNER, MAX_GRANT_WAIT_MILLIS / 2));
     }
 
-    private int usableSlots(long nowMillis) {
-        if (!pace.isLimited()) {
-            return Integer.MAX_VALUE;
-        }
-        return (int) Math.max(1, Math.ceil(serviceTimes.averageMillis(nowMillis) / pace.intervalMillis()));
-    }
-
-    /** Admits the next waiting call when the limit of the backend server allows it. */
-    private void scheduleTurn() {
-        long delayMillis = queue.turnDelayMillis(clock.nowMillis());
-        if (delayMillis > 0 && !turnScheduled) {
-            turnScheduled = true;
-            traffic.schedule(this::onTurn, delayMillis);
-        }
-    }
-
-    private void onTurn() {
-        turnScheduled = false;
-        queue.admit(clock.nowMillis());
-        scheduleTurn();
-    }
-
-    private void applyLimit(AnnouncedLimit limit, boolean ranAndGenuine, long nowMillis) {
-        switch (limit.state()) {
-            case NAMED -> pace.onLimit(limit.callsPerSecond(), nowMillis);
-            case NONE -> {
-                if (ranAndGenuine) {
-                    pace.onNoLimit();
-                }
-            }
-            default -> pace.onEnded();
-        }
-    }
-
     /**
      * Admits a call, lets it wait or refuses it.
      *
@@ -273,14 +234,17 @@
     Cancellable submit(Call call, Consumer<Reply> onReply) {
         DispatchedCall dispatched = new DispatchedCall(call, onReply);
         dispatched.admit();
-        scheduleTurn();
+        admission.admit();
         return dispatched;
     }
 
     private TargetLoadReport report() {
         return new TargetLoadReport(
-                queue.slots(), queue.used(), queue.waiting(), (int) serviceTimes.averageMillis(clock.nowMillis()), (int)
-                        Math.ceil(pace.intervalMillis()));
+                queue.slots(),
+                queue.used(),
+                queue.waiting(),
+                (int) serviceTimes.averageMillis(clock.nowMillis()),
+                admission.intervalMillis());
     }
 
     /** One call, from its admission to its reply. */
@@ -417,7 +381,7 @@
             if (dialect.isLeaving(headers)) {
                 observer.onLeavingAnnounced(new TargetIncarnation(target.name(), target.startMillis()));
             }
-            applyLimit(limit, !notRun && dialect.isGenuine(status, headers), nowMillis);
+            admission.onResponse(limit, !notRun && dialect.isGenuine(status, headers));
             if (!notRun) {
                 crashSigns.onAnswered(call);
                 lastAnswerMillis = nowMillis;
@@ -479,8 +443,7 @@
                 holdsSlot = false;
                 runningRequestIds.remove(call.id());
                 timer.cancel();
-                pace.onEnded();
-                queue.releaseSlot(clock.nowMillis());
+                admission.releaseSlot();
                 leaveSuspectLane();
             }
         }
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -188,7 +188,7 @@
     /** Sends a request that may run at one target only; it is not sent there twice. */
     private void sendToTrialTarget() {
         MemberRow member = context.crashGuard().trialMember(call).orElse(null);
-        boolean usable = member != null && context.targets().accepts(member, service, clock.nowMillis());
+        boolean usable = member != null && context.targets().isStaying(member, service, clock.nowMillis());
         if (!usable || !tried.add(member.id())) {
             refuse(Refusal.SUSPECTED_OF_CRASHES, statusOf(verdict), CrashGuard.RETRY_MILLIS);
         } else {
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -74,7 +74,7 @@
      * most of the drain time.
      */
     Optional<MemberRow> owner(SliceRef slice, long nowMillis) {
-        long servesWhileLeavingMillis = (long) (drain.get().toMillis() * TargetDrain.SERVED_SHARE);
+        long servesWhileLeavingMillis = (long) (drain.get().toMillis() * LeavingTargets.SERVED_SHARE_OF_DRAIN);
         return clusterView
                 .get()
                 .ownership()
@@ -106,14 +106,14 @@
         return acceptingMembers(service, nowMillis).stream().anyMatch(m -> !tried.contains(m.id()));
     }
 
-    /** Returns whether a member's target is among those that accept calls. */
-    boolean accepts(MemberRow member, ServiceName service, long nowMillis) {
+    /** Returns whether a member's target has not said that it leaves. */
+    boolean isStaying(MemberRow member, ServiceName service, long nowMillis) {
         return !isLeaving(member, service, 0, nowMillis);
     }
 
     private List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
         return clusterView.get().members().acceptingMembers(service).stream()
-                .filter(member -> !isLeaving(member, service, 0, nowMillis))
+                .filter(member -> isStaying(member, service, nowMillis))
                 .toList();
     }
 
