--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -8,8 +8,7 @@
 
 /**
  * Limits the concurrent calls of one target to its slots, spaces them by its {@link ArrivalPace}, and orders the calls
- * that wait. Confined to one thread. All
- * times are on the monotonic clock.
+ * that wait. Confined to one thread. All times are on the monotonic clock.
  *
  * <p>Nested calls go first, since a running call waits for them, then calls of higher priority. Within a priority,
  * calls that can still meet their latency objective go first, by earliest objective; the others follow by earliest
