Name rows of transactions in one place, and filter leaving targets only where there are any

Found on reading the change once more. Cause: StoreClient.check built the name of a row as PlatformTable did; readCurrent took a version that was always 0; each request copied the list of accepting members though no target was leaving; each response was checked twice for being genuine. Change: one putRowKey, no parameter, the list itself while nothing is remembered, one check. No change of behaviour, no test changed.

--- a/src/main/java/org/siskindyke/kernel/balance/LeavingTargets.java
+++ b/src/main/java/org/siskindyke/kernel/balance/LeavingTargets.java
@@ -36,6 +36,11 @@
                 (before, now) -> new Announcement(before.firstMillis(), now.lastMillis()));
     }
 
+    /** Returns whether no announcement is remembered; expired ones may still count as remembered. */
+    public boolean isEmpty() {
+        return announcements.isEmpty();
+    }
+
     /**
      * Returns whether a target has said for some time that it leaves.
      *
--- a/src/main/java/org/siskindyke/platform/PlatformTable.java
+++ b/src/main/java/org/siskindyke/platform/PlatformTable.java
@@ -155,7 +155,7 @@
      */
     @Override
     public CompletionStage<Row> read(RowPath path) {
-        return store.readCurrent(table(path), path.value(), 0)
+        return store.readCurrent(table(path), path.value())
                 .thenApply(current -> current.map(PlatformTable::row).orElse(Row.absent(path)));
     }
 
@@ -190,7 +190,7 @@
     }
 
     private static ObjectNode putRowKey(ObjectNode node, RowPath path) {
-        return node.put("table", table(path)).put("part", "").put("key", path.value());
+        return StoreClient.putRowKey(node, table(path), path.value());
     }
 
     /** Returns the result; for a conflict, it names the row of the first condition, even if that condition held. */
--- a/src/main/java/org/siskindyke/platform/StoreClient.java
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -28,6 +28,9 @@
     /** How much later than its wait a watch is answered at most. */
     private static final long WATCH_GRACE_MILLIS = 1_000;
 
+    /** Version in a condition that a row does not exist. */
+    private static final long NO_ROW = 0;
+
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final byte[] NO_BODY = {};
 
@@ -112,12 +115,11 @@
      *
      * @param table the table
      * @param key the key of the row
-     * @param knownVersion the version of the row that the caller knows; 0 for no row
-     * @return the row, or empty if it still has the known version; fails with {@code TABLE_UNAVAILABLE} for no answer
-     *     and where the answer does not contain the row
+     * @return the row, or empty if it does not exist; fails with {@code TABLE_UNAVAILABLE} for no answer and where the
+     *     answer does not contain the row
      */
-    CompletionStage<Optional<JsonNode>> readCurrent(String table, String key, long knownVersion) {
-        return check(table, key, knownVersion).thenCompose(answer -> currentRow(answer, key));
+    CompletionStage<Optional<JsonNode>> readCurrent(String table, String key) {
+        return check(table, key, NO_ROW).thenCompose(answer -> currentRow(answer, key));
     }
 
     private static CompletionStage<Optional<JsonNode>> currentRow(Answer answer, String key) {
@@ -141,18 +143,17 @@
      */
     CompletionStage<Answer> check(String table, String key, long version) {
         ObjectNode transaction = MAPPER.createObjectNode();
-        transaction
-                .putArray("precondition")
-                .addObject()
-                .put("table", table)
-                .put("part", "")
-                .put("key", key)
-                .put("ver", version);
+        putRowKey(transaction.putArray("precondition").addObject(), table, key).put("ver", version);
         transaction.putArray("writes");
         transaction.putArray("remove");
         return transact(transaction);
     }
 
+    /** Adds the fields that name a row of a transaction to {@code node}, and returns it. */
+    static ObjectNode putRowKey(ObjectNode node, String table, String key) {
+        return node.put("table", table).put("part", "").put("key", key);
+    }
+
     /**
      * Waits for changes of a table after a version.
      *
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -376,12 +376,13 @@
         public void onResponse(int status, List<Header> headers, byte[] body) {
             long nowMillis = clock.nowMillis();
             boolean notRun = dialect.isNotRun(status, headers);
+            boolean genuine = dialect.isGenuine(status, headers);
             AnnouncedLimit limit = dialect.limit(headers);
             log.onLimit(limit, target.name());
             if (dialect.isLeaving(headers)) {
                 observer.onLeavingAnnounced(new TargetIncarnation(target.name(), target.startMillis()));
             }
-            admission.onResponse(limit, !notRun && dialect.isGenuine(status, headers));
+            admission.onResponse(limit, !notRun && genuine);
             if (!notRun) {
                 crashSigns.onAnswered(call);
                 lastAnswerMillis = nowMillis;
@@ -393,7 +394,7 @@
             releaseSlot();
             if (notRun) {
                 end(Reply.notRun(Refusal.TARGET_REFUSED, MIN_RETRY_AFTER_MILLIS));
-            } else if (dialect.isGenuine(status, headers)) {
+            } else if (genuine) {
                 end(Reply.answer(status, dialect.returnedHeaders(Headers.endToEnd(headers)), body));
             } else {
                 log.onAnswerLost(call, target.name(), "successful response without a signature");
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -112,7 +112,11 @@
     }
 
     private List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
-        return clusterView.get().members().acceptingMembers(service).stream()
+        List<MemberRow> accepting = clusterView.get().members().acceptingMembers(service);
+        if (leaving.isEmpty()) {
+            return accepting;
+        }
+        return accepting.stream()
                 .filter(member -> isStaying(member, service, nowMillis))
                 .toList();
     }
