--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -285,17 +285,20 @@
         private final ServerSocket listening;
         private final long born = System.currentTimeMillis();
         private final boolean sharded;
+        private final String zone;
         private long sequence;
         /** The rows [from, to, fence] that are held, until {@link #holdEndMillis}. */
         private volatile List<long[]> holds = List.of();
 
         private volatile long holdEndMillis;
         private List<long[]> freed = List.of();
+        private String lateHeartbeat;
         volatile boolean stopped;
         volatile boolean acknowledged;
 
         Target(int instance, String zone, String service, boolean sharded) throws IOException {
             this.instance = instance;
+            this.zone = zone;
             this.sharded = sharded;
             this.service = service;
             this.id = "i-" + Long.toHexString(ThreadLocalRandom.current().nextLong() >>> 32) + "-" + instance;
@@ -303,10 +306,10 @@
             listening.setReuseAddress(true);
             listening.bind(new InetSocketAddress(host(instance), port + 5), 500);
             daemon(this::accept);
-            daemon(() -> beat(zone));
+            daemon(this::beat);
         }
 
-        private void beat(String zone) {
+        private void beat() {
             while (!stopped) {
                 boolean again = false;
                 try (Client client = new Client(host(instance), port + 4)) {
@@ -316,10 +319,7 @@
                         holds = List.of();
                     }
                     List<long[]> reported = freed;
-                    String body = "{\"service\":\"" + service + "\",\"address\":\"" + host(instance) + ":" + (port + 5)
-                            + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":12,\"state\":\"ready\","
-                            + "\"cold_left_ms\":0,\"seq_num\":" + ++sequence + ",\"born\":" + born
-                            + ",\"holds\":" + rows(holds, false) + ",\"freed\":" + rows(reported, true) + "}";
+                    String body = heartbeat(reported);
                     client.send(
                             "POST",
                             "/instances/" + id + "/heartbeat",
@@ -336,6 +336,13 @@
             }
         }
 
+        private String heartbeat(List<long[]> reportedFreed) {
+            return "{\"service\":\"" + service + "\",\"address\":\"" + host(instance) + ":" + (port + 5)
+                            + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":12,\"state\":\"ready\","
+                            + "\"cold_left_ms\":0,\"seq_num\":" + ++sequence + ",\"born\":" + born
+                            + ",\"holds\":" + rows(holds, false) + ",\"freed\":" + rows(reportedFreed, true) + "}";
+        }
+
         private String rows(List<long[]> rows, boolean released) {
             StringBuilder text = new StringBuilder("[");
             for (long[] row : rows) {
@@ -378,6 +385,45 @@
             return now() < holdEndMillis && holds.stream().anyMatch(h -> h[0] <= number && number <= h[1]);
         }
 
+        /**
+         * Deregisters and goes on serving, without further heartbeats.
+         *
+         * @return when the deregistration was acknowledged; -1 where it was not
+         */
+        long deregister() throws IOException {
+            stopped = true;
+            sleep(HEARTBEAT_MILLIS + 100);
+            lateHeartbeat = heartbeat(List.of());
+            try (Client client = new Client(host(instance), port + 4)) {
+                client.socket.setSoTimeout(1_000);
+                client.send("POST", "/instances/" + id + "/deregister", "control", Map.of(), new byte[0]);
+                int status = client.read().status;
+                log("target " + id + " deregisters and gets " + status);
+                return status / 100 == 2 ? now() : -1;
+            }
+        }
+
+        /** Lets the heartbeat arrive that was sent just before the deregistration. */
+        void deliverLateHeartbeat() throws IOException {
+            try (Client client = new Client(host(instance), port + 4)) {
+                client.socket.setSoTimeout(1_000);
+                client.send(
+                        "POST",
+                        "/instances/" + id + "/heartbeat",
+                        "control",
+                        Map.of("Content-Type", "application/json"),
+                        lateHeartbeat.getBytes(StandardCharsets.UTF_8));
+                log("the heartbeat that target " + id + " sent before it deregistered arrives late and gets "
+                        + client.read().status + ": " + lateHeartbeat);
+            }
+        }
+
+        /** Ends the target. */
+        void close() throws IOException {
+            stopped = true;
+            listening.close();
+        }
+
         private void accept() {
             try {
                 while (true) {
--- a/review/harness/RestartCase.java
+++ b/review/harness/RestartCase.java
@@ -35,7 +35,7 @@
     /** Routers that are killed one by one and started again; the others run on until the end. */
     private static final int RESTARTED = 4;
 
-    private static final int RESTARTS_OF_EACH = 10;
+    private static final int RESTARTS_OF_EACH = 14;
     private static final int REQUESTS = 200;
 
     private RestartCase() {}
@@ -113,14 +113,18 @@
         }
     }
 
-    /** Kills and starts some routers several times, each time after the router has joined or 1.5 s. */
+    /**
+     * Kills and starts some routers several times, each time after the router has joined or 3 s; ends at the second time
+     * that a router has not joined.
+     */
     private static void restartSome(Harness harness, Process[] routers) throws Exception {
         CountDownLatch done = new CountDownLatch(RESTARTED);
         for (int router = 1; router <= RESTARTED; router++) {
             int i = router;
             Harness.daemon(() -> {
                 try {
-                    for (int round = 0; round < RESTARTS_OF_EACH; round++) {
+                    int notJoined = 0;
+                    for (int round = 0; round < RESTARTS_OF_EACH && notJoined < 2; round++) {
                         harness.log("router" + i + " is killed");
                         routers[i].destroyForcibly().waitFor();
                         CountDownLatch joined = new CountDownLatch(1);
@@ -129,7 +133,7 @@
                                 joined.countDown();
                             }
                         });
-                        joined.await(1_500, TimeUnit.MILLISECONDS);
+                        notJoined += joined.await(3, TimeUnit.SECONDS) ? 0 : 1;
                     }
                 } catch (IOException | InterruptedException e) {
                     harness.log("restarts ended: " + e);
