Review: a script that could not run exits with 2

Cause: a JVM that cannot start, an exception and a timeout exited with 1 or 124, which reads as a broken rule; case 5 took a router that never came up for one that SIGHUP had ended. Change: a broken rule has a code of its own inside; cases 3 to 5 check first that the deployment serves or starts; processes end with the script.

--- a/review/harness/BodyCase.java
+++ b/review/harness/BodyCase.java
@@ -44,7 +44,8 @@
         } catch (IOException e) {
             System.out.println("the case could not run: " + e);
         }
-        System.exit(exit);
+        // 10 stands for a broken rule, as 1 is also the code of a JVM that could not run.
+        System.exit(exit == 1 ? 10 : exit);
     }
 
     private static int run(File folder, boolean trouble, int bodies, int bytes) throws Exception {
@@ -69,6 +70,10 @@
                 }
             }
             Thread.sleep(4_000);
+            if (results.stream().filter(r -> r.result.equals("200")).count() < 50) {
+                System.out.println("the case could not run: small orders are not served");
+                return 2;
+            }
             CountDownLatch done = new CountDownLatch(bodies);
             for (int n = 0; n < bodies; n++) {
                 Harness.daemon(() -> {
--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -59,6 +59,7 @@
     /** Creates a deployment on given addresses. */
     Harness(File recordFile, String givenNet, int givenPort) throws IOException {
         temp = Files.createTempDirectory("review");
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
         record = new BufferedWriter(new OutputStreamWriter(
                 Files.newOutputStream(recordFile.toPath()), StandardCharsets.UTF_8));
         ThreadLocalRandom random = ThreadLocalRandom.current();
--- a/review/harness/HupCase.java
+++ b/review/harness/HupCase.java
@@ -19,6 +19,10 @@
         try (Harness harness = new Harness(new File(arguments[0], "record.txt"))) {
             harness.log("trouble: " + trouble);
             harness.startStore();
+            for (int i = 1; i <= ZONES.length; i++) {
+                // A router that does not come up without a signal says nothing about the signal.
+                harness.startRouter(i, ZONES[i - 1], "orders").destroyForcibly().waitFor();
+            }
             int machines = 0;
             for (int i = 1; i <= ZONES.length; i++) {
                 int ended = 0;
@@ -36,7 +40,8 @@
         } catch (IOException e) {
             System.out.println("the case could not run: " + e);
         }
-        System.exit(exit);
+        // 10 stands for a broken rule, as 1 is also the code of a JVM that could not run.
+        System.exit(exit == 1 ? 10 : exit);
     }
 
     private static boolean endsByItself(Harness harness, int i, boolean trouble) throws Exception {
--- a/review/harness/LeavingCase.java
+++ b/review/harness/LeavingCase.java
@@ -34,7 +34,8 @@
         } catch (IOException e) {
             System.out.println("the case could not run: " + e);
         }
-        System.exit(exit);
+        // 10 stands for a broken rule, as 1 is also the code of a JVM that could not run.
+        System.exit(exit == 1 ? 10 : exit);
     }
 
     private static int run(File folder, boolean trouble) throws Exception {
@@ -63,8 +64,12 @@
                 }
             }
             Thread.sleep(3_000);
+            String name = target.id;
+            boolean served = harness.runs.values().stream()
+                    .flatMap(runs -> runs.stream())
+                    .anyMatch(run -> run.target().equals(name));
             long acknowledged = target.deregister();
-            if (acknowledged < 0) {
+            if (acknowledged < 0 || !served) {
                 return 2;
             }
             Thread.sleep(500);
--- a/review/harness/RestartCase.java
+++ b/review/harness/RestartCase.java
@@ -52,7 +52,8 @@
         } catch (IOException e) {
             System.out.println("the case could not run: " + e);
         }
-        System.exit(exit);
+        // 10 stands for a broken rule, as 1 is also the code of a JVM that could not run.
+        System.exit(exit == 1 ? 10 : exit);
     }
 
     private static int run(File folder, boolean trouble) throws Exception {
