Record that a backend server leaves before acknowledging it

Callers saw requests reach a backend server up to seconds after it had been acknowledged as leaving: its router, or all routers, restarted, and a heartbeat from before arrived late.

Cause: the departure was known to one process only and acknowledged at once; the next process took any heartbeat for that of a new server. Ruled out: knowledge of peers (all routers killed: requests too late on all of them) and the order of heartbeats, which counts in one process.

Change: the router's row names departures with the server's start time; they are acknowledged once the row is committed, 503 after 0.9 s without. A process takes over the departures in the rows of its instance and uses no backend server before it knows the rows, from the table or from a peer that knew all of them; a member that lacks rows sends none by gossip, as its peer could not know that some are missing.

The soak had no late heartbeats, no deregistration and no kill of all routers; it has now.

--- a/src/main/java/org/siskindyke/kernel/control/MemberController.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberController.java
@@ -17,6 +17,7 @@
 import org.siskindyke.kernel.membership.LeaseGrantor;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.membership.TargetDeparture;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -216,6 +217,21 @@
         registration.setTargets(targets);
     }
 
+    /** Replaces the departures that this member records in its row. */
+    public void setDepartures(List<TargetDeparture> departures) {
+        registration.setDepartures(departures);
+    }
+
+    /** Returns the departures that this member's row in the table records; none before it has joined. */
+    public List<TargetDeparture> recordedDepartures() {
+        return registration.isJoined() ? registration.row().departures() : List.of();
+    }
+
+    /** Returns from where this member knows all rows of the table. */
+    public RowKnowledge rowKnowledge() {
+        return sync.rowKnowledge();
+    }
+
     /** Returns whether this member owns no slice of a service and no release, of any service, is in progress. */
     public boolean hasHandedOver(ServiceName service) {
         return handover.isFinished(service);
--- a/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
@@ -12,6 +12,7 @@
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.membership.TargetDeparture;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -56,6 +57,7 @@
 
     private boolean ended;
     private List<TargetAnnouncement> wantedTargets = List.of();
+    private List<TargetDeparture> wantedDepartures = List.of();
     private boolean leaving;
     private long nextRenewalMillis;
     private long nextReviewMillis;
@@ -71,6 +73,7 @@
         this.writer = writer;
         this.row = template;
         this.wantedTargets = template.targets();
+        this.wantedDepartures = template.departures();
     }
 
     /** Finds members of the same instance whose process has provably ended. */
@@ -116,6 +119,10 @@
         wantedTargets = List.copyOf(targets);
     }
 
+    void setDepartures(List<TargetDeparture> departures) {
+        wantedDepartures = List.copyOf(departures);
+    }
+
     void setLeaving() {
         leaving = true;
     }
@@ -199,7 +206,8 @@
                 grantor,
                 wantedTargets,
                 row.process(),
-                null);
+                null,
+                wantedDepartures);
         Transaction.Builder transaction =
                 Transaction.builder().replace(RowPath.member(row.id()), 0, RowCodec.encode(joining));
         Optional<TakeoverPlan> takeover =
@@ -413,8 +421,8 @@
             writeAgain(nowMillis);
         } else if (leaving && row.state() == MemberState.ALIVE) {
             replaceRow(row.withState(MemberState.LEAVING, null));
-        } else if (!wantedTargets.equals(row.targets())) {
-            replaceRow(row.withTargets(wantedTargets));
+        } else if (!wantedTargets.equals(row.targets()) || !wantedDepartures.equals(row.departures())) {
+            replaceRow(row.withTargets(wantedTargets, wantedDepartures));
         }
     }
 
--- a/src/main/java/org/siskindyke/kernel/control/RowReader.java
+++ b/src/main/java/org/siskindyke/kernel/control/RowReader.java
@@ -9,9 +9,11 @@
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.input.NumberField;
 import org.siskindyke.kernel.membership.MemberAddress;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.membership.TargetDeparture;
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.ownership.SliceOwnershipRow;
 import org.siskindyke.kernel.table.Row;
@@ -66,6 +68,7 @@
         require(isWithin(member.epoch(), 0, MAX_EPOCH), "epoch", row);
         require(isAddress(member.address()), "address", row);
         require(member.targets().stream().allMatch(RowReader::isTarget), "targets", row);
+        require(member.departures().stream().allMatch(RowReader::isDeparture), "departures", row);
     }
 
     private static boolean isAddress(MemberAddress address) {
@@ -88,6 +91,10 @@
                 && isWithin(target.port(), 0, MAX_PORT);
     }
 
+    private static boolean isDeparture(TargetDeparture departure) {
+        return departure.target() != null && isWithin(departure.startMillis(), 0, NumberField.MAX_EXACT);
+    }
+
     private static void checkOwnership(Row row, ToIntFunction<ServiceName> sliceCount) {
         SliceOwnershipRow ownership = RowCodec.decode(row, SliceOwnershipRow.class);
         require(ownership.service() != null, "service", row);
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -72,6 +72,9 @@
     private long spreadAtMillis = Long.MAX_VALUE;
 
     private boolean synced;
+    /** Whether a peer that knew all rows has sent the last ones that this member lacked. */
+    private boolean completedByPeer;
+
     private boolean polling;
     private boolean pollAgain;
     private long nextPollMillis;
@@ -93,6 +96,13 @@
         return synced;
     }
 
+    RowKnowledge rowKnowledge() {
+        if (synced) {
+            return RowKnowledge.FROM_TABLE;
+        }
+        return completedByPeer ? RowKnowledge.FROM_PEER : RowKnowledge.INCOMPLETE;
+    }
+
     /**
      * Returns when the table last answered a poll or {@link #fetch}, in milliseconds of this member's clock;
      * {@link Long#MIN_VALUE} for never.
@@ -176,7 +186,7 @@
         return new PeerMessenger.Gossip(
                 context.self(),
                 version(),
-                context.view().replica().changesSince(theirs.tableVersion(), GOSSIP_LIMIT_ROWS),
+                changesFor(theirs),
                 configuration.revision(),
                 lacksConfiguration ? configuration : null,
                 suspectsDigest(),
@@ -186,6 +196,13 @@
                 tableAgeMillis());
     }
 
+    /** Returns the rows that a peer lacks; none while this member lacks some itself, which the peer would not know. */
+    private TableChanges changesFor(PeerMessenger.Gossip theirs) {
+        return rowKnowledge() == RowKnowledge.INCOMPLETE
+                ? TableChanges.none(0)
+                : context.view().replica().changesSince(theirs.tableVersion(), GOSSIP_LIMIT_ROWS);
+    }
+
     /**
      * Accepts a configuration if it is newer than the known one and can be applied.
      *
@@ -285,6 +302,7 @@
         boolean isComplete = synced || gossip.changes().sinceVersion() <= version();
         if (isComplete && gossip.changes().upToVersion() > version()) {
             notifyOf(context.view().apply(gossip.changes(), context.nowMillis()));
+            completedByPeer |= gossip.changes().upToVersion() >= gossip.tableVersion();
         }
         if (gossip.configuration() != null) {
             acceptConfiguration(gossip.configuration(), gossip.member());
--- a/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
+++ b/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -11,8 +13,10 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.table.Row;
@@ -83,6 +87,15 @@
         return dead.values();
     }
 
+    /** Returns the departures that the rows of an instance record, of its present process and of earlier ones. */
+    public Set<TargetDeparture> departures(InstanceName instance, MemberAddress address) {
+        return Stream.concat(dead.values().stream(), serving.values().stream())
+                .filter(m -> m.instance().equals(instance) && m.address().equals(address))
+                .sorted(Comparator.comparing(m -> m.id()))
+                .flatMap(m -> m.departures().stream())
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+    }
+
     /** Returns whether a member is dead according to its row. */
     public boolean isDead(MemberId id) {
         return dead.containsKey(id);
--- a/src/main/java/org/siskindyke/kernel/membership/MemberRow.java
+++ b/src/main/java/org/siskindyke/kernel/membership/MemberRow.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.MemberId;
@@ -21,6 +22,8 @@
  * @param targets the backend servers beside it
  * @param process its process; null if the host does not provide the data
  * @param declaredBy the member that wrote the state {@code DEAD}; null in other states
+ * @param departures backend servers of this and earlier processes of the instance that have left or are leaving, the
+ *     latest last
  */
 public record MemberRow(
         MemberId id,
@@ -32,29 +35,61 @@
         MemberId grantor,
         List<TargetAnnouncement> targets,
         ProcessIdentity process,
-        MemberId declaredBy) {
-    /** Copies the list; null becomes an empty list. */
+        MemberId declaredBy,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<TargetDeparture> departures) {
+    /** Copies the lists; null becomes an empty list. */
     public MemberRow {
         targets = targets == null ? List.of() : List.copyOf(targets);
+        departures = departures == null ? List.of() : List.copyOf(departures);
     }
 
     /** Returns the row with another grantor and the next epoch. */
     public MemberRow withGrantor(MemberId newGrantor) {
         return new MemberRow(
-                id, instance, failureDomain, address, state, epoch + 1, newGrantor, targets, process, declaredBy);
+                id,
+                instance,
+                failureDomain,
+                address,
+                state,
+                epoch + 1,
+                newGrantor,
+                targets,
+                process,
+                declaredBy,
+                departures);
     }
 
     /** Returns the row in another state; {@code writer} is recorded only for {@code DEAD}. */
     public MemberRow withState(MemberState newState, MemberId writer) {
         MemberId newDeclaredBy = newState == MemberState.DEAD ? writer : null;
         return new MemberRow(
-                id, instance, failureDomain, address, newState, epoch, grantor, targets, process, newDeclaredBy);
+                id,
+                instance,
+                failureDomain,
+                address,
+                newState,
+                epoch,
+                grantor,
+                targets,
+                process,
+                newDeclaredBy,
+                departures);
     }
 
-    /** Returns the row with other backend servers. */
-    public MemberRow withTargets(List<TargetAnnouncement> newTargets) {
+    /** Returns the row with other backend servers and departures. */
+    public MemberRow withTargets(List<TargetAnnouncement> newTargets, List<TargetDeparture> newDepartures) {
         return new MemberRow(
-                id, instance, failureDomain, address, state, epoch, grantor, newTargets, process, declaredBy);
+                id,
+                instance,
+                failureDomain,
+                address,
+                state,
+                epoch,
+                grantor,
+                newTargets,
+                process,
+                declaredBy,
+                newDepartures);
     }
 
     /** Returns whether the member may have a lease and therefore needs a grantor. */
--- a/src/main/java/org/siskindyke/measure/Measurements.java
+++ b/src/main/java/org/siskindyke/measure/Measurements.java
@@ -268,7 +268,8 @@
                 List.of(new TargetAnnouncement(
                         service, TargetName.of(service + "-" + index), "10.0.0.1", 9000, true, true)),
                 null,
-                null);
+                null,
+                List.of());
         int owners = Math.max(1, members / services);
         int position = index / services;
         List<OwnedSlice> ownedSlices = IntStream.range(0, slicesPerService)
--- a/src/main/java/org/siskindyke/measure/VirtualCluster.java
+++ b/src/main/java/org/siskindyke/measure/VirtualCluster.java
@@ -101,7 +101,8 @@
                 MemberId.TABLE,
                 List.of(),
                 null,
-                null);
+                null,
+                List.of());
         MemberController controller =
                 new MemberController(context, template, new IdleTraffic(), LoadSource.NONE, new LevelUsagePolicy());
         controllers.put(self, controller);
--- a/src/main/java/org/siskindyke/platform/HeartbeatEndpoint.java
+++ b/src/main/java/org/siskindyke/platform/HeartbeatEndpoint.java
@@ -5,6 +5,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.runtime.EventLog;
@@ -19,6 +20,7 @@
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
     private static final Header JSON = new Header("Content-Type", "application/json");
 
     private final InstanceRouter router;
@@ -45,7 +47,10 @@
                         reply -> responder.respond(json(HeartbeatCodec.write(reply))),
                         refusal -> refuse(path.group(1), refusal, responder));
             } else {
-                router.onDeregister(TargetName.of(path.group(1)), () -> responder.respond(json("{}")));
+                router.onDeregister(
+                        TargetName.of(path.group(1)),
+                        () -> responder.respond(json("{}")),
+                        refusal -> refuse(path.group(1), refusal, responder));
             }
         } catch (SiskindykeException e) {
             refuse(path.group(1), e, responder);
@@ -53,10 +58,21 @@
         return Cancellable.NONE;
     }
 
-    /** Refuses a heartbeat that names no backend server to use; what is known of others holds. */
+    /**
+     * Refuses a message: one that names no backend server to use, after which what is known of others holds, or one
+     * that could not be recorded in time, which the backend server repeats.
+     */
     private void refuse(String target, SiskindykeException cause, HttpExchange.Responder responder) {
-        log.event("heartbeat-malformed", "target", target, "code", cause.code(), "cause", cause.getMessage());
-        responder.respond(HttpExchange.Response.empty(BAD_REQUEST));
+        boolean unrecorded = cause.code() == ErrorCode.TABLE_UNAVAILABLE;
+        log.event(
+                unrecorded ? "departure-not-acknowledged" : "heartbeat-malformed",
+                "target",
+                target,
+                "code",
+                cause.code(),
+                "cause",
+                cause.getMessage());
+        responder.respond(HttpExchange.Response.empty(unrecorded ? UNAVAILABLE : BAD_REQUEST));
     }
 
     private static HttpExchange.Response json(String body) {
--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -113,15 +113,8 @@
     /** Starts a router and its backend server as above; {@code faults} is applied to the backend server first. */
     Instance start(String service, boolean divided, String failureDomain, Consumer<HeartbeatBackendStandin> faults) {
         InstanceSettings settings = startRouter(service, failureDomain);
-        HeartbeatBackendStandin.Identity identity = new HeartbeatBackendStandin.Identity(
-                "i-" + settings.instance(),
-                service,
-                failureDomain,
-                freeAddress(),
-                settings.addresses().heartbeats(),
-                divided,
-                HEARTBEAT_INTERVAL.toMillis());
-        HeartbeatBackendStandin backend = new HeartbeatBackendStandin(traffic, SystemMonotonicClock.INSTANCE, identity);
+        HeartbeatBackendStandin backend =
+                new HeartbeatBackendStandin(traffic, SystemMonotonicClock.INSTANCE, newIdentity(settings, divided));
         faults.accept(backend);
         backend.start();
         Instance instance = new Instance(settings, backend);
@@ -170,19 +163,51 @@
 
     /** Sends a heartbeat with any body to the router with the given settings; returns the status of the reply. */
     int heartbeat(InstanceSettings router, String id, String body) throws InterruptedException {
+        return report(router, id + "/heartbeat", body);
+    }
+
+    /** Deregisters a backend server at the router with the given settings; returns the status of the reply. */
+    int deregister(InstanceSettings router, String id) throws InterruptedException {
+        return report(router, id + "/deregister", "");
+    }
+
+    private int report(InstanceSettings router, String path, String body) throws InterruptedException {
         InetSocketAddress heartbeats = router.addresses().heartbeats();
         HttpRequest request = HttpRequest.newBuilder(
-                        URI.create("http://" + HOST + ":" + heartbeats.getPort() + "/instances/" + id + "/heartbeat"))
+                        URI.create("http://" + HOST + ":" + heartbeats.getPort() + "/instances/" + path))
                 .timeout(RESPONSE_TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
         try {
             return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
         } catch (IOException e) {
-            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "heartbeat was not acknowledged", e);
+            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, path + " was not acknowledged", e);
         }
     }
 
+    /** Starts a backend server beside a router, under the name of the one before, with a given start time. */
+    HeartbeatBackendStandin startAgain(InstanceSettings router, long startMillis) {
+        HeartbeatBackendStandin backend = new HeartbeatBackendStandin(
+                traffic,
+                SystemMonotonicClock.INSTANCE,
+                newIdentity(router, false),
+                startMillis,
+                HeartbeatBackendStandin.Listener.NONE);
+        backend.start();
+        return backend;
+    }
+
+    private static HeartbeatBackendStandin.Identity newIdentity(InstanceSettings router, boolean divided) {
+        return new HeartbeatBackendStandin.Identity(
+                "i-" + router.instance(),
+                router.service().value(),
+                router.failureDomain().value(),
+                freeAddress(),
+                router.addresses().heartbeats(),
+                divided,
+                HEARTBEAT_INTERVAL.toMillis());
+    }
+
     /** Sends a request to a router without waiting; the response fails where the request failed or timed out. */
     CompletableFuture<HttpResponse<String>> send(Instance instance, String path) {
         return send(instance, path, 0);
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -320,7 +320,8 @@
      * @param heartbeat the heartbeat
      * @param address address at which the backend server accepts requests
      * @param onReply called with the reply on the traffic loop
-     * @param onRefused called on the traffic loop, instead, where the heartbeat names no backend server to use
+     * @param onRefused called on the traffic loop, instead, where the heartbeat names no backend server to use, or says
+     *     that it leaves and this could not be recorded in time
      */
     public void onHeartbeat(
             TargetHeartbeat heartbeat,
@@ -332,7 +333,11 @@
             try {
                 GrantReply reply =
                         targets.onHeartbeat(heartbeat, address, member, configuration.settings(heartbeat.service()));
-                traffic.execute(() -> onReply.accept(reply));
+                targets.acknowledge(
+                        heartbeat,
+                        member,
+                        () -> traffic.execute(() -> onReply.accept(reply)),
+                        error -> traffic.execute(() -> onRefused.accept(error)));
             } catch (SiskindykeException e) {
                 traffic.execute(() -> onRefused.accept(e));
             }
@@ -344,13 +349,15 @@
      * called on any thread.
      *
      * @param target name of the backend server
-     * @param onRecorded runs on the traffic loop once the deregistration is recorded
+     * @param onRecorded runs on the traffic loop once the deregistration is recorded in the table
+     * @param onUnrecorded called on the traffic loop, instead, where it could not be recorded in time
      */
-    public void onDeregister(TargetName target, Runnable onRecorded) {
-        control.execute(() -> {
-            targets.onDeregister(target, member);
-            traffic.execute(onRecorded);
-        });
+    public void onDeregister(TargetName target, Runnable onRecorded, Consumer<SiskindykeException> onUnrecorded) {
+        control.execute(() -> targets.onDeregister(
+                target,
+                member,
+                () -> traffic.execute(onRecorded),
+                error -> traffic.execute(() -> onUnrecorded.accept(error))));
     }
 
     private void onConfigurationApplied(RoutingConfiguration applied) {
@@ -370,10 +377,10 @@
 
     private void tick() {
         checkSuspension();
+        targets.tick(member);
         member.tick();
         reader = member.isReader();
         watchesConfiguration = member.watchesConfiguration();
-        targets.tick(member);
         meter.updateAverages();
     }
 
@@ -414,7 +421,8 @@
                 MemberId.TABLE,
                 targets.announcements(),
                 null,
-                null);
+                null,
+                targets.departures());
         MemberController created =
                 new MemberController(context, template, targets.sliceTraffic(), meter, new RelieveOverloadPolicy());
         created.setPredecessorFinder(view -> findPredecessor(view, self, address));
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -267,7 +267,8 @@
                 MemberId.TABLE,
                 targets.announcements(),
                 ProcessProbe.self(),
-                null);
+                null,
+                List.of());
         SliceBalancePolicy policy =
                 Plugins.named(SliceBalancePolicy.class, settings.slicePolicy(), SliceBalancePolicy::name);
         MemberController member = new MemberController(context, template, servingState, meter, policy);
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.siskindyke.kernel.balance.LeavingTargets;
 import org.siskindyke.kernel.control.MemberController;
@@ -15,13 +16,13 @@
 import org.siskindyke.kernel.crash.TargetIncarnation;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
-import org.siskindyke.kernel.grant.DeregisteredTargets;
 import org.siskindyke.kernel.grant.GrantReply;
 import org.siskindyke.kernel.grant.TargetGrants;
 import org.siskindyke.kernel.grant.TargetHeartbeat;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.membership.TargetDeparture;
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.route.ServiceSettings;
 import org.siskindyke.kernel.time.MonotonicClock;
@@ -52,7 +53,7 @@
     private final TargetCrashes crashes;
     private final EventLog log;
     private final TargetGrants grants;
-    private final DeregisteredTargets deregistered = new DeregisteredTargets();
+    private final TargetDepartures departures;
     private Duration drain;
     private TargetHeartbeat lastHeartbeat;
     private InetSocketAddress address;
@@ -81,6 +82,7 @@
         this.log = log;
         this.startMillis = clock.nowMillis();
         this.grants = grants;
+        this.departures = new TargetDepartures(settings, clock, log);
     }
 
     /** Sets the drain time, within which a leaving backend server stops getting new calls. */
@@ -88,9 +90,17 @@
         drain = changed;
     }
 
-    /** Returns the announcement of the backend server to other routers; empty before its first heartbeat. */
+    /** Returns the departures to record in the row of this router's member. */
+    List<TargetDeparture> departures() {
+        return departures.all();
+    }
+
+    /**
+     * Returns the announcement of the backend server to other routers; empty before its first heartbeat, and until it
+     * is known which backend servers have left.
+     */
     List<TargetAnnouncement> announcements() {
-        if (lastHeartbeat == null) {
+        if (lastHeartbeat == null || !departures.areKnown()) {
             return List.of();
         }
         return List.of(new TargetAnnouncement(
@@ -129,7 +139,10 @@
         }
         Long previousStartMillis = lastHeartbeat == null ? null : lastHeartbeat.startMillis();
         boolean newIncarnation = lastHeartbeat == null || lastHeartbeat.startMillis() != heartbeat.startMillis();
-        boolean announcedLeaving = heartbeat.leaving() || deregistered.isDeregistered(heartbeat);
+        if (heartbeat.leaving()) {
+            departures.record(departureOf(heartbeat), member);
+        }
+        boolean announcedLeaving = departures.contains(heartbeat);
         boolean newlyLeaving = announcedLeaving && !(leaving && !newIncarnation);
         divided = serviceSettings.map(ServiceSettings::divided).orElse(false);
         address = announcedAddress;
@@ -155,6 +168,30 @@
         return divided ? reply : GrantReply.NO_RENEWAL;
     }
 
+    /**
+     * Calls back once a heartbeat may be acknowledged: one that says that the backend server leaves, once this is
+     * recorded; any other at once.
+     *
+     * @param heartbeat a heartbeat that {@link #onHeartbeat} has processed
+     * @param onAcknowledged runs once it may be acknowledged
+     * @param onUnrecorded receives an error, instead, if recording takes too long
+     */
+    void acknowledge(
+            TargetHeartbeat heartbeat,
+            MemberController member,
+            Runnable onAcknowledged,
+            Consumer<SiskindykeException> onUnrecorded) {
+        if (heartbeat.leaving()) {
+            departures.acknowledge(departureOf(heartbeat), onAcknowledged, onUnrecorded, member);
+        } else {
+            onAcknowledged.run();
+        }
+    }
+
+    private static TargetDeparture departureOf(TargetHeartbeat heartbeat) {
+        return new TargetDeparture(heartbeat.target(), heartbeat.startMillis());
+    }
+
     private void checkPlausible(TargetHeartbeat heartbeat, boolean configured) {
         // Both this clock and the one that showed the start time may be off.
         long skewMillis = 2 * settings.bounds().maxClockSkew().toMillis();
@@ -199,7 +236,7 @@
                 divided);
         BitSet granted = grants.grantedSlices();
         long endMillis = grants.grantEndMillis();
-        boolean stopNow = leaving && !divided;
+        boolean stopNow = leaving && !divided || !departures.areKnown();
         boolean stopSoon = leaving && divided && stateChanged;
         TargetIncarnation incarnation = new TargetIncarnation(heartbeat.target(), heartbeat.startMillis());
         boolean isLeaving = leaving;
@@ -232,17 +269,26 @@
 
     /**
      * Stops new calls to a backend server that deregisters: at once, or after a part of the drain time if its service
-     * is divided. If the last heartbeat is not from this backend server, its deregistration is recorded and applies to
-     * later heartbeats of it.
+     * is divided. If the last heartbeat is not from this backend server, its departure applies to heartbeats of it that
+     * arrive later.
+     *
+     * @param onRecorded runs once the departure is recorded
+     * @param onUnrecorded receives an error, instead, if that takes too long
      */
-    void onDeregister(TargetName target, MemberController member) {
-        if (lastHeartbeat == null || !lastHeartbeat.target().equals(target)) {
-            log.event("deregister-unknown", "target", target);
-            deregistered.onDeregistration(target, wallClock.nowMillis());
-            return;
+    void onDeregister(
+            TargetName target,
+            MemberController member,
+            Runnable onRecorded,
+            Consumer<SiskindykeException> onUnrecorded) {
+        boolean present = lastHeartbeat != null && lastHeartbeat.target().equals(target);
+        TargetDeparture departure =
+                present ? departureOf(lastHeartbeat) : new TargetDeparture(target, wallClock.nowMillis());
+        log.event(present ? "target-deregistered" : "deregister-unknown", "target", target);
+        departures.record(departure, member);
+        if (present) {
+            startLeaving(member);
         }
-        log.event("target-deregistered", "target", target);
-        startLeaving(member);
+        departures.acknowledge(departure, onRecorded, onUnrecorded, member);
     }
 
     /** Stops new calls to a backend server whose responses say that it leaves, as after a deregistration. */
@@ -291,6 +337,10 @@
     void tick(MemberController member) {
         long nowMillis = clock.nowMillis();
         grants.tick(nowMillis);
+        boolean wereKnown = departures.areKnown();
+        if (departures.tick(member)) {
+            onDeparturesRead(member, wereKnown);
+        }
         if (lastHeartbeat == null) {
             markInheritedTargetsLost(member, nowMillis);
             return;
@@ -304,6 +354,22 @@
         }
     }
 
+    /** Starts to use the backend server that sends heartbeats, or stops to if it has reported that it leaves. */
+    private void onDeparturesRead(MemberController member, boolean wereKnown) {
+        if (lastHeartbeat == null) {
+            return;
+        }
+        if (departures.contains(lastHeartbeat) && !leaving) {
+            log.event("target-left-before", "target", lastHeartbeat.target());
+            startLeaving(member);
+        }
+        boolean accepting = !leaving || divided;
+        if (!wereKnown) {
+            traffic.execute(() -> backend.setAccepting(accepting));
+        }
+        member.setTargets(announcements());
+    }
+
     /**
      * Announces the targets of this router's previous incarnation as not accepting, so that their slices are handed
      * over, if no heartbeat has been received by the time that their last grants have ended.
--- a/src/main/java/org/siskindyke/soak/SoakCluster.java
+++ b/src/main/java/org/siskindyke/soak/SoakCluster.java
@@ -52,6 +52,14 @@
         return instances.get(index);
     }
 
+    void killAllRouters() {
+        instances.forEach(SoakInstance::killRouter);
+    }
+
+    void startAllRouters() {
+        instances.forEach(SoakInstance::startRouter);
+    }
+
     /** Controls the faults of the store. */
     interface StoreFaults {
         /** Starts a fault; {@code NONE} ends the present one. */
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -19,7 +19,7 @@
     CRASH_TARGET(Component.TARGET, false, SoakInstance::killTarget, SoakInstance::startTarget),
     /** A backend server is frozen (SIGSTOP) and then thawed. */
     FREEZE_TARGET(Component.TARGET, false, SoakInstance::freezeTarget, SoakInstance::thawTarget),
-    /** A backend server deregisters and is replaced by another one. */
+    /** A backend server reports that it is draining, and is replaced by another one. */
     REPLACE_TARGET(Component.TARGET, true, SoakInstance::leaveTarget, SoakInstance::replaceTarget),
     /** A machine loses power: its router and backend server are killed together. */
     LOSE_MACHINE(Component.MACHINE, false, SoakInstance::killBoth, SoakInstance::startBoth),
@@ -69,7 +69,18 @@
             (cluster, instanceIndex) -> cluster.writeOddEntries(instanceIndex),
             (cluster, instanceIndex) -> {}),
     /** A backend server writes a refusal that names no request after each of its responses. */
-    STRAY_RESPONSES(Component.TARGET, false, SoakInstance::writeStrayResponses, SoakInstance::stopStrayResponses);
+    STRAY_RESPONSES(Component.TARGET, false, SoakInstance::writeStrayResponses, SoakInstance::stopStrayResponses),
+    /** A backend server deregisters and serves on, while some of its heartbeats arrive late; then it is replaced. */
+    DEREGISTER_TARGET(Component.TARGET, true, SoakInstance::deregisterTarget, SoakInstance::replaceTarget),
+    /** All routers are killed at the same time and then restarted. */
+    KILL_ALL_ROUTERS(
+            Component.ALL_ROUTERS,
+            false,
+            (cluster, instanceIndex) -> cluster.killAllRouters(),
+            (cluster, instanceIndex) -> cluster.startAllRouters());
+
+    /** Longer than the late heartbeats of a backend server that has deregistered are under way. */
+    private static final long MIN_DEREGISTERED_MILLIS = 7_000;
 
     /** A leaving backend server may receive requests until the drain time after its acknowledgement has passed. */
     private static final long MIN_REPLACEMENT_MILLIS = SoakTopology.DRAIN_MILLIS + 1_500;
@@ -101,6 +112,8 @@
         TARGET,
         /** Both processes. */
         MACHINE,
+        /** The routers' processes of all instances. */
+        ALL_ROUTERS,
         /** The connections from the router to the store. */
         LINK,
         /** The store. */
@@ -112,10 +125,22 @@
         /** Another program that writes to the store and to a router. */
         WRITER;
 
-        /** Returns whether faults of these two components of one instance must not overlap in time. */
+        /** Returns whether faults of these two components must not overlap in time, where they affect one instance. */
         boolean conflictsWith(Component other) {
-            boolean processes = ordinal() <= MACHINE.ordinal() && other.ordinal() <= MACHINE.ordinal();
-            return this == other || processes && (this == MACHINE || other == MACHINE);
+            return this == other || includes(other) || other.includes(this);
+        }
+
+        private boolean includes(Component other) {
+            return switch (this) {
+                case MACHINE -> other == ROUTER || other == TARGET;
+                case ALL_ROUTERS -> other == ROUTER || other == MACHINE;
+                default -> false;
+            };
+        }
+
+        /** Returns whether there is one of this component only, whatever the instance that a fault names. */
+        boolean isShared() {
+            return this == ALL_ROUTERS || this == STORE || this == OPERATOR || this == CALLERS;
         }
     }
 
@@ -157,6 +182,7 @@
     /** Returns the duration of the fault: the drawn one, or a longer minimum that the fault needs. */
     long durationMillis(long drawnMillis) {
         return switch (this) {
+            case DEREGISTER_TARGET -> Math.max(MIN_DEREGISTERED_MILLIS, drawnMillis);
             case REPLACE_TARGET -> Math.max(MIN_REPLACEMENT_MILLIS, drawnMillis);
             case CRASHING_REQUEST -> Math.max(MIN_CRASHING_MILLIS, drawnMillis);
             case LIMIT_TARGET -> Math.max(MIN_LIMITED_MILLIS, drawnMillis);
--- a/src/main/java/org/siskindyke/soak/SoakInstance.java
+++ b/src/main/java/org/siskindyke/soak/SoakInstance.java
@@ -149,6 +149,10 @@
         writeToTarget(SoakStandinMain.LEAVE);
     }
 
+    void deregisterTarget() {
+        writeToTarget(SoakStandinMain.DEREGISTER);
+    }
+
     void limitTarget() {
         writeLimit(SoakTopology.LIMIT_PER_SECOND);
     }
--- a/src/main/java/org/siskindyke/soak/SoakRun.java
+++ b/src/main/java/org/siskindyke/soak/SoakRun.java
@@ -119,11 +119,9 @@
 
     private static boolean conflicts(SoakPlan.Step first, SoakPlan.Step other) {
         SoakFault.Component component = first.fault().component();
-        boolean shared = component == SoakFault.Component.STORE
-                || component == SoakFault.Component.OPERATOR
-                || component == SoakFault.Component.CALLERS;
-        return component.conflictsWith(other.fault().component())
-                && (shared || first.instanceIndex() == other.instanceIndex());
+        SoakFault.Component otherComponent = other.fault().component();
+        boolean shared = component.isShared() || otherComponent.isShared();
+        return component.conflictsWith(otherComponent) && (shared || first.instanceIndex() == other.instanceIndex());
     }
 
     private void addEvent(What what, SoakPlan.Step step) {
--- a/src/main/java/org/siskindyke/soak/SoakStandinMain.java
+++ b/src/main/java/org/siskindyke/soak/SoakStandinMain.java
@@ -29,6 +29,7 @@
     static final String CALLERS = "callers";
     static final String HIDE_KEYS = "--hide-keys";
     static final String LEAVE = "leave";
+    static final String DEREGISTER = "deregister";
     static final String LIMIT = "limit ";
     static final String FAULT = "fault ";
     static final String ODD = "odd";
@@ -152,6 +153,8 @@
         return line -> {
             if (line.equals(LEAVE)) {
                 target.leave();
+            } else if (line.equals(DEREGISTER)) {
+                target.deregister();
             } else if (line.equals(ODD)) {
                 target.sendOddHeartbeats();
             } else if (line.startsWith(STRAY)) {
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -32,6 +33,9 @@
  * {@code leave}, {@code stop} and {@code executedRequestIds} may be called on any thread.
  */
 public final class HeartbeatBackendStandin {
+    private static final int LATE_HEARTBEATS = 4;
+    private static final long LATE_HEARTBEAT_INTERVAL_MILLIS = 1_400;
+    private static final long DEREGISTRATION_RETRY_MILLIS = 100;
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
     private static final int SLOTS = 4;
@@ -273,9 +277,56 @@
         announcements = List.of(fields);
     }
 
-    /** Reports the state {@code draining} from the next heartbeat on. */
+    /**
+     * Reports the state {@code draining} from the next heartbeat on. Some heartbeats that were sent before arrive up to
+     * seconds later. May be called on any thread.
+     */
     public void leave() {
-        leaving = true;
+        traffic.execute(() -> {
+            deliverLate(heartbeatsUnderWay());
+            leaving = true;
+        });
+    }
+
+    /**
+     * Stops the heartbeats and deregisters the server, which goes on serving; repeats this until it is acknowledged.
+     * Some heartbeats that were sent before arrive up to seconds later. May be called on any thread.
+     */
+    public void deregister() {
+        traffic.execute(() -> {
+            stopped = true;
+            List<byte[]> underWay = heartbeatsUnderWay();
+            sendDeregistration();
+            deliverLate(underWay);
+        });
+    }
+
+    private void sendDeregistration() {
+        String path = "/instances/" + identity.name() + "/deregister";
+        router.call("POST", path, new byte[0], ACKNOWLEDGEMENT_TIMEOUT_MILLIS).whenComplete((response, failure) -> {
+            if (failure == null && response.status() == OK) {
+                listener.onLeavingAcknowledged();
+            } else {
+                traffic.schedule(this::sendDeregistration, DEREGISTRATION_RETRY_MILLIS);
+            }
+        });
+    }
+
+    private List<byte[]> heartbeatsUnderWay() {
+        return Stream.generate(this::heartbeat)
+                .limit(LATE_HEARTBEATS)
+                .map(heartbeat -> heartbeat.toString().getBytes(StandardCharsets.UTF_8))
+                .toList();
+    }
+
+    /** Sends heartbeats one after the other; nobody waits for the replies. */
+    private void deliverLate(List<byte[]> heartbeats) {
+        long delayMillis = 0;
+        for (byte[] body : heartbeats) {
+            delayMillis += LATE_HEARTBEAT_INTERVAL_MILLIS;
+            String path = "/instances/" + identity.name() + "/heartbeat";
+            traffic.schedule(() -> router.call("POST", path, body, ACKNOWLEDGEMENT_TIMEOUT_MILLIS), delayMillis);
+        }
     }
 
     /** Stops the heartbeats; the server goes on listening. */
--- a/src/test/java/org/siskindyke/benchmark/TargetChoiceBenchmark.java
+++ b/src/test/java/org/siskindyke/benchmark/TargetChoiceBenchmark.java
@@ -57,7 +57,8 @@
                     MemberId.TABLE,
                     List.of(),
                     null,
-                    null));
+                    null,
+                    List.of()));
             loads.put(id, new TargetLoad());
         }
     }
--- a/src/test/java/org/siskindyke/kernel/balance/LocalityAwareSelectorTest.java
+++ b/src/test/java/org/siskindyke/kernel/balance/LocalityAwareSelectorTest.java
@@ -36,7 +36,8 @@
                 MemberId.TABLE,
                 List.of(),
                 null,
-                null);
+                null,
+                List.of());
     }
 
     private ReportedTargetLoad load(MemberId id) {
--- a/src/test/java/org/siskindyke/kernel/control/FakeMember.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -88,7 +88,8 @@
                 List.of(new TargetAnnouncement(
                         FakeWorld.SERVICE, TargetName.of("t"), "127.0.0.1", 4, true, world.checksGrants)),
                 null,
-                null);
+                null,
+                List.of());
         controller = new MemberController(
                 context,
                 template,
--- a/src/test/java/org/siskindyke/kernel/control/JoinTargetsTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/JoinTargetsTest.java
@@ -33,7 +33,8 @@
                 MemberId.TABLE,
                 List.of(target),
                 null,
-                null));
+                null,
+                List.of()));
     }
 
     /**
--- a/src/test/java/org/siskindyke/kernel/control/OddRowsTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/OddRowsTest.java
@@ -51,7 +51,8 @@
                 MemberId.TABLE,
                 List.of(new TargetAnnouncement(SERVICE, TargetName.of("t"), "127.0.0.1", 4, true, true)),
                 null,
-                null);
+                null,
+                List.of());
         return new Row(RowPath.member(id), revision, RowCodec.encode(row), false);
     }
 
--- a/src/test/java/org/siskindyke/kernel/control/OrphanTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/OrphanTest.java
@@ -52,7 +52,8 @@
                 grantor,
                 List.of(),
                 null,
-                null);
+                null,
+                List.of());
         table.commit(Transaction.builder()
                 .put(RowPath.member(id), RowCodec.encode(row))
                 .build());
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -25,8 +25,12 @@
             new SoakPlan.Step(4_000, 500, SoakFault.CHANGE_CONFIGURATION, 0));
 
     private static SoakRun.Verdict run(SoakPlan plan) throws IOException, InterruptedException {
+        return run(plan, INSTANCES);
+    }
+
+    private static SoakRun.Verdict run(SoakPlan plan, int instances) throws IOException, InterruptedException {
         File directory = Files.createTempDirectory("soak").toFile();
-        return new SoakRun(SoakTopology.of(INSTANCES), plan, directory).run();
+        return new SoakRun(SoakTopology.of(instances), plan, directory).run();
     }
 
     @Example
@@ -36,6 +40,20 @@
         assertTrue(verdict.served() > verdict.requests() / 2, verdict.toString());
     }
 
+    /**
+     * Guards against routers that forget, when all of them restart, that a backend server has left: a heartbeat of it
+     * that arrives late was taken for that of a new one.
+     */
+    @Example
+    void aServerThatHasLeftStaysUnusedAfterAllRoutersAreKilled() throws IOException, InterruptedException {
+        List<SoakPlan.Step> steps = List.of(
+                new SoakPlan.Step(500, 9_000, SoakFault.DEREGISTER_TARGET, 1),
+                new SoakPlan.Step(550, 9_000, SoakFault.DEREGISTER_TARGET, 2),
+                new SoakPlan.Step(1_500, 200, SoakFault.KILL_ALL_ROUTERS, 0));
+        SoakRun.Verdict verdict = run(new SoakPlan(steps, false, false), 2 * INSTANCES);
+        assertEquals(Map.of(), verdict.violations());
+    }
+
     @Example
     void serversThatKeepUsingReleasedKeysAreDetected() throws IOException, InterruptedException {
         List<SoakPlan.Step> steps = List.of(
