Cancel calls whose cancellation was lost with a connection between routers

Cause, one of possibly several: a cancellation was written to a connection that was silent, or dropped as none was open, while the connection was being replaced. The peer goes on with what it had received on the old connection and was never told.

Change: the question about a replaced connection lists the calls that are waited for; the peer cancels all others of the session.

--- a/src/main/java/org/siskindyke/runtime/traffic/InboundSession.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/InboundSession.java
@@ -1,9 +1,12 @@
 package org.siskindyke.runtime.traffic;
 
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import io.netty.channel.Channel;
 
@@ -72,6 +75,13 @@
         }
     }
 
+    /** Cancels the calls that run but that the other router no longer waits for. */
+    void cancelAllExcept(Collection<Long> pending) {
+        Set<Long> abandoned = new HashSet<>(running.keySet());
+        abandoned.removeAll(new HashSet<>(pending));
+        abandoned.forEach(this::cancel);
+    }
+
     void withdraw(long id) {
         Cancellable work = running.get(id);
         if (work != null) {
--- a/src/main/java/org/siskindyke/runtime/traffic/InboundSessions.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/InboundSessions.java
@@ -33,7 +33,7 @@
 
     /**
      * Opens the session of a connection, or continues the one that the connection replaces: says what was received,
-     * and sends replies again that may have been lost.
+     * sends replies again that may have been lost, and cancels the calls that the opener no longer waits for.
      *
      * @param ask what the opener has sent with its first ping
      * @param channel the connection
@@ -59,6 +59,8 @@
         }
         session.send(new PeerFrame(PeerFrame.Kind.PONG, 0, WireCodec.encode(answer)));
         if (ask.isSetPending()) {
+            // A cancellation that was sent on the replaced connection may not have arrived.
+            session.cancelAllExcept(ask.getPending());
             ask.getPending().stream().filter(id -> id <= receivedUpTo).forEach(id -> replyAgain(session, id));
         }
         return isSettled ? new InboundSession(null) : session;
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
@@ -33,6 +33,7 @@
     private final List<Silencer> connections = new ArrayList<>();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
     private final AtomicInteger runs = new AtomicInteger();
+    private final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
     private InboundSessions sessions = new InboundSessions(loop, SystemMonotonicClock.INSTANCE);
     private long workMillis;
     private PeerLink link;
@@ -86,16 +87,25 @@
                 return;
             }
             if (session.isOn(context.channel())) {
-                InboundSession receiver = session;
-                receiver.onReceived(frame.id());
-                runs.incrementAndGet();
-                PeerFrame reply = new PeerFrame(PeerFrame.Kind.FORWARD_REPLY, frame.id(), frame.payload());
-                receiver.onRunning(
-                        frame.id(),
-                        loop.schedule(
-                                () -> receiver.reply(reply, SystemMonotonicClock.INSTANCE.nowMillis()), workMillis));
+                session.onReceived(frame.id());
+                if (frame.kind() == PeerFrame.Kind.CANCEL) {
+                    session.cancel(frame.id());
+                } else {
+                    run(session, frame);
+                }
             }
         }
+
+        private void run(InboundSession receiver, PeerFrame frame) {
+            runs.incrementAndGet();
+            PeerFrame reply = new PeerFrame(PeerFrame.Kind.FORWARD_REPLY, frame.id(), frame.payload());
+            Cancellable work =
+                    loop.schedule(() -> receiver.reply(reply, SystemMonotonicClock.INSTANCE.nowMillis()), workMillis);
+            receiver.onRunning(frame.id(), () -> {
+                cancelled.add(new String(frame.payload()));
+                work.cancel();
+            });
+        }
     }
 
     private void start() throws InterruptedException {
@@ -116,12 +126,38 @@
         loop.close();
     }
 
-    private void send(String text) throws InterruptedException {
-        onLoop(() -> link.sendRequest(
+    private PeerLink.Request send(String text) throws InterruptedException {
+        PeerLink.Request[] sent = new PeerLink.Request[1];
+        onLoop(() -> sent[0] = link.sendRequest(
                 new PeerFrame(PeerFrame.Kind.FORWARD, 0, text.getBytes()),
                 TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS),
                 reply -> outcomes.add(new String(reply.payload())),
                 arrived -> outcomes.add(LOST + arrived)));
+        return sent[0];
+    }
+
+    /** Cancels a request as {@link PeerNetwork#forward} does. */
+    private void cancel(PeerLink.Request request) {
+        if (link.dropRequest(request)) {
+            link.sendAbout(request, PeerFrame.Kind.CANCEL);
+        }
+    }
+
+    /** Sends a call that takes longer than the test, and waits until it runs. */
+    private PeerLink.Request sendLongCall(String text) throws InterruptedException {
+        workMillis = TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS);
+        int before = runs.get();
+        PeerLink.Request request = send(text);
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (runs.get() == before) {
+            assertTrue(System.nanoTime() < endNanos);
+        }
+        onLoop(() -> workMillis = 0);
+        return request;
+    }
+
+    private String nextCancelled() throws InterruptedException {
+        return cancelled.poll(TIMEOUT_SECONDS / 2, TimeUnit.SECONDS);
     }
 
     private void onLoop(Runnable action) throws InterruptedException {
@@ -190,6 +226,33 @@
         assertEquals(2, runs.get());
     }
 
+    /** Guards against work that goes on for a caller that has left, as its cancellation was lost with a connection. */
+    @Example
+    void aCallCancelledOnASilentConnectionIsCancelledOnTheNewOne() throws InterruptedException {
+        start();
+        PeerLink.Request abandoned = sendLongCall("abandoned");
+        onLoop(() -> connections.get(0).silentIn = true);
+        onLoop(() -> cancel(abandoned));
+        send("next");
+        assertEquals("next", outcome());
+        assertEquals("abandoned", nextCancelled());
+    }
+
+    /** Guards against the same where no connection was open to send the cancellation on. */
+    @Example
+    void aCallCancelledWhileNoConnectionIsOpenIsCancelledOnTheNewOne() throws InterruptedException {
+        start();
+        PeerLink.Request abandoned = sendLongCall("abandoned");
+        PeerLink.Request kept = sendLongCall("kept");
+        onLoop(() -> {
+            link.close();
+            cancel(abandoned);
+        });
+        assertEquals("abandoned", nextCancelled());
+        assertTrue(kept.mayHaveArrived());
+        assertEquals(0, cancelled.size());
+    }
+
     /** A new process of the peer cannot tell what the earlier one has received. */
     @Example
     void aRequestToAPeerThatHasRestartedIsLost() throws InterruptedException {
