Do not start requests whose callers left before they were read

Change: a loop that is late by 150 ms or more starts requests only after it has read what else has arrived. With Java's selector a connection is read until it is empty, so that its end is noticed with the bytes before it; the native transport did so already.

Before (check switched off): the new test of HttpListenerTest fails with the native transport, 1 request started of 0 expected.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -75,6 +75,11 @@
         return limits.get();
     }
 
+    /** Runs an action that a request has caused, see {@link TrafficLoop#executeOnceRead}. */
+    void executeOnceRead(Runnable action) {
+        traffic.executeOnceRead(action);
+    }
+
     boolean isClosing() {
         return closing;
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -90,6 +90,7 @@
         private final boolean headRequest;
         private HttpExchange.Response response;
         private Cancellable work = Cancellable.NONE;
+        private boolean abandoned;
 
         private Exchange(boolean keepAlive, boolean headRequest) {
             this.keepAlive = keepAlive;
@@ -231,12 +232,19 @@
         }
         HttpExchange.Request complete = new HttpExchange.Request(
                 request.method().name(), request.uri(), headers, bytes, (InetSocketAddress) channel.remoteAddress());
-        exchange.work = handler.handle(complete, response -> onResponse(exchange, response));
+        listener.executeOnceRead(() -> start(exchange, complete));
         if (exchanges.size() >= MAX_UNANSWERED) {
             channel.config().setAutoRead(false);
         }
     }
 
+    /** Handles a request, unless its caller has left. */
+    private void start(Exchange exchange, HttpExchange.Request request) {
+        if (!exchange.abandoned && channel.isActive()) {
+            exchange.work = handler.handle(request, response -> onResponse(exchange, response));
+        }
+    }
+
     /** Rejects input that is not an acceptable request; responses to requests before it are still sent. */
     private void reject(int status) {
         ignoreInput = true;
@@ -310,7 +318,10 @@
     private void cancelUnanswered() {
         List<Exchange> rest = List.copyOf(exchanges);
         exchanges.clear();
-        rest.forEach(e -> e.work.cancel());
+        rest.forEach(e -> {
+            e.abandoned = true;
+            e.work.cancel();
+        });
     }
 
     @Override
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -202,6 +202,45 @@
         links.values().forEach(PeerLink::close);
     }
 
+    /** A call that another router has forwarded, from its receipt to its reply. */
+    private final class ForwardedCall implements Cancellable {
+        private final long frameId;
+        private final Call call;
+        private final InboundSession receiver;
+        private Cancellable work = Cancellable.NONE;
+        private boolean cancelled;
+        private boolean withdrawn;
+
+        private ForwardedCall(long frameId, Call call, InboundSession receiver) {
+            this.frameId = frameId;
+            this.call = call;
+            this.receiver = receiver;
+        }
+
+        private void submit() {
+            if (cancelled) {
+                return;
+            }
+            work = dispatcher.submit(
+                    call, reply -> receiver.reply(ForwardFrames.reply(frameId, call.id(), reply), clock.nowMillis()));
+            if (withdrawn) {
+                work.withdraw();
+            }
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+            work.cancel();
+        }
+
+        @Override
+        public void withdraw() {
+            withdrawn = true;
+            work.withdraw();
+        }
+    }
+
     /** Handles the messages that another router sends on its connection to this one. */
     private final class InboundHandler extends SimpleChannelInboundHandler<PeerFrame> {
         private InboundSession session;
@@ -251,14 +290,9 @@
                         ForwardFrames.reply(frame.id(), null, Reply.notRun(Refusal.NO_SERVICE, 0)), clock.nowMillis());
                 return;
             }
-            boolean[] done = new boolean[1];
-            Cancellable work = dispatcher.submit(call, reply -> {
-                done[0] = true;
-                receiver.reply(ForwardFrames.reply(frame.id(), call.id(), reply), clock.nowMillis());
-            });
-            if (!done[0]) {
-                receiver.onRunning(frame.id(), work);
-            }
+            ForwardedCall forwarded = new ForwardedCall(frame.id(), call, receiver);
+            receiver.onRunning(frame.id(), forwarded);
+            traffic.executeOnceRead(forwarded::submit);
         }
 
         private void onControl(ChannelHandlerContext context, PeerFrame frame) {
--- a/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -8,12 +8,14 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollEventLoopGroup;
@@ -27,6 +29,8 @@
 import jdk.net.ExtendedSocketOptions;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.SystemMonotonicClock;
 
 /** The event loop that handles all traffic in one thread, and opens its sockets. */
 public final class TrafficLoop implements AutoCloseable {
@@ -41,21 +45,35 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
 
     private static final int BACKLOG = 1_024;
+    /** Times that a connection is read before others get their turn; Netty's own default for sockets. */
+    private static final int MESSAGES_PER_READ = 16;
+    /** Interval at which the delay of the loop is measured. */
+    private static final long DELAY_CHECK_MILLIS = 50;
+    /** Delay from which on a sender may have given up what is read now; half of the time that callers wait at least. */
+    private static final long BEHIND_MILLIS = 150;
 
     private final boolean usesEpoll;
     private final EventLoopGroup group;
     private final EventLoop loop;
+    private final LoopDelay delay;
 
     /** Creates a loop on the native transport, or on Java's selector where the machine has no native library. */
     public TrafficLoop() {
-        this(Epoll.isAvailable());
+        this(Epoll.isAvailable(), SystemMonotonicClock.INSTANCE);
     }
 
     /** Creates a loop on the native transport or on Java's selector. */
     TrafficLoop(boolean usesEpoll) {
+        this(usesEpoll, SystemMonotonicClock.INSTANCE);
+    }
+
+    /** Creates a loop as above; the clock measures its delay. */
+    TrafficLoop(boolean usesEpoll, MonotonicClock clock) {
         this.usesEpoll = usesEpoll;
         this.group = usesEpoll ? new EpollEventLoopGroup(1) : new NioEventLoopGroup(1);
         this.loop = group.next();
+        this.delay = new LoopDelay(clock, DELAY_CHECK_MILLIS);
+        scheduleWithFixedDelay(delay::onCheck, DELAY_CHECK_MILLIS);
     }
 
     /** Returns the name of the transport: {@code epoll}, or {@code nio} for Java's selector. */
@@ -73,6 +91,23 @@
         loop.execute(action);
     }
 
+    /**
+     * Runs an action that a message has caused: at once, or, if the loop is behind, after it has read what else has
+     * arrived, which may say that the sender has given up. Called on the loop.
+     */
+    void executeOnceRead(Runnable action) {
+        if (delay.nowMillis() < BEHIND_MILLIS) {
+            action.run();
+        } else {
+            loop.execute(action);
+        }
+    }
+
+    /** Returns by how much the loop was late at most since the last call of this method. Called on the loop. */
+    public long takeMaxDelayMillis() {
+        return delay.takeMaxMillis();
+    }
+
     /**
      * Runs an action on the loop after a delay, or at once if the delay is negative. May be called on any thread.
      *
@@ -107,6 +142,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, receiveBuffers())
                 .childHandler(handler);
         keepAliveOptions().forEach(bootstrap::childOption);
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
@@ -130,6 +166,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, receiveBuffers())
                 .handler(handler);
         keepAliveOptions().forEach(bootstrap::option);
         if (usesEpoll) {
@@ -139,6 +176,11 @@
         return bootstrap.connect(address);
     }
 
+    /** Returns an allocator with which the end of a connection is noticed together with the bytes before it. */
+    private static RecvByteBufAllocator receiveBuffers() {
+        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MESSAGES_PER_READ);
+    }
+
     private Map<ChannelOption<Integer>, Integer> keepAliveOptions() {
         return usesEpoll
                 ? Map.of(
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -13,7 +13,9 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
+import io.netty.channel.epoll.Epoll;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.siskindyke.kernel.route.CallerLimits;
@@ -32,7 +34,10 @@
     /** Rounds of the event loop after which it has read the bytes that lie in the socket. */
     private static final int LOOP_ROUNDS = 4;
 
-    private final TrafficLoop traffic = new TrafficLoop();
+    /** Time by which the loop is always behind. */
+    private final AtomicLong lateMillis = new AtomicLong();
+
+    private TrafficLoop traffic = new TrafficLoop();
     private final LinkedBlockingQueue<HttpExchange.Responder> started = new LinkedBlockingQueue<>();
     private final CountDownLatch cancelled = new CountDownLatch(1);
     private int port;
@@ -103,6 +108,42 @@
         assertTrue(cancelled.await(WAIT_SECONDS, TimeUnit.SECONDS));
     }
 
+    /** Guards against requests that reach a backend server though their callers left before they were read. */
+    @Example
+    void aRequestThatIsReadLateIsNotHandledIfItsCallerHasLeft() throws Exception {
+        for (boolean usesEpoll : transports()) {
+            traffic.close();
+            traffic = new TrafficLoop(usesEpoll, () -> lateMillis.addAndGet(1_000));
+            try (Socket left = connect();
+                    Socket stays = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                runOnLoop(() -> {});
+                CountDownLatch blocked = new CountDownLatch(1);
+                traffic.execute(() -> awaitQuietly(blocked));
+                send(left, "GET /left HTTP/1.1\r\nHost: h\r\n\r\n");
+                left.close();
+                send(stays, "GET /stays HTTP/1.1\r\nHost: h\r\n\r\n");
+                blocked.countDown();
+                assertNotNull(started.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+                for (int round = 0; round < LOOP_ROUNDS; round++) {
+                    runOnLoop(() -> {});
+                }
+                assertEquals(0, started.size(), traffic.transport());
+            }
+        }
+    }
+
+    private static List<Boolean> transports() {
+        return Epoll.isAvailable() ? List.of(true, false) : List.of(false);
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** A caller that always had another request on its connection kept a stopping router from ending. */
     @Example
     void aClosingServerReadsNoFurtherRequestOnABusyConnection() throws Exception {
