Log requests whose callers left and the delay of the traffic loop

Neither could be told from the logs: a request whose caller left had no line, so work that went on for it could not be traced, and a router that was late looked like one whose backend server was slow.

--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -186,7 +186,8 @@
                         crashGuard,
                         () -> this.settings.bounds().drain(),
                         this::onRetryDecided,
-                        this::onRequestEnded));
+                        this::onRequestEnded,
+                        requestLog::onAbandoned));
         this.targets = newTargetController();
         this.callers = new HttpListener(traffic, clock, configuration::limits, callerRequests);
     }
@@ -238,7 +239,8 @@
         callers.listen(settings.addresses().callers());
         control.scheduleWithFixedDelay(this::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(backend::tick, TICK_MILLIS);
-        traffic.scheduleWithFixedDelay(requestLog::flush, TimeUnit.SECONDS.toMillis(5));
+        traffic.scheduleWithFixedDelay(
+                () -> requestLog.flush(traffic.takeMaxDelayMillis()), TimeUnit.SECONDS.toMillis(5));
         traffic.schedule(
                 () -> metrics.start(
                         backend::slotsUsed,
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -16,7 +16,12 @@
     /** Maximum number of failures logged one by one per second; those beyond it are only counted. */
     private static final int FAILURES_PER_SECOND = 50;
 
+    /** As above, of requests whose callers left. */
+    private static final int ABANDONED_PER_SECOND = 10;
+
     private static final int FIRST_FAILURE_STATUS = 400;
+    /** Delay of the traffic loop that is logged; half of the time after which callers may give up. */
+    private static final long NOTABLE_DELAY_MILLIS = 150;
 
     private final EventLog log;
     private final MonotonicClock clock;
@@ -27,6 +32,7 @@
     private final Map<ServiceName, int[]> retriesByService = new TreeMap<>();
 
     private final EventRateLimiter failureLimiter = new EventRateLimiter(FAILURES_PER_SECOND);
+    private final EventRateLimiter abandonedLimiter = new EventRateLimiter(ABANDONED_PER_SECOND);
 
     RequestLog(EventLog log, MonotonicClock clock) {
         this.log = log;
@@ -43,6 +49,13 @@
         }
     }
 
+    /** Logs a request whose caller left before it was answered. */
+    void onAbandoned(CallOutcome outcome) {
+        if (abandonedLimiter.tryAcquire(clock.nowMillis())) {
+            logRequest("request-abandoned", outcome);
+        }
+    }
+
     void onRetryDecided(RetryDecision decision) {
         int[] counts = retriesByService.computeIfAbsent(decision.service(), s -> new int[3]);
         counts[decision.granted() ? 0 : 1]++;
@@ -50,11 +63,14 @@
     }
 
     private void onFailure(CallOutcome outcome) {
-        if (!failureLimiter.tryAcquire(clock.nowMillis())) {
-            return;
+        if (failureLimiter.tryAcquire(clock.nowMillis())) {
+            logRequest("request-failed", outcome);
         }
+    }
+
+    private void logRequest(String event, CallOutcome outcome) {
         log.event(
-                "request-failed",
+                event,
                 "request",
                 outcome.requestId(),
                 "route",
@@ -82,10 +98,15 @@
     }
 
     /**
-     * Logs the totals since the last call of this method. Also logs the number of failures suppressed since then and of
-     * events dropped since the start, unless both are 0.
+     * Logs the totals since the last call of this method. Also logs the numbers of failures and abandoned requests
+     * suppressed since then and of events dropped since the start, unless all are 0.
+     *
+     * @param maxDelayMillis longest delay of the traffic loop since the last call; logged where it is notable
      */
-    void flush() {
+    void flush(long maxDelayMillis) {
+        if (maxDelayMillis >= NOTABLE_DELAY_MILLIS) {
+            log.event("traffic-loop-delayed", "maxMillis", maxDelayMillis);
+        }
         countsByRoute.forEach((route, counts) -> log.event(
                 "requests", "route", route, "answered", counts[0], "failed", counts[1], "millisInAll", counts[2]));
         countsByRoute.clear();
@@ -93,8 +114,16 @@
                 "retries", "service", service, "granted", counts[0], "refused", counts[1], "routers", counts[2]));
         retriesByService.clear();
         long notLogged = failureLimiter.takeSuppressedCount();
-        if (notLogged > 0 || log.dropped() > 0) {
-            log.event("log-limits", "failuresNotLogged", notLogged, "eventsDropped", log.dropped());
+        long abandonedNotLogged = abandonedLimiter.takeSuppressedCount();
+        if (notLogged > 0 || abandonedNotLogged > 0 || log.dropped() > 0) {
+            log.event(
+                    "log-limits",
+                    "failuresNotLogged",
+                    notLogged,
+                    "abandonedNotLogged",
+                    abandonedNotLogged,
+                    "eventsDropped",
+                    log.dropped());
         }
     }
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/CallOutcome.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallOutcome.java
@@ -13,7 +13,7 @@
  * @param route the name of its route; null where no route matched
  * @param service its service; null where none was found
  * @param slice the slice of its key; null where it has no key, or the service is undivided or its slices are not known
- * @param status the HTTP status returned to the caller
+ * @param status the HTTP status returned to the caller; 0 where the caller left before
  * @param refusal why the router itself answered; null where a backend server's response was returned
  * @param verdict whether the request may have run at a backend server
  * @param nested whether a request that runs at the backend server beside this router made it and waits for it
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -68,7 +68,8 @@
                 policies.crashGuard(),
                 () -> withdrawing,
                 active::remove,
-                policies.listener());
+                policies.listener(),
+                policies.abandonedListener());
     }
 
     /**
@@ -81,8 +82,8 @@
      * @param crashGuard tells which requests may crash backend servers
      * @param drain returns the time within which a leaving backend server stops getting calls
      * @param retryListener receives each decision of a retry budget
-     * @param listener receives the outcome of each request, except those cancelled because their caller's connection
-     *     closed
+     * @param listener receives the outcome of each request that was answered
+     * @param abandonedListener receives each request whose caller's connection closed before; its status is 0
      */
     public record Policies(
             ServiceName ownService,
@@ -91,7 +92,8 @@
             CrashGuard crashGuard,
             Supplier<Duration> drain,
             Consumer<RetryDecision> retryListener,
-            Consumer<CallOutcome> listener) {}
+            Consumer<CallOutcome> listener,
+            Consumer<CallOutcome> abandonedListener) {}
 
     /** Replaces the routes and the configuration they belong to. */
     public void setRoutes(RouteTable table) {
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -387,26 +387,32 @@
     }
 
     private void report(int status, Refusal cause, Verdict finalVerdict) {
-        context.listener()
-                .accept(new CallOutcome(
-                        requestId,
-                        route == null ? null : route.name(),
-                        service,
-                        call == null ? null : call.slice(),
-                        status,
-                        cause,
-                        finalVerdict,
-                        call != null && call.scheduling().nested(),
-                        attemptCount,
-                        lastMember,
-                        configurationVersion,
-                        clock.nowMillis() - startMillis));
+        context.listener().accept(outcome(status, cause, finalVerdict));
+    }
+
+    private CallOutcome outcome(int status, Refusal cause, Verdict finalVerdict) {
+        return new CallOutcome(
+                requestId,
+                route == null ? null : route.name(),
+                service,
+                call == null ? null : call.slice(),
+                status,
+                cause,
+                finalVerdict,
+                call != null && call.scheduling().nested(),
+                attemptCount,
+                lastMember,
+                configurationVersion,
+                clock.nowMillis() - startMillis);
     }
 
     @Override
     public void cancel() {
         if (finish()) {
+            boolean mayHaveRun = inFlightAttempt != Cancellable.NONE && inFlightAttempt.mayHaveRun();
             inFlightAttempt.cancel();
+            Verdict finalVerdict = mayHaveRun ? verdict.combine(Verdict.MAY_HAVE_RUN) : verdict;
+            context.abandonedListener().accept(outcome(0, null, finalVerdict));
         }
     }
 
@@ -422,8 +428,8 @@
      * @param crashGuard tells which requests may crash backend servers
      * @param withdrawing returns whether the router is about to stop, so that attempts that did not run are not retried
      * @param onFinished receives each request that has ended
-     * @param listener receives the outcome of each request, except those cancelled because their caller's connection
-     *     closed
+     * @param listener receives the outcome of each request that was answered
+     * @param abandonedListener receives each request whose caller's connection closed before; its status is 0
      */
     record Context(
             TrafficLoop traffic,
@@ -435,5 +441,6 @@
             CrashGuard crashGuard,
             BooleanSupplier withdrawing,
             Consumer<RequestAttempts> onFinished,
-            Consumer<CallOutcome> listener) {}
+            Consumer<CallOutcome> listener,
+            Consumer<CallOutcome> abandonedListener) {}
 }
