Let callers of the soak leave early, and check that no work follows

One request of twelve is abandoned within 250 ms; requests that begin to run half a second after that, while no router is disturbed, break the new invariant where there are more than three. Closes the gap by which the soak could not find work that goes on for callers that had left.

--- a/src/main/java/org/siskindyke/soak/SoakCallers.java
+++ b/src/main/java/org/siskindyke/soak/SoakCallers.java
@@ -7,9 +7,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
@@ -35,6 +37,12 @@
     /** Longer than {@link #REQUEST_TIMEOUT}, so that an answer sent just before that timeout still arrives. */
     private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(5);
 
+    /** One of this many requests is abandoned by its caller, after this time at most. */
+    private static final int REQUESTS_PER_ABANDONED = 12;
+
+    private static final int MAX_PATIENCE_MILLIS = 250;
+    private static final int UNLIMITED_PATIENCE = -1;
+
     private static final int OK = 200;
 
     private final Consumer<SoakEvent> journal;
@@ -95,7 +103,7 @@
         long count = nextId.incrementAndGet();
         String router = routers.get((int) (count % routers.size()));
         String id = CRASH_ID + number + "-" + count;
-        send(client, router, UNSAFE, UNSAFE + "crash/" + number + "/5", id, -1, "crash");
+        send(client, router, UNSAFE, UNSAFE + "crash/" + number + "/5", id, -1, "crash", UNLIMITED_PATIENCE);
     }
 
     private void sendRequest(HttpClient client, String router, Random random) {
@@ -103,10 +111,21 @@
         String route = choice < 6 ? SAFE : choice < 9 ? UNSAFE : MARK + version + "/";
         int key = route.equals(SAFE) ? random.nextInt(KEYS) : -1;
         String id = "c" + nextId.incrementAndGet();
-        send(client, router, route, route + random.nextInt(MAX_WORK_MILLIS), id, key, id);
+        boolean leaves = random.nextInt(REQUESTS_PER_ABANDONED) == 0;
+        int patienceMillis = leaves ? random.nextInt(MAX_PATIENCE_MILLIS) : UNLIMITED_PATIENCE;
+        send(client, router, route, route + random.nextInt(MAX_WORK_MILLIS), id, key, id, patienceMillis);
     }
 
-    private void send(HttpClient client, String router, String route, String path, String id, int key, String body) {
+    /** Sends a request, and closes its connection once the caller's patience, if limited, has ended. */
+    private void send(
+            HttpClient client,
+            String router,
+            String route,
+            String path,
+            String id,
+            int key,
+            String body,
+            int patienceMillis) {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + router + path))
                 .header("Host", "soak.example")
                 .header("X-Siskindyke-Request-Id", id)
@@ -117,13 +136,27 @@
             request.header("X-Siskindyke-Shard-Key", Integer.toString(key));
         }
         journal.accept(SoakEvent.asked(SoakJournal.nowMillis(), router, id, key, route));
-        client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
-                .whenComplete((response, failure) -> journal.accept(SoakEvent.answered(
-                        SoakJournal.nowMillis(),
-                        router,
-                        id,
-                        failure == null ? response.statusCode() : 0,
-                        failure == null ? describeMismatch(response, id) : null)));
+        CompletableFuture<HttpResponse<String>> sent =
+                client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+        AtomicBoolean left = new AtomicBoolean();
+        if (patienceMillis != UNLIMITED_PATIENCE) {
+            timer.schedule(
+                    () -> {
+                        left.set(true);
+                        sent.cancel(true);
+                    },
+                    patienceMillis,
+                    TimeUnit.MILLISECONDS);
+        }
+        sent.whenComplete((response, failure) -> journal.accept(
+                failure != null && left.get()
+                        ? SoakEvent.left(SoakJournal.nowMillis(), router, id)
+                        : SoakEvent.answered(
+                                SoakJournal.nowMillis(),
+                                router,
+                                id,
+                                failure == null ? response.statusCode() : 0,
+                                failure == null ? describeMismatch(response, id) : null)));
     }
 
     private static String describeMismatch(HttpResponse<String> response, String id) {
--- a/src/main/java/org/siskindyke/soak/SoakEvent.java
+++ b/src/main/java/org/siskindyke/soak/SoakEvent.java
@@ -47,6 +47,8 @@
         ASKED,
         /** A caller received an answer, or its connection failed. */
         ANSWERED,
+        /** A caller closed its connection before it received the answer to a request. */
+        LEFT,
         /** A backend server names a limit from now on; the detail is the limit, 0 for none. */
         LIMITED,
         /** A configuration was written; the detail is its version. */
@@ -73,6 +75,10 @@
         return new SoakEvent(atMillis, What.ANSWERED, who, requestId, -1, -1, status, wrong, null, 0);
     }
 
+    static SoakEvent left(long atMillis, String who, String requestId) {
+        return new SoakEvent(atMillis, What.LEFT, who, requestId, -1, -1, 0, null, null, 0);
+    }
+
     static SoakEvent crashed(long atMillis, String who, String requestId) {
         return new SoakEvent(atMillis, What.FAULT, who, requestId, -1, -1, 0, TARGET_DOWN, null, 0);
     }
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -138,6 +138,11 @@
             };
         }
 
+        /** Returns whether a fault of this component may stop or end a router. */
+        boolean affectsRouters() {
+            return this == ROUTER || this == MACHINE || this == ALL_ROUTERS;
+        }
+
         /** Returns whether there is one of this component only, whatever the instance that a fault names. */
         boolean isShared() {
             return this == ALL_ROUTERS || this == STORE || this == OPERATOR || this == CALLERS;
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import org.siskindyke.soak.SoakEvent.What;
 import org.siskindyke.standin.HeartbeatBackendStandin.GrantedRange;
@@ -26,6 +27,9 @@
 
     private static final int MAX_LATE_RUNS = 3;
 
+    /** Time after its caller has left from which on a request must not begin to run. */
+    private static final long MAX_ABANDONED_MILLIS = 500;
+
     /** Window in which the requests of a limited backend server are counted. */
     private static final long LIMIT_WINDOW_MILLIS = 4_000;
     /** Requests that a backend server may get in the window, by the rules of the users' platform. */
@@ -48,6 +52,7 @@
                 invariant("a leaving server drains in time", (events, plan) -> drainsInTime(events)),
                 invariant("the configuration is in force in time", (events, plan) -> configurationApplied(events)),
                 invariant("requests that end servers are refused", (events, plan) -> crashingRequestsRefused(events)),
+                invariant("callers that left get no work", (events, plan) -> abandonedRequestsNotRun(events)),
                 invariant("a named limit is kept", (events, plan) -> limitsKept(events)),
                 invariant("served again in time", (events, plan) -> faultsRecordedAs(events, SoakRun.NOT_SERVED)),
                 invariant(
@@ -293,6 +298,40 @@
                 .toList();
     }
 
+    /** Checks that requests whose callers left do not begin to run later, while no router is disturbed. */
+    private static List<String> abandonedRequestsNotRun(List<SoakEvent> events) {
+        List<String> late = new ArrayList<>();
+        Map<String, Long> leftMillis = new HashMap<>();
+        Map<String, Integer> activeFaults = new HashMap<>();
+        long disturbedMillis = Long.MIN_VALUE / 2;
+        for (SoakEvent event : events) {
+            if (isOfRouterFault(event)) {
+                activeFaults.merge(event.who() + event.detail(), event.what() == What.FAULT ? 1 : -1, Integer::sum);
+                disturbedMillis = event.atMillis();
+            } else if (event.what() == What.LEFT) {
+                leftMillis.put(event.requestId(), event.atMillis());
+            } else if (event.what() == What.RUN && leftMillis.containsKey(event.requestId())) {
+                long sinceMillis = event.atMillis() - leftMillis.get(event.requestId());
+                boolean calm = event.atMillis() - disturbedMillis > UNDISTURBED_MILLIS
+                        && activeFaults.values().stream().allMatch(count -> count <= 0);
+                if (calm && sinceMillis > MAX_ABANDONED_MILLIS) {
+                    late.add(event.requestId() + " ran at " + event.who() + " " + sinceMillis
+                            + " ms after its caller left");
+                }
+            }
+        }
+        return late.size() > MAX_LATE_RUNS ? late : List.of();
+    }
+
+    /** Returns whether an event is the start or the end of a fault of one or all routers. */
+    private static boolean isOfRouterFault(SoakEvent event) {
+        boolean fault = event.what() == What.FAULT || event.what() == What.MENDED;
+        return fault
+                && Stream.of(SoakFault.values())
+                        .filter(kind -> kind.name().equals(event.detail()))
+                        .anyMatch(kind -> kind.component().affectsRouters());
+    }
+
     /** Checks the requests that a limited backend server gets, from some time after it named its limit. */
     private static List<String> limitsKept(List<SoakEvent> events) {
         List<String> violations = new ArrayList<>();
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -68,4 +68,28 @@
         }
         assertEquals(1, violations("a named limit is kept", events).size());
     }
+
+    private List<SoakEvent> lateRuns(int count) {
+        List<SoakEvent> late = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            late.add(SoakEvent.left(5_000, ROUTER, "c" + i));
+        }
+        for (int i = 0; i < count; i++) {
+            late.add(SoakEvent.run(5_600, "t0-n0", "c" + i, -1, -1));
+        }
+        return late;
+    }
+
+    @Example
+    void requestsThatRunAfterTheirCallersLeftAreFound() {
+        assertEquals(4, violations("callers that left get no work", lateRuns(4)).size());
+        assertEquals(List.of(), violations("callers that left get no work", lateRuns(3)));
+    }
+
+    @Example
+    void requestsThatRunLateBesideAFrozenRouterAreAllowed() {
+        events.add(SoakEvent.of(4_900, What.FAULT, ROUTER, SoakFault.FREEZE_ROUTER.name()));
+        events.addAll(lateRuns(4));
+        assertEquals(List.of(), violations("callers that left get no work", events));
+    }
 }
