--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -20,7 +20,7 @@
     private static final int ABANDONED_PER_SECOND = 10;
 
     private static final int FIRST_FAILURE_STATUS = 400;
-    /** Delay of the traffic loop that is logged; half of the time after which callers may give up. */
+    /** Delay of the traffic loop from which on it is logged. */
     private static final long NOTABLE_DELAY_MILLIS = 150;
 
     private final EventLog log;
--- a/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -49,7 +49,7 @@
     private static final int MESSAGES_PER_READ = 16;
     /** Interval at which the delay of the loop is measured. */
     private static final long DELAY_CHECK_MILLIS = 50;
-    /** Delay from which on a sender may have given up what is read now; half of the time that callers wait at least. */
+    /** Delay of the loop from which on senders may have given up what is read now. */
     private static final long BEHIND_MILLIS = 150;
 
     private final boolean usesEpoll;
