Name the delay of the traffic loop and a test's configuration once

The delay from which on the loop counts as behind stood in TrafficLoop and, for the log, in RequestLog; DepartureTest had a copy of the configuration of ServerAnnouncementsTest. Behaviour is unchanged.

--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -7,6 +7,7 @@
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.traffic.CallOutcome;
 import org.siskindyke.runtime.traffic.RetryDecision;
+import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
  * Logs the results of requests: failures one by one, up to a maximum rate, and totals per route. Confined to the
@@ -20,8 +21,6 @@
     private static final int ABANDONED_PER_SECOND = 10;
 
     private static final int FIRST_FAILURE_STATUS = 400;
-    /** Delay of the traffic loop from which on it is logged. */
-    private static final long NOTABLE_DELAY_MILLIS = 150;
 
     private final EventLog log;
     private final MonotonicClock clock;
@@ -101,10 +100,10 @@
      * Logs the totals since the last call of this method. Also logs the numbers of failures and abandoned requests
      * suppressed since then and of events dropped since the start, unless all are 0.
      *
-     * @param maxDelayMillis longest delay of the traffic loop since the last call; logged where it is notable
+     * @param maxDelayMillis longest delay of the traffic loop since the last call; logged where the loop was behind
      */
     void flush(long maxDelayMillis) {
-        if (maxDelayMillis >= NOTABLE_DELAY_MILLIS) {
+        if (maxDelayMillis >= TrafficLoop.BEHIND_MILLIS) {
             log.event("traffic-loop-delayed", "maxMillis", maxDelayMillis);
         }
         countsByRoute.forEach((route, counts) -> log.event(
--- a/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -34,6 +34,9 @@
 
 /** The event loop that handles all traffic in one thread, and opens its sockets. */
 public final class TrafficLoop implements AutoCloseable {
+    /** Delay of the loop from which on senders may have given up what is read now. */
+    public static final long BEHIND_MILLIS = 150;
+
     /** How long sent bytes may stay unacknowledged before the connection is closed; about three heartbeats. */
     private static final int UNACKNOWLEDGED_TIMEOUT_MILLIS = 2_500;
     /** Idle time before the first TCP keep-alive probe of a connection, and time between probes. */
@@ -49,8 +52,6 @@
     private static final int MESSAGES_PER_READ = 16;
     /** Interval at which the delay of the loop is measured. */
     private static final long DELAY_CHECK_MILLIS = 50;
-    /** Delay of the loop from which on senders may have given up what is read now. */
-    private static final long BEHIND_MILLIS = 150;
 
     private final boolean usesEpoll;
     private final EventLoopGroup group;
--- a/src/test/java/org/siskindyke/platform/DepartureTest.java
+++ b/src/test/java/org/siskindyke/platform/DepartureTest.java
@@ -18,16 +18,12 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final long TIMEOUT_MILLIS = 15_000;
-    private static final String CONFIGURATION = "{\"version\":\"r1\",\"services\":[{\"name\":\"plain\","
-            + "\"max_connections\":20}],\"virtual_hosts\":[{\"hostname\":\"127.0.0.1\",\"paths\":["
-            + "{\"name\":\"safe\",\"prefix\":\"/safe/\",\"route_type\":\"safe\",\"timeout_ms\":5000,"
-            + "\"aim_ms\":1000,\"priority\":1,\"service\":\"plain\",\"max_attempts\":2}]}]}";
 
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
 
     private LoopbackCluster.Instance startOne() throws InterruptedException {
-        cluster.configure(CONFIGURATION);
+        cluster.configure(ServerAnnouncementsTest.CONFIGURATION);
         LoopbackCluster.Instance instance = cluster.start("plain", false, "a");
         awaitStatus(instance.settings(), status -> status == OK);
         return instance;
--- a/src/test/java/org/siskindyke/platform/ServerAnnouncementsTest.java
+++ b/src/test/java/org/siskindyke/platform/ServerAnnouncementsTest.java
@@ -33,7 +33,8 @@
     private static final int CALLERS = 24;
     private static final Executor NEXT_REQUEST = CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS);
     private static final List<String> DOMAINS = List.of("a", "b", "c", "a", "b", "c");
-    private static final String CONFIGURATION = "{\"version\":\"r1\",\"services\":[{\"name\":\"plain\","
+    /** Sends the paths under {@code /safe/} to the undivided service {@code plain}. */
+    static final String CONFIGURATION = "{\"version\":\"r1\",\"services\":[{\"name\":\"plain\","
             + "\"max_connections\":20}],\"virtual_hosts\":[{\"hostname\":\"127.0.0.1\",\"paths\":["
             + "{\"name\":\"safe\",\"prefix\":\"/safe/\",\"route_type\":\"safe\",\"timeout_ms\":5000,"
             + "\"aim_ms\":1000,\"priority\":1,\"service\":\"plain\",\"max_attempts\":2}]}]}";
