--- a/src/main/java/org/siskindyke/runtime/traffic/ForwardFrames.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ForwardFrames.java
@@ -100,6 +100,11 @@
         return WireMapper.fromWire(wire);
     }
 
+    /** Returns the id of the call that a frame forwards, or null where it forwards none. */
+    static String callId(PeerFrame frame) {
+        return optionalField(frame, CALL_ID);
+    }
+
     private static List<Header> headers(PeerFrame frame) {
         return frame.fields().stream()
                 .filter(field -> !field.name().startsWith(PSEUDO_FIELD_PREFIX))
--- a/src/main/java/org/siskindyke/runtime/traffic/InboundSession.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/InboundSession.java
@@ -6,13 +6,17 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.channel.Channel;
+import org.siskindyke.kernel.link.LinkAnswer;
+import org.siskindyke.kernel.link.LinkQuestion;
+import org.siskindyke.kernel.link.ReceivedCalls;
 
 /**
- * The requests of another router, on its connection to this one and on those that replace it. Confined to the traffic
- * loop.
+ * The requests of another router, on its connection to this one and on those that replace it. What has arrived is
+ * recorded by request in {@link ReceivedCalls}. Confined to the traffic loop.
  */
 final class InboundSession {
     /** How long a reply is kept in case the connection on which it was sent has fallen silent. */
@@ -20,11 +24,11 @@
     /** Bytes of replies that are kept; the oldest are dropped beyond that. */
     private static final int MAX_KEPT_BYTES = 128 * 1024;
 
+    private final ReceivedCalls received = new ReceivedCalls();
     private final Map<Long, Cancellable> running = new HashMap<>();
     private final Deque<SentReply> sentReplies = new ArrayDeque<>();
     private int keptBytes;
     private Channel channel;
-    private long receivedUpTo;
     private long endedMillis;
 
     private record SentReply(PeerFrame frame, long sentMillis) {}
@@ -38,25 +42,27 @@
         return channel == candidate;
     }
 
-    /** Continues on another connection; no request on the previous one is processed from now on. */
-    void moveTo(Channel replacement) {
-        Channel previous = channel;
-        channel = replacement;
-        receivedUpTo = 0;
-        endedMillis = 0;
-        if (previous != replacement) {
-            previous.close();
+    /**
+     * Continues on another connection; no request on the previous one is processed from now on.
+     *
+     * @return the answer to the question on the connection; empty if a later connection was opened before
+     */
+    Optional<LinkAnswer> continueOn(Channel replacement, LinkQuestion question) {
+        Optional<LinkAnswer> answer = received.open(question);
+        if (answer.isPresent()) {
+            Channel previous = channel;
+            channel = replacement;
+            endedMillis = 0;
+            if (previous != null && previous != replacement) {
+                previous.close();
+            }
         }
+        return answer;
     }
 
-    /** Returns the highest id of a request that was received on the present connection; 0 for none. */
-    long receivedUpTo() {
-        return receivedUpTo;
-    }
-
-    /** Records that a request was received. Ids increase from request to request. */
-    void onReceived(long id) {
-        receivedUpTo = Math.max(receivedUpTo, id);
+    /** Records that a request has arrived, and returns whether it had not arrived before. */
+    boolean receive(long id) {
+        return received.receive(id);
     }
 
     /** Records that a call runs. */
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerFrame.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerFrame.java
@@ -45,6 +45,11 @@
 
         private static final Kind[] ALL = values();
 
+        /** Returns whether a message has a reply, which names it by its id. */
+        boolean isRequest() {
+            return this == FORWARD || this == RENEW || this == GOSSIP || this == USAGE;
+        }
+
         /** Returns the kind with a code, or null where there is none. */
         static Kind of(int code) {
             return code >= 0 && code < ALL.length ? ALL[code] : null;
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
@@ -1,12 +1,7 @@
 package org.siskindyke.runtime.traffic;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
@@ -14,18 +9,24 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import org.siskindyke.kernel.link.LinkAnswer;
+import org.siskindyke.kernel.link.LinkQuestion;
+import org.siskindyke.kernel.link.SentCall;
+import org.siskindyke.kernel.link.SentCalls;
 import org.siskindyke.kernel.time.MonotonicClock;
+import org.siskindyke.runtime.EventLog;
 import org.siskindyke.runtime.peer.WireCodec;
 import org.siskindyke.wire.LinkState;
 
 /**
  * The connection for requests to one peer; opened when needed. Confined to the traffic loop.
  *
- * <p>A connection that falls silent is replaced by a new one, on which the peer first says which requests it has
- * received on the old one and from then on processes none of it any more. Requests that it has not received are sent
- * again; the replies to the others arrive on the new connection. Where the peer cannot say so in time, the requests
- * are lost. {@link InboundSessions} is the other side.
+ * <p>A connection that ends or falls silent is replaced by a new one, on which the peer first says which calls have
+ * arrived on those before; from then on it processes nothing of them any more. Calls that have not arrived are sent
+ * again; the replies to the others arrive on the new connection. Where the peer cannot say so in time, the calls are
+ * lost. {@link SentCalls} is the record of the calls; {@link InboundSessions} is the other side.
  */
 final class PeerLink {
     /** Silence after which the peer is pinged while requests are pending. */
@@ -39,41 +40,38 @@
     /** Time between two replacements, so that a busy peer is not burdened with new connections. */
     private static final long REPLACEMENT_INTERVAL_MILLIS = 1_000;
 
-    /** The largest id that a frame can hold; a connection that has reached it is replaced. */
-    private static final long MAX_ID = 0xFFFF_FFFFL;
+    /** Ids from which on the link is replaced; a frame has room for ids of 32 bits. */
+    private static final long EXHAUSTED_FROM_ID = 0xFFF0_0000L;
+    /** Ids of requests that a log line names, at most. */
+    private static final int MAX_LOGGED_IDS = 8;
 
     private static final byte[] EMPTY_PAYLOAD = {};
 
     private final TrafficLoop traffic;
     private final MonotonicClock clock;
     private final InetSocketAddress address;
-    /** Requests without a reply that were written to a connection, by id, oldest first. */
-    private final Map<Long, Request> written = new LinkedHashMap<>();
-    /** Requests that wait for a connection, oldest first. */
-    private final Set<Request> unwritten = new LinkedHashSet<>();
+    private final EventLog log;
+    /** Names this link to the peer. */
+    private final long link = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
 
+    private final SentCalls<Request> requests;
     private Connection current;
-    /** The connection before the current one, while its requests are not settled. */
-    private Connection unsettled;
+    /** The connection before the current one, while its requests are not settled and it may still bring replies. */
+    private Connection replaced;
 
-    /** Names the peer's process; 0 until it has said so, and for a peer of an earlier version. */
-    private long peerProcess;
+    /** Since when requests of earlier connections are not settled; 0 for none. */
+    private long unsettledSinceMillis;
 
     private boolean connecting;
-    private long nextId = 1;
     private long replacedMillis = Long.MIN_VALUE / 2;
 
     /** A request that waits for its reply. */
-    static final class Request {
+    static final class Request extends SentCall {
         private final PeerFrame frame;
         private final Consumer<PeerFrame> onReply;
         private final Consumer<Boolean> onLost;
         private final long startMillis;
         private final long expiresMillis;
-        private Connection connection;
-        private long id;
-        /** Whether the peer has said that it received the request. */
-        private boolean arrived;
 
         private Request(
                 PeerFrame frame,
@@ -88,20 +86,23 @@
             this.expiresMillis = expiresMillis;
         }
 
-        /** Returns whether the peer may have the request. */
-        boolean mayHaveArrived() {
-            return connection != null;
-        }
-
-        private boolean isCall() {
+        /** Control messages are not kept: their senders send new ones. */
+        @Override
+        protected boolean isKept() {
             return frame.kind() == PeerFrame.Kind.FORWARD;
         }
     }
 
-    PeerLink(TrafficLoop traffic, MonotonicClock clock, InetSocketAddress address) {
+    PeerLink(TrafficLoop traffic, MonotonicClock clock, InetSocketAddress address, EventLog log) {
+        this(traffic, clock, address, log, 1);
+    }
+
+    PeerLink(TrafficLoop traffic, MonotonicClock clock, InetSocketAddress address, EventLog log, long firstId) {
         this.traffic = traffic;
         this.clock = clock;
         this.address = address;
+        this.log = log;
+        this.requests = new SentCalls<>(firstId);
     }
 
     /**
@@ -116,26 +117,21 @@
     Request sendRequest(PeerFrame frame, long timeoutMillis, Consumer<PeerFrame> onReply, Consumer<Boolean> onLost) {
         long nowMillis = clock.nowMillis();
         Request request = new Request(frame, onReply, onLost, nowMillis, nowMillis + timeoutMillis);
+        requests.add(request);
         if (isOpen()) {
-            write(request);
+            writeWaiting();
         } else {
-            unwritten.add(request);
             connect();
         }
         return request;
     }
 
-    private void write(Request request) {
-        request.connection = current;
-        request.id = nextId++;
-        written.put(request.id, request);
-        PeerFrame frame = request.frame;
-        current.channel.writeAndFlush(
-                new PeerFrame(frame.kind(), request.id, frame.fields(), frame.payload()),
-                current.channel.voidPromise());
-        if (nextId > MAX_ID) {
-            nextId = 1;
-            replace(current);
+    private void writeWaiting() {
+        for (Request request : requests.send()) {
+            PeerFrame frame = request.frame;
+            current.channel.writeAndFlush(
+                    new PeerFrame(frame.kind(), request.id(), frame.fields(), frame.payload()),
+                    current.channel.voidPromise());
         }
     }
 
@@ -149,18 +145,28 @@
     /** Sends a message about a request that the peer may have, as above. */
     void sendAbout(Request request, PeerFrame.Kind kind) {
         if (request.mayHaveArrived()) {
-            sendOneWay(kind, request.id, EMPTY_PAYLOAD);
+            sendOneWay(kind, request.id(), EMPTY_PAYLOAD);
         }
     }
 
     /** Drops a request, and returns whether it was pending. */
     boolean dropRequest(Request request) {
-        return unwritten.remove(request) || written.remove(request.id, request);
+        return requests.remove(request);
     }
 
     /** Returns whether the last connection has fallen silent or ended and no other one is open yet. */
     boolean isStalled() {
-        return unsettled != null && !isOpen();
+        return unsettledSinceMillis != 0 && !isOpen();
+    }
+
+    /** Returns whether nearly all ids are used, so that another link has to take new requests. */
+    boolean isExhausted() {
+        return requests.nextId() >= EXHAUSTED_FROM_ID;
+    }
+
+    /** Returns whether no request waits for its reply. */
+    boolean isIdle() {
+        return requests.isEmpty();
     }
 
     private boolean isOpen() {
@@ -193,54 +199,33 @@
         opened.channel = channel;
         opened.lastReadMillis = clock.nowMillis();
         current = opened;
-        LinkState state = new LinkState(opened.session);
-        if (unsettled != null) {
-            state.setSettledSession(unsettled.session);
-            state.setPending(writtenOn(unsettled).stream()
-                    .filter(Request::isCall)
-                    .map(request -> request.id)
-                    .toList());
-        }
+        LinkQuestion question = requests.open();
+        opened.number = question.connection();
+        checkUnsettled();
+        LinkState state = new LinkState(ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE));
+        state.setLink(link);
+        state.setConnection(question.connection());
+        state.setPending(question.pending());
         opened.send(PeerFrame.Kind.PING, 0, WireCodec.encode(state));
-        writeUnwritten();
-    }
-
-    private void writeUnwritten() {
-        List<Request> waiting = new ArrayList<>(unwritten);
-        unwritten.clear();
-        waiting.forEach(request -> {
-            if (isOpen()) {
-                write(request);
-            } else {
-                unwritten.add(request);
-            }
-        });
+        writeWaiting();
     }
 
     private void onConnectFailed() {
-        List<Request> lost = new ArrayList<>(unwritten);
-        unwritten.clear();
-        if (unsettled != null && !unsettled.channel.isActive()) {
-            loseUnsettled();
+        List<Request> notSent = requests.removeWaiting();
+        if (replaced == null || !replaced.channel.isActive()) {
+            loseUnsettled("cannot connect");
         }
-        lost.forEach(request -> request.onLost.accept(false));
-    }
-
-    private List<Request> writtenOn(Connection connection) {
-        return written.values().stream()
-                .filter(request -> request.connection == connection)
-                .toList();
+        notSent.forEach(request -> request.onLost.accept(false));
     }
 
     /** Drops expired requests; pings a silent peer, and replaces or closes a connection on which it does not reply. */
     void checkTimeouts(long nowMillis) {
-        written.values().removeIf(request -> nowMillis >= request.expiresMillis);
-        unwritten.removeIf(request -> nowMillis >= request.expiresMillis);
-        if (unsettled != null && nowMillis - replacedMillis > SETTLE_TIMEOUT_MILLIS) {
-            loseUnsettled();
+        requests.removeIf(request -> nowMillis >= request.expiresMillis);
+        if (unsettledSinceMillis != 0 && nowMillis - unsettledSinceMillis > SETTLE_TIMEOUT_MILLIS) {
+            loseUnsettled("timeout");
         }
         if (!isOpen()) {
-            if (!unwritten.isEmpty()) {
+            if (requests.hasWaiting() || unsettledSinceMillis != 0) {
                 connect();
             }
             return;
@@ -262,82 +247,97 @@
     }
 
     private Request oldestOnCurrent() {
-        for (Request request : written.values()) {
-            if (request.connection == current) {
-                return request;
-            }
-        }
-        return null;
+        return requests.sent().stream().findFirst().orElse(null);
     }
 
     private void onPingUnanswered(long unansweredMillis, long nowMillis) {
-        boolean mayReplace = current.isReplaceable()
-                && unsettled == null
+        boolean mayReplace = current.answered
+                && unsettledSinceMillis == 0
                 && nowMillis - replacedMillis >= REPLACEMENT_INTERVAL_MILLIS;
         if (mayReplace && unansweredMillis > STALLED_AFTER_PING_MILLIS) {
+            replacedMillis = nowMillis;
             replace(current);
         } else if (unansweredMillis > PING_TIMEOUT_MILLIS) {
             current.channel.close();
         }
     }
 
-    /** Opens a new connection; the requests of the previous one, which may have ended, are then settled. */
+    /** Opens a new connection, on which the requests of the previous one, which may have ended, are settled. */
     private void replace(Connection previous) {
-        if (unsettled != null) {
-            loseUnsettled();
-        }
-        unsettled = previous;
-        replacedMillis = clock.nowMillis();
+        abortReplaced();
+        replaced = previous;
         current = null;
-        connect();
+        requests.close();
+        checkUnsettled();
+        if (unsettledSinceMillis != 0) {
+            connect();
+        }
+    }
+
+    private void checkUnsettled() {
+        if (unsettledSinceMillis == 0 && requests.hasUnconfirmed()) {
+            unsettledSinceMillis = clock.nowMillis();
+        }
     }
 
-    /** Reports the requests of the previous connection as lost, and closes it. */
-    private void loseUnsettled() {
-        Connection previous = unsettled;
-        unsettled = null;
-        lose(previous);
-        previous.channel.close();
+    /** Resets the replaced connection, so that nothing that was written to it can still reach the peer. */
+    private void abortReplaced() {
+        if (replaced != null && replaced.channel.isActive()) {
+            replaced.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            replaced.channel.close();
+        }
+        replaced = null;
     }
 
-    private void lose(Connection connection) {
-        List<Request> lost = writtenOn(connection);
-        lost.forEach(request -> written.remove(request.id));
+    /** Reports the requests of earlier connections as lost, and closes the replaced one. */
+    private void loseUnsettled(String cause) {
+        unsettledSinceMillis = 0;
+        List<Request> lost = requests.loseUnconfirmed();
+        if (!lost.isEmpty()) {
+            log.event("link-requests-lost", "peer", address, "cause", cause, "lost", idsOf(lost));
+        }
         lost.forEach(request -> request.onLost.accept(true));
+        abortReplaced();
     }
 
-    private void settle(LinkState state) {
-        Connection previous = unsettled;
-        if (!previous.isSettledBy(state)) {
-            loseUnsettled();
-            return;
+    private void settle(LinkAnswer answer) {
+        SentCalls.Settlement<Request> settlement = requests.settle(answer);
+        unsettledSinceMillis = 0;
+        if (!settlement.isEmpty()) {
+            log.event(
+                    "link-settled",
+                    "peer",
+                    address,
+                    "connection",
+                    answer.connection(),
+                    "firstConnection",
+                    answer.firstConnection(),
+                    "received",
+                    idsOf(settlement.received()),
+                    "sentAgain",
+                    idsOf(settlement.notReceived()),
+                    "lost",
+                    idsOf(settlement.lost()));
         }
-        unsettled = null;
-        long receivedUpTo = state.isKnown() ? state.getReceivedUpTo() : 0;
-        for (Request request : writtenOn(previous)) {
-            request.arrived |= request.id <= receivedUpTo;
-            request.connection = request.arrived ? current : null;
-            if (!request.arrived) {
-                written.remove(request.id);
-            }
-            if (!request.arrived && request.isCall()) {
-                unwritten.add(request);
-            }
+        settlement.lost().forEach(request -> request.onLost.accept(true));
+        abortReplaced();
+        if (isOpen()) {
+            writeWaiting();
         }
-        previous.channel.close();
-        writeUnwritten();
+    }
+
+    /** Returns the number of requests and the ids of the first of them. */
+    private static String idsOf(List<Request> requests) {
+        List<String> ids = requests.stream()
+                .limit(MAX_LOGGED_IDS)
+                .map(request -> ForwardFrames.callId(request.frame))
+                .toList();
+        return requests.size() + " " + ids;
     }
 
     private void onEnded(Connection ended) {
-        if (ended != current) {
-            return;
-        }
-        current = null;
-        boolean hasCalls = writtenOn(ended).stream().anyMatch(Request::isCall);
-        if (hasCalls && ended.isReplaceable()) {
+        if (ended == current) {
             replace(ended);
-        } else {
-            lose(ended);
         }
     }
 
@@ -349,12 +349,8 @@
 
     /** One connection; receives the peer's replies on it. */
     private final class Connection extends SimpleChannelInboundHandler<PeerFrame> {
-        private final long session = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
-        /** The peer's process when the connection was opened, as far as known. */
-        private final long expectedProcess = peerProcess;
-
-        private final long openedMillis = clock.nowMillis();
         private Channel channel;
+        private int number;
         /** Whether the peer has answered the first ping. */
         private boolean answered;
 
@@ -362,22 +358,6 @@
         /** When the ping without a reply was sent; 0 for none. */
         private long pingSentMillis;
 
-        /** Returns whether the peer can say which requests it has received on this connection. */
-        private boolean isReplaceable() {
-            return answered || expectedProcess != 0;
-        }
-
-        /**
-         * Returns whether a peer's answer tells which requests it has received on this connection. A process that does
-         * not know the connection, although it ran when the connection was opened, has received nothing on it, unless
-         * it has forgotten the connection.
-         */
-        private boolean isSettledBy(LinkState state) {
-            boolean isSameProcess = state.getProcess() == expectedProcess;
-            boolean isForgotten = answered || clock.nowMillis() - openedMillis > InboundSessions.REMEMBER_MILLIS / 2;
-            return state.isKnown() || isSameProcess && !isForgotten;
-        }
-
         private void send(PeerFrame.Kind kind, long id, byte[] payload) {
             channel.writeAndFlush(new PeerFrame(kind, id, payload), channel.voidPromise());
         }
@@ -390,25 +370,23 @@
                 onPong(frame);
                 return;
             }
-            Request request = written.remove(frame.id());
+            Request request = requests.removeAnswered(frame.id());
             if (request != null) {
                 request.onReply.accept(frame);
             }
         }
 
         private void onPong(PeerFrame frame) {
-            boolean isEarlierVersion = !answered && frame.payload().length == 0;
-            if (isEarlierVersion && this == current && unsettled != null) {
-                loseUnsettled();
-            }
-            if (frame.payload().length == 0) {
+            if (answered || this != current) {
                 return;
             }
-            LinkState state = WireCodec.decode(frame.payload(), new LinkState());
             answered = true;
-            peerProcess = state.getProcess();
-            if (this == current && unsettled != null && state.getSettledSession() == unsettled.session) {
-                settle(state);
+            LinkState state =
+                    frame.payload().length == 0 ? new LinkState() : WireCodec.decode(frame.payload(), new LinkState());
+            if (!state.isSetFirstConnection()) {
+                loseUnsettled("peer of an earlier version");
+            } else if (state.getConnection() == number) {
+                settle(new LinkAnswer(number, state.getFirstConnection(), state.getReceived()));
             }
         }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -1,6 +1,7 @@
 package org.siskindyke.runtime.traffic;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +47,9 @@
     private final BackendDispatcher dispatcher;
     private final EventLog log;
     private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
+    /** Links that take no new requests. */
+    private final List<PeerLink> exhausted = new ArrayList<>();
+
     private final InboundSessions sessions;
     private MemberController controller;
 
@@ -61,7 +65,7 @@
         this.clock = clock;
         this.dispatcher = dispatcher;
         this.log = log;
-        this.sessions = new InboundSessions(traffic, clock);
+        this.sessions = new InboundSessions(traffic, clock, log);
     }
 
     /** Sets the recipient of control messages. Called before {@link #listen}, and afterwards on the control thread. */
@@ -85,6 +89,8 @@
                 () -> {
                     long nowMillis = clock.nowMillis();
                     List.copyOf(links.values()).forEach(link -> link.checkTimeouts(nowMillis));
+                    List.copyOf(exhausted).forEach(link -> link.checkTimeouts(nowMillis));
+                    closeIdle(exhausted);
                     sessions.tick(nowMillis);
                 },
                 TIMEOUT_CHECK_MILLIS);
@@ -92,7 +98,19 @@
 
     private PeerLink link(MemberAddress address) {
         InetSocketAddress socket = new InetSocketAddress(address.host(), address.peerPort());
-        return links.computeIfAbsent(socket, a -> new PeerLink(traffic, clock, a));
+        PeerLink link = links.computeIfAbsent(socket, a -> new PeerLink(traffic, clock, a, log));
+        if (!link.isExhausted()) {
+            return link;
+        }
+        exhausted.add(link);
+        PeerLink successor = new PeerLink(traffic, clock, socket, log);
+        links.put(socket, successor);
+        return successor;
+    }
+
+    private static void closeIdle(List<PeerLink> links) {
+        links.stream().filter(PeerLink::isIdle).forEach(PeerLink::close);
+        links.removeIf(PeerLink::isIdle);
     }
 
     /**
@@ -200,6 +218,7 @@
     /** Closes the connections that this router has opened to others. Called on the traffic loop. */
     public void close() {
         links.values().forEach(PeerLink::close);
+        exhausted.forEach(PeerLink::close);
     }
 
     /** A call that another router has forwarded, from its receipt to its reply. */
@@ -258,7 +277,10 @@
                 // Another connection has replaced this one, and its opener was told what had been received.
                 return;
             }
-            session.onReceived(frame.id());
+            if (frame.kind().isRequest() && !session.receive(frame.id())) {
+                log.event("peer-request-repeated", "kind", frame.kind(), "request", ForwardFrames.callId(frame));
+                return;
+            }
             switch (frame.kind()) {
                 case FORWARD -> onForward(frame);
                 case CANCEL -> session.cancel(frame.id());
--- a/src/main/java/org/siskindyke/wire/LinkState.java
+++ b/src/main/java/org/siskindyke/wire/LinkState.java
@@ -7,74 +7,74 @@
 package org.siskindyke.wire;
 
 /**
- * The state of a connection between two routers. With a ping, the opener names the connection and, after an earlier one
- * fell silent, which one that was and which of its requests have no reply; the pong says what became of them.
+ * The state of a connection between two routers. With the first ping on it, the opener names the connection and the calls
+ * that it waits for; the pong says which of them have arrived. Routers of earlier versions use the fields 2, 3, 5 and 6.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class LinkState implements org.apache.thrift.TBase<LinkState, LinkState._Fields>, java.io.Serializable, Cloneable, Comparable<LinkState> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LinkState");
 
   private static final org.apache.thrift.protocol.TField SESSION_FIELD_DESC = new org.apache.thrift.protocol.TField("session", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField PROCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("process", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField SETTLED_SESSION_FIELD_DESC = new org.apache.thrift.protocol.TField("settledSession", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField PENDING_FIELD_DESC = new org.apache.thrift.protocol.TField("pending", org.apache.thrift.protocol.TType.LIST, (short)4);
-  private static final org.apache.thrift.protocol.TField KNOWN_FIELD_DESC = new org.apache.thrift.protocol.TField("known", org.apache.thrift.protocol.TType.BOOL, (short)5);
-  private static final org.apache.thrift.protocol.TField RECEIVED_UP_TO_FIELD_DESC = new org.apache.thrift.protocol.TField("receivedUpTo", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField LINK_FIELD_DESC = new org.apache.thrift.protocol.TField("link", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField CONNECTION_FIELD_DESC = new org.apache.thrift.protocol.TField("connection", org.apache.thrift.protocol.TType.I32, (short)8);
+  private static final org.apache.thrift.protocol.TField FIRST_CONNECTION_FIELD_DESC = new org.apache.thrift.protocol.TField("firstConnection", org.apache.thrift.protocol.TType.I32, (short)9);
+  private static final org.apache.thrift.protocol.TField RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("received", org.apache.thrift.protocol.TType.LIST, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LinkStateStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LinkStateTupleSchemeFactory();
 
   /**
-   * Names the connection; chosen by its opener.
+   * Names the connection to routers of earlier versions; chosen by its opener.
    */
   public long session; // required
   /**
-   * In a pong, names the process of the answering router.
+   * In a ping, the ids of the calls that have no reply.
    */
-  public long process; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> pending; // optional
   /**
-   * The earlier connection, on which nothing is processed from now on.
+   * Names all connections that the opener's process has opened to the peer one after the other.
    */
-  public long settledSession; // optional
+  public long link; // optional
   /**
-   * In a ping, the ids of its requests that have no reply.
+   * The number of the connection in its link.
    */
-  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> pending; // optional
+  public int connection; // optional
   /**
-   * In a pong, whether the earlier connection is known.
+   * In a pong, the number of the first connection of the link that the peer has a record of.
    */
-  public boolean known; // optional
+  public int firstConnection; // optional
   /**
-   * In a pong, the highest id of a request that was received on the earlier connection.
+   * In a pong, the ids of the pending calls that have arrived.
    */
-  public long receivedUpTo; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> received; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     /**
-     * Names the connection; chosen by its opener.
+     * Names the connection to routers of earlier versions; chosen by its opener.
      */
     SESSION((short)1, "session"),
     /**
-     * In a pong, names the process of the answering router.
+     * In a ping, the ids of the calls that have no reply.
      */
-    PROCESS((short)2, "process"),
+    PENDING((short)4, "pending"),
     /**
-     * The earlier connection, on which nothing is processed from now on.
+     * Names all connections that the opener's process has opened to the peer one after the other.
      */
-    SETTLED_SESSION((short)3, "settledSession"),
+    LINK((short)7, "link"),
     /**
-     * In a ping, the ids of its requests that have no reply.
+     * The number of the connection in its link.
      */
-    PENDING((short)4, "pending"),
+    CONNECTION((short)8, "connection"),
     /**
-     * In a pong, whether the earlier connection is known.
+     * In a pong, the number of the first connection of the link that the peer has a record of.
      */
-    KNOWN((short)5, "known"),
+    FIRST_CONNECTION((short)9, "firstConnection"),
     /**
-     * In a pong, the highest id of a request that was received on the earlier connection.
+     * In a pong, the ids of the pending calls that have arrived.
      */
-    RECEIVED_UP_TO((short)6, "receivedUpTo");
+    RECEIVED((short)10, "received");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -92,16 +92,16 @@
       switch(fieldId) {
         case 1: // SESSION
           return SESSION;
-        case 2: // PROCESS
-          return PROCESS;
-        case 3: // SETTLED_SESSION
-          return SETTLED_SESSION;
         case 4: // PENDING
           return PENDING;
-        case 5: // KNOWN
-          return KNOWN;
-        case 6: // RECEIVED_UP_TO
-          return RECEIVED_UP_TO;
+        case 7: // LINK
+          return LINK;
+        case 8: // CONNECTION
+          return CONNECTION;
+        case 9: // FIRST_CONNECTION
+          return FIRST_CONNECTION;
+        case 10: // RECEIVED
+          return RECEIVED;
         default:
           return null;
       }
@@ -146,28 +146,28 @@
 
   // isset id assignments
   private static final int __SESSION_ISSET_ID = 0;
-  private static final int __PROCESS_ISSET_ID = 1;
-  private static final int __SETTLEDSESSION_ISSET_ID = 2;
-  private static final int __KNOWN_ISSET_ID = 3;
-  private static final int __RECEIVEDUPTO_ISSET_ID = 4;
+  private static final int __LINK_ISSET_ID = 1;
+  private static final int __CONNECTION_ISSET_ID = 2;
+  private static final int __FIRSTCONNECTION_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.PROCESS,_Fields.SETTLED_SESSION,_Fields.PENDING,_Fields.KNOWN,_Fields.RECEIVED_UP_TO};
+  private static final _Fields optionals[] = {_Fields.PENDING,_Fields.LINK,_Fields.CONNECTION,_Fields.FIRST_CONNECTION,_Fields.RECEIVED};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.SESSION, new org.apache.thrift.meta_data.FieldMetaData("session", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.PROCESS, new org.apache.thrift.meta_data.FieldMetaData("process", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.SETTLED_SESSION, new org.apache.thrift.meta_data.FieldMetaData("settledSession", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.PENDING, new org.apache.thrift.meta_data.FieldMetaData("pending", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
-    tmpMap.put(_Fields.KNOWN, new org.apache.thrift.meta_data.FieldMetaData("known", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-    tmpMap.put(_Fields.RECEIVED_UP_TO, new org.apache.thrift.meta_data.FieldMetaData("receivedUpTo", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+    tmpMap.put(_Fields.LINK, new org.apache.thrift.meta_data.FieldMetaData("link", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CONNECTION, new org.apache.thrift.meta_data.FieldMetaData("connection", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.FIRST_CONNECTION, new org.apache.thrift.meta_data.FieldMetaData("firstConnection", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("received", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LinkState.class, metaDataMap);
   }
@@ -189,14 +189,17 @@
   public LinkState(LinkState other) {
     __isset_bitfield = other.__isset_bitfield;
     this.session = other.session;
-    this.process = other.process;
-    this.settledSession = other.settledSession;
     if (other.isSetPending()) {
       java.util.List<java.lang.Long> __this__pending = new java.util.ArrayList<java.lang.Long>(other.pending);
       this.pending = __this__pending;
     }
-    this.known = other.known;
-    this.receivedUpTo = other.receivedUpTo;
+    this.link = other.link;
+    this.connection = other.connection;
+    this.firstConnection = other.firstConnection;
+    if (other.isSetReceived()) {
+      java.util.List<java.lang.Long> __this__received = new java.util.ArrayList<java.lang.Long>(other.received);
+      this.received = __this__received;
+    }
   }
 
   @Override
@@ -208,26 +211,25 @@
   public void clear() {
     setSessionIsSet(false);
     this.session = 0;
-    setProcessIsSet(false);
-    this.process = 0;
-    setSettledSessionIsSet(false);
-    this.settledSession = 0;
     this.pending = null;
-    setKnownIsSet(false);
-    this.known = false;
-    setReceivedUpToIsSet(false);
-    this.receivedUpTo = 0;
+    setLinkIsSet(false);
+    this.link = 0;
+    setConnectionIsSet(false);
+    this.connection = 0;
+    setFirstConnectionIsSet(false);
+    this.firstConnection = 0;
+    this.received = null;
   }
 
   /**
-   * Names the connection; chosen by its opener.
+   * Names the connection to routers of earlier versions; chosen by its opener.
    */
   public long getSession() {
     return this.session;
   }
 
   /**
-   * Names the connection; chosen by its opener.
+   * Names the connection to routers of earlier versions; chosen by its opener.
    */
   public LinkState setSession(long session) {
     this.session = session;
@@ -248,64 +250,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSION_ISSET_ID, value);
   }
 
-  /**
-   * In a pong, names the process of the answering router.
-   */
-  public long getProcess() {
-    return this.process;
-  }
-
-  /**
-   * In a pong, names the process of the answering router.
-   */
-  public LinkState setProcess(long process) {
-    this.process = process;
-    setProcessIsSet(true);
-    return this;
-  }
-
-  public void unsetProcess() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PROCESS_ISSET_ID);
-  }
-
-  /** Returns true if field process is set (has been assigned a value) and false otherwise */
-  public boolean isSetProcess() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PROCESS_ISSET_ID);
-  }
-
-  public void setProcessIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PROCESS_ISSET_ID, value);
-  }
-
-  /**
-   * The earlier connection, on which nothing is processed from now on.
-   */
-  public long getSettledSession() {
-    return this.settledSession;
-  }
-
-  /**
-   * The earlier connection, on which nothing is processed from now on.
-   */
-  public LinkState setSettledSession(long settledSession) {
-    this.settledSession = settledSession;
-    setSettledSessionIsSet(true);
-    return this;
-  }
-
-  public void unsetSettledSession() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SETTLEDSESSION_ISSET_ID);
-  }
-
-  /** Returns true if field settledSession is set (has been assigned a value) and false otherwise */
-  public boolean isSetSettledSession() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SETTLEDSESSION_ISSET_ID);
-  }
-
-  public void setSettledSessionIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SETTLEDSESSION_ISSET_ID, value);
-  }
-
   public int getPendingSize() {
     return (this.pending == null) ? 0 : this.pending.size();
   }
@@ -323,7 +267,7 @@
   }
 
   /**
-   * In a ping, the ids of its requests that have no reply.
+   * In a ping, the ids of the calls that have no reply.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<java.lang.Long> getPending() {
@@ -331,7 +275,7 @@
   }
 
   /**
-   * In a ping, the ids of its requests that have no reply.
+   * In a ping, the ids of the calls that have no reply.
    */
   public LinkState setPending(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> pending) {
     this.pending = pending;
@@ -354,61 +298,137 @@
   }
 
   /**
-   * In a pong, whether the earlier connection is known.
+   * Names all connections that the opener's process has opened to the peer one after the other.
+   */
+  public long getLink() {
+    return this.link;
+  }
+
+  /**
+   * Names all connections that the opener's process has opened to the peer one after the other.
+   */
+  public LinkState setLink(long link) {
+    this.link = link;
+    setLinkIsSet(true);
+    return this;
+  }
+
+  public void unsetLink() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LINK_ISSET_ID);
+  }
+
+  /** Returns true if field link is set (has been assigned a value) and false otherwise */
+  public boolean isSetLink() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LINK_ISSET_ID);
+  }
+
+  public void setLinkIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LINK_ISSET_ID, value);
+  }
+
+  /**
+   * The number of the connection in its link.
    */
-  public boolean isKnown() {
-    return this.known;
+  public int getConnection() {
+    return this.connection;
   }
 
   /**
-   * In a pong, whether the earlier connection is known.
+   * The number of the connection in its link.
    */
-  public LinkState setKnown(boolean known) {
-    this.known = known;
-    setKnownIsSet(true);
+  public LinkState setConnection(int connection) {
+    this.connection = connection;
+    setConnectionIsSet(true);
     return this;
   }
 
-  public void unsetKnown() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __KNOWN_ISSET_ID);
+  public void unsetConnection() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CONNECTION_ISSET_ID);
   }
 
-  /** Returns true if field known is set (has been assigned a value) and false otherwise */
-  public boolean isSetKnown() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __KNOWN_ISSET_ID);
+  /** Returns true if field connection is set (has been assigned a value) and false otherwise */
+  public boolean isSetConnection() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CONNECTION_ISSET_ID);
   }
 
-  public void setKnownIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __KNOWN_ISSET_ID, value);
+  public void setConnectionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONNECTION_ISSET_ID, value);
   }
 
   /**
-   * In a pong, the highest id of a request that was received on the earlier connection.
+   * In a pong, the number of the first connection of the link that the peer has a record of.
    */
-  public long getReceivedUpTo() {
-    return this.receivedUpTo;
+  public int getFirstConnection() {
+    return this.firstConnection;
   }
 
   /**
-   * In a pong, the highest id of a request that was received on the earlier connection.
+   * In a pong, the number of the first connection of the link that the peer has a record of.
    */
-  public LinkState setReceivedUpTo(long receivedUpTo) {
-    this.receivedUpTo = receivedUpTo;
-    setReceivedUpToIsSet(true);
+  public LinkState setFirstConnection(int firstConnection) {
+    this.firstConnection = firstConnection;
+    setFirstConnectionIsSet(true);
     return this;
   }
 
-  public void unsetReceivedUpTo() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RECEIVEDUPTO_ISSET_ID);
+  public void unsetFirstConnection() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FIRSTCONNECTION_ISSET_ID);
+  }
+
+  /** Returns true if field firstConnection is set (has been assigned a value) and false otherwise */
+  public boolean isSetFirstConnection() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FIRSTCONNECTION_ISSET_ID);
+  }
+
+  public void setFirstConnectionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FIRSTCONNECTION_ISSET_ID, value);
+  }
+
+  public int getReceivedSize() {
+    return (this.received == null) ? 0 : this.received.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getReceivedIterator() {
+    return (this.received == null) ? null : this.received.iterator();
   }
 
-  /** Returns true if field receivedUpTo is set (has been assigned a value) and false otherwise */
-  public boolean isSetReceivedUpTo() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RECEIVEDUPTO_ISSET_ID);
+  public void addToReceived(long elem) {
+    if (this.received == null) {
+      this.received = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.received.add(elem);
   }
 
-  public void setReceivedUpToIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RECEIVEDUPTO_ISSET_ID, value);
+  /**
+   * In a pong, the ids of the pending calls that have arrived.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getReceived() {
+    return this.received;
+  }
+
+  /**
+   * In a pong, the ids of the pending calls that have arrived.
+   */
+  public LinkState setReceived(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> received) {
+    this.received = received;
+    return this;
+  }
+
+  public void unsetReceived() {
+    this.received = null;
+  }
+
+  /** Returns true if field received is set (has been assigned a value) and false otherwise */
+  public boolean isSetReceived() {
+    return this.received != null;
+  }
+
+  public void setReceivedIsSet(boolean value) {
+    if (!value) {
+      this.received = null;
+    }
   }
 
   @Override
@@ -422,43 +442,43 @@
       }
       break;
 
-    case PROCESS:
+    case PENDING:
       if (value == null) {
-        unsetProcess();
+        unsetPending();
       } else {
-        setProcess((java.lang.Long)value);
+        setPending((java.util.List<java.lang.Long>)value);
       }
       break;
 
-    case SETTLED_SESSION:
+    case LINK:
       if (value == null) {
-        unsetSettledSession();
+        unsetLink();
       } else {
-        setSettledSession((java.lang.Long)value);
+        setLink((java.lang.Long)value);
       }
       break;
 
-    case PENDING:
+    case CONNECTION:
       if (value == null) {
-        unsetPending();
+        unsetConnection();
       } else {
-        setPending((java.util.List<java.lang.Long>)value);
+        setConnection((java.lang.Integer)value);
       }
       break;
 
-    case KNOWN:
+    case FIRST_CONNECTION:
       if (value == null) {
-        unsetKnown();
+        unsetFirstConnection();
       } else {
-        setKnown((java.lang.Boolean)value);
+        setFirstConnection((java.lang.Integer)value);
       }
       break;
 
-    case RECEIVED_UP_TO:
+    case RECEIVED:
       if (value == null) {
-        unsetReceivedUpTo();
+        unsetReceived();
       } else {
-        setReceivedUpTo((java.lang.Long)value);
+        setReceived((java.util.List<java.lang.Long>)value);
       }
       break;
 
@@ -472,20 +492,20 @@
     case SESSION:
       return getSession();
 
-    case PROCESS:
-      return getProcess();
-
-    case SETTLED_SESSION:
-      return getSettledSession();
-
     case PENDING:
       return getPending();
 
-    case KNOWN:
-      return isKnown();
+    case LINK:
+      return getLink();
+
+    case CONNECTION:
+      return getConnection();
 
-    case RECEIVED_UP_TO:
-      return getReceivedUpTo();
+    case FIRST_CONNECTION:
+      return getFirstConnection();
+
+    case RECEIVED:
+      return getReceived();
 
     }
     throw new java.lang.IllegalStateException();
@@ -501,16 +521,16 @@
     switch (field) {
     case SESSION:
       return isSetSession();
-    case PROCESS:
-      return isSetProcess();
-    case SETTLED_SESSION:
-      return isSetSettledSession();
     case PENDING:
       return isSetPending();
-    case KNOWN:
-      return isSetKnown();
-    case RECEIVED_UP_TO:
-      return isSetReceivedUpTo();
+    case LINK:
+      return isSetLink();
+    case CONNECTION:
+      return isSetConnection();
+    case FIRST_CONNECTION:
+      return isSetFirstConnection();
+    case RECEIVED:
+      return isSetReceived();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -537,48 +557,48 @@
         return false;
     }
 
-    boolean this_present_process = true && this.isSetProcess();
-    boolean that_present_process = true && that.isSetProcess();
-    if (this_present_process || that_present_process) {
-      if (!(this_present_process && that_present_process))
+    boolean this_present_pending = true && this.isSetPending();
+    boolean that_present_pending = true && that.isSetPending();
+    if (this_present_pending || that_present_pending) {
+      if (!(this_present_pending && that_present_pending))
         return false;
-      if (this.process != that.process)
+      if (!this.pending.equals(that.pending))
         return false;
     }
 
-    boolean this_present_settledSession = true && this.isSetSettledSession();
-    boolean that_present_settledSession = true && that.isSetSettledSession();
-    if (this_present_settledSession || that_present_settledSession) {
-      if (!(this_present_settledSession && that_present_settledSession))
+    boolean this_present_link = true && this.isSetLink();
+    boolean that_present_link = true && that.isSetLink();
+    if (this_present_link || that_present_link) {
+      if (!(this_present_link && that_present_link))
         return false;
-      if (this.settledSession != that.settledSession)
+      if (this.link != that.link)
         return false;
     }
 
-    boolean this_present_pending = true && this.isSetPending();
-    boolean that_present_pending = true && that.isSetPending();
-    if (this_present_pending || that_present_pending) {
-      if (!(this_present_pending && that_present_pending))
+    boolean this_present_connection = true && this.isSetConnection();
+    boolean that_present_connection = true && that.isSetConnection();
+    if (this_present_connection || that_present_connection) {
+      if (!(this_present_connection && that_present_connection))
         return false;
-      if (!this.pending.equals(that.pending))
+      if (this.connection != that.connection)
         return false;
     }
 
-    boolean this_present_known = true && this.isSetKnown();
-    boolean that_present_known = true && that.isSetKnown();
-    if (this_present_known || that_present_known) {
-      if (!(this_present_known && that_present_known))
+    boolean this_present_firstConnection = true && this.isSetFirstConnection();
+    boolean that_present_firstConnection = true && that.isSetFirstConnection();
+    if (this_present_firstConnection || that_present_firstConnection) {
+      if (!(this_present_firstConnection && that_present_firstConnection))
         return false;
-      if (this.known != that.known)
+      if (this.firstConnection != that.firstConnection)
         return false;
     }
 
-    boolean this_present_receivedUpTo = true && this.isSetReceivedUpTo();
-    boolean that_present_receivedUpTo = true && that.isSetReceivedUpTo();
-    if (this_present_receivedUpTo || that_present_receivedUpTo) {
-      if (!(this_present_receivedUpTo && that_present_receivedUpTo))
+    boolean this_present_received = true && this.isSetReceived();
+    boolean that_present_received = true && that.isSetReceived();
+    if (this_present_received || that_present_received) {
+      if (!(this_present_received && that_present_received))
         return false;
-      if (this.receivedUpTo != that.receivedUpTo)
+      if (!this.received.equals(that.received))
         return false;
     }
 
@@ -591,25 +611,25 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(session);
 
-    hashCode = hashCode * 8191 + ((isSetProcess()) ? 131071 : 524287);
-    if (isSetProcess())
-      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(process);
-
-    hashCode = hashCode * 8191 + ((isSetSettledSession()) ? 131071 : 524287);
-    if (isSetSettledSession())
-      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(settledSession);
-
     hashCode = hashCode * 8191 + ((isSetPending()) ? 131071 : 524287);
     if (isSetPending())
       hashCode = hashCode * 8191 + pending.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetKnown()) ? 131071 : 524287);
-    if (isSetKnown())
-      hashCode = hashCode * 8191 + ((known) ? 131071 : 524287);
+    hashCode = hashCode * 8191 + ((isSetLink()) ? 131071 : 524287);
+    if (isSetLink())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(link);
+
+    hashCode = hashCode * 8191 + ((isSetConnection()) ? 131071 : 524287);
+    if (isSetConnection())
+      hashCode = hashCode * 8191 + connection;
 
-    hashCode = hashCode * 8191 + ((isSetReceivedUpTo()) ? 131071 : 524287);
-    if (isSetReceivedUpTo())
-      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(receivedUpTo);
+    hashCode = hashCode * 8191 + ((isSetFirstConnection()) ? 131071 : 524287);
+    if (isSetFirstConnection())
+      hashCode = hashCode * 8191 + firstConnection;
+
+    hashCode = hashCode * 8191 + ((isSetReceived()) ? 131071 : 524287);
+    if (isSetReceived())
+      hashCode = hashCode * 8191 + received.hashCode();
 
     return hashCode;
   }
@@ -632,52 +652,52 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetProcess(), other.isSetProcess());
+    lastComparison = java.lang.Boolean.compare(isSetPending(), other.isSetPending());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetProcess()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.process, other.process);
+    if (isSetPending()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.pending, other.pending);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetSettledSession(), other.isSetSettledSession());
+    lastComparison = java.lang.Boolean.compare(isSetLink(), other.isSetLink());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetSettledSession()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.settledSession, other.settledSession);
+    if (isSetLink()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.link, other.link);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetPending(), other.isSetPending());
+    lastComparison = java.lang.Boolean.compare(isSetConnection(), other.isSetConnection());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetPending()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.pending, other.pending);
+    if (isSetConnection()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.connection, other.connection);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetKnown(), other.isSetKnown());
+    lastComparison = java.lang.Boolean.compare(isSetFirstConnection(), other.isSetFirstConnection());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetKnown()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.known, other.known);
+    if (isSetFirstConnection()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.firstConnection, other.firstConnection);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetReceivedUpTo(), other.isSetReceivedUpTo());
+    lastComparison = java.lang.Boolean.compare(isSetReceived(), other.isSetReceived());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetReceivedUpTo()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.receivedUpTo, other.receivedUpTo);
+    if (isSetReceived()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.received, other.received);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -709,18 +729,6 @@
     sb.append("session:");
     sb.append(this.session);
     first = false;
-    if (isSetProcess()) {
-      if (!first) sb.append(", ");
-      sb.append("process:");
-      sb.append(this.process);
-      first = false;
-    }
-    if (isSetSettledSession()) {
-      if (!first) sb.append(", ");
-      sb.append("settledSession:");
-      sb.append(this.settledSession);
-      first = false;
-    }
     if (isSetPending()) {
       if (!first) sb.append(", ");
       sb.append("pending:");
@@ -731,16 +739,32 @@
       }
       first = false;
     }
-    if (isSetKnown()) {
+    if (isSetLink()) {
       if (!first) sb.append(", ");
-      sb.append("known:");
-      sb.append(this.known);
+      sb.append("link:");
+      sb.append(this.link);
       first = false;
     }
-    if (isSetReceivedUpTo()) {
+    if (isSetConnection()) {
       if (!first) sb.append(", ");
-      sb.append("receivedUpTo:");
-      sb.append(this.receivedUpTo);
+      sb.append("connection:");
+      sb.append(this.connection);
+      first = false;
+    }
+    if (isSetFirstConnection()) {
+      if (!first) sb.append(", ");
+      sb.append("firstConnection:");
+      sb.append(this.firstConnection);
+      first = false;
+    }
+    if (isSetReceived()) {
+      if (!first) sb.append(", ");
+      sb.append("received:");
+      if (this.received == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.received);
+      }
       first = false;
     }
     sb.append(")");
@@ -798,22 +822,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // PROCESS
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.process = iprot.readI64();
-              struct.setProcessIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 3: // SETTLED_SESSION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.settledSession = iprot.readI64();
-              struct.setSettledSessionIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           case 4: // PENDING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
@@ -832,18 +840,44 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // KNOWN
-            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-              struct.known = iprot.readBool();
-              struct.setKnownIsSet(true);
+          case 7: // LINK
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.link = iprot.readI64();
+              struct.setLinkIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // RECEIVED_UP_TO
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.receivedUpTo = iprot.readI64();
-              struct.setReceivedUpToIsSet(true);
+          case 8: // CONNECTION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.connection = iprot.readI32();
+              struct.setConnectionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 9: // FIRST_CONNECTION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.firstConnection = iprot.readI32();
+              struct.setFirstConnectionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 10: // RECEIVED
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list75 = iprot.readListBegin();
+                struct.received = new java.util.ArrayList<java.lang.Long>(_list75.size);
+                long _elem76;
+                for (int _i77 = 0; _i77 < _list75.size; ++_i77)
+                {
+                  _elem76 = iprot.readI64();
+                  struct.received.add(_elem76);
+                }
+                iprot.readListEnd();
+              }
+              struct.setReceivedIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -867,40 +901,49 @@
       oprot.writeFieldBegin(SESSION_FIELD_DESC);
       oprot.writeI64(struct.session);
       oprot.writeFieldEnd();
-      if (struct.isSetProcess()) {
-        oprot.writeFieldBegin(PROCESS_FIELD_DESC);
-        oprot.writeI64(struct.process);
-        oprot.writeFieldEnd();
-      }
-      if (struct.isSetSettledSession()) {
-        oprot.writeFieldBegin(SETTLED_SESSION_FIELD_DESC);
-        oprot.writeI64(struct.settledSession);
-        oprot.writeFieldEnd();
-      }
       if (struct.pending != null) {
         if (struct.isSetPending()) {
           oprot.writeFieldBegin(PENDING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.pending.size()));
-            for (long _iter75 : struct.pending)
+            for (long _iter78 : struct.pending)
             {
-              oprot.writeI64(_iter75);
+              oprot.writeI64(_iter78);
             }
             oprot.writeListEnd();
           }
           oprot.writeFieldEnd();
         }
       }
-      if (struct.isSetKnown()) {
-        oprot.writeFieldBegin(KNOWN_FIELD_DESC);
-        oprot.writeBool(struct.known);
+      if (struct.isSetLink()) {
+        oprot.writeFieldBegin(LINK_FIELD_DESC);
+        oprot.writeI64(struct.link);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetConnection()) {
+        oprot.writeFieldBegin(CONNECTION_FIELD_DESC);
+        oprot.writeI32(struct.connection);
         oprot.writeFieldEnd();
       }
-      if (struct.isSetReceivedUpTo()) {
-        oprot.writeFieldBegin(RECEIVED_UP_TO_FIELD_DESC);
-        oprot.writeI64(struct.receivedUpTo);
+      if (struct.isSetFirstConnection()) {
+        oprot.writeFieldBegin(FIRST_CONNECTION_FIELD_DESC);
+        oprot.writeI32(struct.firstConnection);
         oprot.writeFieldEnd();
       }
+      if (struct.received != null) {
+        if (struct.isSetReceived()) {
+          oprot.writeFieldBegin(RECEIVED_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.received.size()));
+            for (long _iter79 : struct.received)
+            {
+              oprot.writeI64(_iter79);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -923,45 +966,51 @@
       if (struct.isSetSession()) {
         optionals.set(0);
       }
-      if (struct.isSetProcess()) {
+      if (struct.isSetPending()) {
         optionals.set(1);
       }
-      if (struct.isSetSettledSession()) {
+      if (struct.isSetLink()) {
         optionals.set(2);
       }
-      if (struct.isSetPending()) {
+      if (struct.isSetConnection()) {
         optionals.set(3);
       }
-      if (struct.isSetKnown()) {
+      if (struct.isSetFirstConnection()) {
         optionals.set(4);
       }
-      if (struct.isSetReceivedUpTo()) {
+      if (struct.isSetReceived()) {
         optionals.set(5);
       }
       oprot.writeBitSet(optionals, 6);
       if (struct.isSetSession()) {
         oprot.writeI64(struct.session);
       }
-      if (struct.isSetProcess()) {
-        oprot.writeI64(struct.process);
-      }
-      if (struct.isSetSettledSession()) {
-        oprot.writeI64(struct.settledSession);
-      }
       if (struct.isSetPending()) {
         {
           oprot.writeI32(struct.pending.size());
-          for (long _iter76 : struct.pending)
+          for (long _iter80 : struct.pending)
           {
-            oprot.writeI64(_iter76);
+            oprot.writeI64(_iter80);
           }
         }
       }
-      if (struct.isSetKnown()) {
-        oprot.writeBool(struct.known);
+      if (struct.isSetLink()) {
+        oprot.writeI64(struct.link);
+      }
+      if (struct.isSetConnection()) {
+        oprot.writeI32(struct.connection);
       }
-      if (struct.isSetReceivedUpTo()) {
-        oprot.writeI64(struct.receivedUpTo);
+      if (struct.isSetFirstConnection()) {
+        oprot.writeI32(struct.firstConnection);
+      }
+      if (struct.isSetReceived()) {
+        {
+          oprot.writeI32(struct.received.size());
+          for (long _iter81 : struct.received)
+          {
+            oprot.writeI64(_iter81);
+          }
+        }
       }
     }
 
@@ -974,33 +1023,42 @@
         struct.setSessionIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.process = iprot.readI64();
-        struct.setProcessIsSet(true);
-      }
-      if (incoming.get(2)) {
-        struct.settledSession = iprot.readI64();
-        struct.setSettledSessionIsSet(true);
-      }
-      if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.pending = new java.util.ArrayList<java.lang.Long>(_list77.size);
-          long _elem78;
-          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          org.apache.thrift.protocol.TList _list82 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.pending = new java.util.ArrayList<java.lang.Long>(_list82.size);
+          long _elem83;
+          for (int _i84 = 0; _i84 < _list82.size; ++_i84)
           {
-            _elem78 = iprot.readI64();
-            struct.pending.add(_elem78);
+            _elem83 = iprot.readI64();
+            struct.pending.add(_elem83);
           }
         }
         struct.setPendingIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.link = iprot.readI64();
+        struct.setLinkIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.connection = iprot.readI32();
+        struct.setConnectionIsSet(true);
+      }
       if (incoming.get(4)) {
-        struct.known = iprot.readBool();
-        struct.setKnownIsSet(true);
+        struct.firstConnection = iprot.readI32();
+        struct.setFirstConnectionIsSet(true);
       }
       if (incoming.get(5)) {
-        struct.receivedUpTo = iprot.readI64();
-        struct.setReceivedUpToIsSet(true);
+        {
+          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.received = new java.util.ArrayList<java.lang.Long>(_list85.size);
+          long _elem86;
+          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          {
+            _elem86 = iprot.readI64();
+            struct.received.add(_elem86);
+          }
+        }
+        struct.setReceivedIsSet(true);
       }
     }
   }
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -160,22 +160,22 @@
 }
 
 /**
- * The state of a connection between two routers. With a ping, the opener names the connection and, after an earlier one
- * fell silent, which one that was and which of its requests have no reply; the pong says what became of them.
+ * The state of a connection between two routers. With the first ping on it, the opener names the connection and the calls
+ * that it waits for; the pong says which of them have arrived. Routers of earlier versions use the fields 2, 3, 5 and 6.
  */
 struct LinkState {
-  /** Names the connection; chosen by its opener. */
+  /** Names the connection to routers of earlier versions; chosen by its opener. */
   1: i64 session,
-  /** In a pong, names the process of the answering router. */
-  2: optional i64 process,
-  /** The earlier connection, on which nothing is processed from now on. */
-  3: optional i64 settledSession,
-  /** In a ping, the ids of its requests that have no reply. */
+  /** In a ping, the ids of the calls that have no reply. */
   4: optional list<i64> pending,
-  /** In a pong, whether the earlier connection is known. */
-  5: optional bool known,
-  /** In a pong, the highest id of a request that was received on the earlier connection. */
-  6: optional i64 receivedUpTo,
+  /** Names all connections that the opener's process has opened to the peer one after the other. */
+  7: optional i64 link,
+  /** The number of the connection in its link. */
+  8: optional i32 connection,
+  /** In a pong, the number of the first connection of the link that the peer has a record of. */
+  9: optional i32 firstConnection,
+  /** In a pong, the ids of the pending calls that have arrived. */
+  10: optional list<i64> received,
 }
 
 /** Asks a member how busy its target of a service is. */
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
@@ -1,13 +1,17 @@
 package org.siskindyke.runtime.traffic;
 
+import java.io.OutputStream;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
@@ -17,11 +21,13 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.siskindyke.runtime.EventLog;
 import org.siskindyke.runtime.SystemMonotonicClock;
 import org.siskindyke.runtime.peer.WireCodec;
 import org.siskindyke.wire.LinkState;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Open connections between routers fall silent for good, while new ones work. */
@@ -33,26 +39,42 @@
     private final List<Silencer> connections = new ArrayList<>();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
     private final AtomicInteger runs = new AtomicInteger();
+    /** Connections on which a message has arrived at the peer. */
+    private final AtomicInteger connectionsRead = new AtomicInteger();
+
     private final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
-    private InboundSessions sessions = new InboundSessions(loop, SystemMonotonicClock.INSTANCE);
+    private final EventLog log = new EventLog("peer", new PrintStream(OutputStream.nullOutputStream()));
+    private InboundSessions sessions = new InboundSessions(loop, SystemMonotonicClock.INSTANCE, log);
     private long workMillis;
+    /** Index of a connection whose messages to the peer are held back from its start; -1 for none. */
+    private int silentInFrom = -1;
+    /** Index of a connection whose messages from the peer are dropped from its start; -1 for none. */
+    private int silentOutFrom = -1;
+
     private PeerLink link;
 
     /** Holds back what passes a connection in either direction while it is silent. */
     private final class Silencer extends ChannelDuplexHandler {
         private final List<Object> held = new ArrayList<>();
         private ChannelHandlerContext context;
+        private boolean hasRead;
         private boolean silentIn;
         private boolean silentOut;
 
         @Override
         public void handlerAdded(ChannelHandlerContext added) {
             context = added;
+            silentIn = silentInFrom == connections.size();
+            silentOut = silentOutFrom == connections.size();
             connections.add(this);
         }
 
         @Override
         public void channelRead(ChannelHandlerContext ignored, Object message) {
+            if (!hasRead) {
+                hasRead = true;
+                connectionsRead.incrementAndGet();
+            }
             if (silentIn) {
                 held.add(message);
             } else {
@@ -87,10 +109,9 @@
                 return;
             }
             if (session.isOn(context.channel())) {
-                session.onReceived(frame.id());
                 if (frame.kind() == PeerFrame.Kind.CANCEL) {
                     session.cancel(frame.id());
-                } else {
+                } else if (session.receive(frame.id())) {
                     run(session, frame);
                 }
             }
@@ -115,7 +136,7 @@
                 accepted.pipeline().addLast(new PeerFrameCodec(), new Silencer(), new Peer());
             }
         });
-        link = new PeerLink(loop, SystemMonotonicClock.INSTANCE, (InetSocketAddress) listening.localAddress());
+        link = new PeerLink(loop, SystemMonotonicClock.INSTANCE, (InetSocketAddress) listening.localAddress(), log);
         loop.scheduleWithFixedDelay(() -> link.checkTimeouts(SystemMonotonicClock.INSTANCE.nowMillis()), 20);
         send("first");
         assertEquals("first", outcome());
@@ -148,12 +169,26 @@
         workMillis = TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS);
         int before = runs.get();
         PeerLink.Request request = send(text);
+        awaitRuns(before + 1);
+        onLoop(() -> workMillis = 0);
+        return request;
+    }
+
+    private void awaitRuns(int count) {
+        await(() -> runs.get() >= count);
+    }
+
+    /** Waits until the first message of a number of connections has been handled or held back. */
+    private void awaitConnections(int count) throws InterruptedException {
+        await(() -> connectionsRead.get() >= count);
+        onLoop(() -> {});
+    }
+
+    private static void await(BooleanSupplier condition) {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
-        while (runs.get() == before) {
+        while (!condition.getAsBoolean()) {
             assertTrue(System.nanoTime() < endNanos);
         }
-        onLoop(() -> workMillis = 0);
-        return request;
     }
 
     private String nextCancelled() throws InterruptedException {
@@ -253,13 +288,97 @@
         assertEquals(0, cancelled.size());
     }
 
+    /** Guards against orders that ran twice after connections had been reset several times in a row. */
+    @Example
+    void aCallRunsOnceThoughTheAnswerToTheFirstQuestionAboutItIsLost() throws InterruptedException {
+        start();
+        workMillis = 1_000;
+        silentOutFrom = 1;
+        send("order");
+        awaitRuns(2);
+        onLoop(() -> connections.get(0).context.close());
+        awaitConnections(2);
+        onLoop(() -> link.close());
+        onLoop(() -> {});
+        send("next");
+        assertEquals(Set.of("order", "next"), Set.of(outcome(), outcome()));
+        assertEquals(3, runs.get());
+    }
+
+    /** Guards against calls at work that are cancelled, as a question named the calls of the last connection only. */
+    @Example
+    void callsOfEachEarlierConnectionAreAnsweredAfterTheLastOneWasReset() throws InterruptedException {
+        start();
+        workMillis = 1_000;
+        silentOutFrom = 1;
+        send("of the first connection");
+        awaitRuns(2);
+        onLoop(() -> connections.get(0).context.close());
+        awaitConnections(2);
+        send("of the second connection");
+        awaitRuns(3);
+        onLoop(() -> connections.get(1).context.close());
+        assertEquals("of the first connection", outcome());
+        assertEquals("of the second connection", outcome());
+        assertEquals(3, runs.get());
+        assertEquals(0, cancelled.size());
+    }
+
+    /** Guards against a session that moves back to a dead connection, whose first message was read last. */
+    @Example
+    void aConnectionWhoseFirstMessageIsReadAfterThatOfItsSuccessorIsNotUsed() throws InterruptedException {
+        start();
+        workMillis = 1_000;
+        silentInFrom = 1;
+        send("order");
+        awaitRuns(2);
+        onLoop(() -> connections.get(0).context.close());
+        awaitConnections(2);
+        send("late");
+        onLoop(() -> link.close());
+        awaitConnections(3);
+        onLoop(() -> connections.get(1).deliverHeld());
+        assertEquals("order", outcome());
+        assertEquals("late", outcome());
+        assertEquals(3, runs.get());
+        assertEquals(0, cancelled.size());
+    }
+
+    /** Guards against a caller that waits in vain, as the reply was lost with a connection after the call's own. */
+    @Example
+    void aReplyThatWasLostOnALaterConnectionIsSentAgain() throws InterruptedException {
+        start();
+        workMillis = 600;
+        silentOutFrom = 1;
+        send("order");
+        awaitRuns(2);
+        onLoop(() -> connections.get(0).context.close());
+        awaitConnections(2);
+        onLoop(() -> workMillis = 0);
+        send("quick");
+        awaitRuns(3);
+        onLoop(() -> connections.get(1).context.close());
+        assertEquals("quick", outcome());
+        assertEquals("order", outcome());
+        assertEquals(3, runs.get());
+    }
+
+    /** Guards against ids of which the peer reads only the lowest 32 bits. */
+    @Example
+    void aLinkWhoseIdsAreNearlyUsedUpIsReplaced() {
+        long nearLast = 0xFFFF_FF00L;
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+        assertTrue(new PeerLink(loop, SystemMonotonicClock.INSTANCE, address, log, nearLast).isExhausted());
+        assertFalse(new PeerLink(loop, SystemMonotonicClock.INSTANCE, address, log).isExhausted());
+    }
+
     /** A new process of the peer cannot tell what the earlier one has received. */
     @Example
     void aRequestToAPeerThatHasRestartedIsLost() throws InterruptedException {
         start();
         onLoop(() -> {
             connections.get(0).silentIn = true;
-            sessions = new InboundSessions(loop, SystemMonotonicClock.INSTANCE);
+            sessions = new InboundSessions(loop, SystemMonotonicClock.INSTANCE, log);
         });
         send("second");
         assertEquals(LOST + true, outcome());
