Send withdrawals again that were lost with a connection between routers

Callers of a router that stops would see no answer: a withdrawal is one message without a reply, and the replacement of a connection sent cancellations again but not withdrawals, so the call waited at the peer until the router had ended. A withdrawn call that had not arrived was even sent again.

Change: a withdrawn request is withdrawn once more when it is settled; one that has not arrived is reported as not run at once.

Evidence: aCallWithdrawnOnASilentConnectionIsWithdrawnOnTheNewOne and aWithdrawnCallThatHasNotArrivedIsNotSentAgain failed before and pass.

--- a/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
@@ -72,6 +72,7 @@
         private final Consumer<Boolean> onLost;
         private final long startMillis;
         private final long expiresMillis;
+        private boolean withdrawn;
 
         private Request(
                 PeerFrame frame,
@@ -149,6 +150,16 @@
         }
     }
 
+    /** Has a request refused if the peer has not begun to run it; reports it as lost where it has not arrived. */
+    void withdraw(Request request) {
+        request.withdrawn = true;
+        if (request.mayHaveArrived()) {
+            sendAbout(request, PeerFrame.Kind.WITHDRAW);
+        } else if (requests.remove(request)) {
+            request.onLost.accept(false);
+        }
+    }
+
     /** Drops a request, and returns whether it was pending. */
     boolean dropRequest(Request request) {
         return requests.remove(request);
@@ -320,6 +331,9 @@
                     idsOf(settlement.lost()));
         }
         settlement.lost().forEach(request -> request.onLost.accept(true));
+        // A withdrawal that was sent on an earlier connection may not have arrived.
+        settlement.received().stream().filter(request -> request.withdrawn).forEach(this::withdraw);
+        settlement.notReceived().stream().filter(request -> request.withdrawn).forEach(this::withdraw);
         abortReplaced();
         if (isOpen()) {
             writeWaiting();
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -146,7 +146,7 @@
 
             @Override
             public void withdraw() {
-                link.sendAbout(request, PeerFrame.Kind.WITHDRAW);
+                link.withdraw(request);
             }
 
             @Override
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
@@ -111,6 +111,8 @@
             if (session.isOn(context.channel())) {
                 if (frame.kind() == PeerFrame.Kind.CANCEL) {
                     session.cancel(frame.id());
+                } else if (frame.kind() == PeerFrame.Kind.WITHDRAW) {
+                    session.withdraw(frame.id());
                 } else if (session.receive(frame.id())) {
                     run(session, frame);
                 }
@@ -122,9 +124,17 @@
             PeerFrame reply = new PeerFrame(PeerFrame.Kind.FORWARD_REPLY, frame.id(), frame.payload());
             Cancellable work =
                     loop.schedule(() -> receiver.reply(reply, SystemMonotonicClock.INSTANCE.nowMillis()), workMillis);
-            receiver.onRunning(frame.id(), () -> {
-                cancelled.add(new String(frame.payload()));
-                work.cancel();
+            receiver.onRunning(frame.id(), new Cancellable() {
+                @Override
+                public void cancel() {
+                    cancelled.add(new String(frame.payload()));
+                    work.cancel();
+                }
+
+                @Override
+                public void withdraw() {
+                    cancelled.add("withdrawn");
+                }
             });
         }
     }
@@ -363,6 +373,29 @@
         assertEquals(3, runs.get());
     }
 
+    /** Guards against a call that waits at a peer until the router which stops has ended. */
+    @Example
+    void aCallWithdrawnOnASilentConnectionIsWithdrawnOnTheNewOne() throws InterruptedException {
+        start();
+        PeerLink.Request waiting = sendLongCall("waiting");
+        onLoop(() -> connections.get(0).silentIn = true);
+        onLoop(() -> link.withdraw(waiting));
+        send("next");
+        assertEquals("next", outcome());
+        assertEquals("withdrawn", nextCancelled());
+    }
+
+    /** Guards against a call that is sent again although the router which stops has withdrawn it. */
+    @Example
+    void aWithdrawnCallThatHasNotArrivedIsNotSentAgain() throws InterruptedException {
+        start();
+        onLoop(() -> connections.get(0).silentIn = true);
+        PeerLink.Request waiting = send("waiting");
+        onLoop(() -> link.withdraw(waiting));
+        assertEquals(LOST + false, outcome());
+        assertEquals(1, runs.get());
+    }
+
     /** Guards against ids of which the peer reads only the lowest 32 bits. */
     @Example
     void aLinkWhoseIdsAreNearlyUsedUpIsReplaced() {
