Keep a stopping router from accepting calls again

Cause: one flag, whether a router accepts calls for its backend server, was written by the router's stop and by each change of the backend server's state. A server that began to leave, or a new one, opened a stopping router again; what it took then was cut when the process ended.

Change: BackendDispatcher keeps both facts and decides from both. What is still open at the end of a stop is logged by request (request-unanswered, calls-cut-by-stop).

--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -10,7 +10,9 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -22,6 +24,7 @@
 import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.runtime.EventLog;
+import org.siskindyke.runtime.InstanceRouter;
 import org.siskindyke.runtime.InstanceSettings;
 import org.siskindyke.runtime.SystemMonotonicClock;
 import org.siskindyke.runtime.traffic.TrafficLoop;
@@ -56,6 +59,7 @@
     private final StoreStandin store = new StoreStandin(traffic, SystemMonotonicClock.INSTANCE);
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<Instance> instances = new ArrayList<>();
+    private final Map<InstanceSettings, InstanceRouter> routers = new HashMap<>();
     private int instanceCount;
     private int requestCount;
 
@@ -106,7 +110,7 @@
                 storeAddress,
                 HEARTBEAT_INTERVAL,
                 BOUNDS);
-        PlatformRouter.start(settings, traffic, log);
+        routers.put(settings, PlatformRouter.start(settings, traffic, log));
         return settings;
     }
 
@@ -122,6 +126,18 @@
         return instance;
     }
 
+    /** Starts to stop the router of an instance, as SIGTERM does; the result completes once it has stopped. */
+    CompletableFuture<Void> stopRouter(Instance instance) {
+        InstanceRouter router = routers.get(instance.settings());
+        return CompletableFuture.runAsync(() -> {
+            try {
+                router.stop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     /** Sends a request to a router; returns the status of the response, or 0 where the request failed or timed out. */
     int request(Instance instance, String path, int key) throws InterruptedException {
         return request(instance.settings(), path, key);
--- a/src/main/java/org/siskindyke/platform/SelfCheck.java
+++ b/src/main/java/org/siskindyke/platform/SelfCheck.java
@@ -17,7 +17,8 @@
             + "\"control\":\"127.0.0.1:4\"},\"platform\":{\"address\":\"127.0.0.1:5\"},\"heartbeat_ms\":100,"
             + "\"bounds\":{\"drain_ms\":2000,\"grace_s\":6,\"hold_max_ms\":10000,\"retry_budget_ratio\":0.2,"
             + "\"budget_extra\":60,\"budget_window_s\":10}}";
-    private static final String CONFIGURATION = "{\"version\":\"r1\",\"services\":[{\"name\":\"keyed\","
+    /** Sends the paths under {@code /k/} to the divided service {@code keyed}, and {@code /p/} to {@code plain}. */
+    static final String CONFIGURATION = "{\"version\":\"r1\",\"services\":[{\"name\":\"keyed\","
             + "\"max_connections\":20,\"sharded\":true},{\"name\":\"plain\",\"max_connections\":20}],"
             + "\"virtual_hosts\":[{\"hostname\":\"127.0.0.1\",\"paths\":["
             + "{\"name\":\"k\",\"prefix\":\"/k/\",\"route_type\":\"safe\",\"timeout_ms\":5000,\"aim_ms\":1000,"
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -97,6 +98,8 @@
     private static final long WITHDRAW_BEFORE_END_MILLIS = 300;
 
     private static final long STOP_POLL_INTERVAL_MILLIS = 20;
+    /** Requests that are logged one by one when the router ends before they are answered. */
+    private static final int MAX_UNANSWERED_LOGGED = 100;
 
     private volatile InstanceSettings settings;
     private final CallDialect dialect;
@@ -470,14 +473,23 @@
         TimeUnit.MILLISECONDS.sleep(UNREADY_DETECTION_MILLIS);
         traffic.execute(() -> {
             callers.close();
-            backend.setAccepting(false);
+            backend.startStopping();
         });
         waitUntilAnswered(endMillis - WITHDRAW_BEFORE_END_MILLIS);
         traffic.execute(callerRequests::withdrawAll);
         waitUntilAnswered(endMillis);
+        traffic.execute(this::logUnanswered);
         log.event("router-stopped", "tookMillis", clock.nowMillis() - startMillis, "unanswered", unanswered());
     }
 
+    private void logUnanswered() {
+        callerRequests.unanswered().stream().limit(MAX_UNANSWERED_LOGGED).forEach(requestLog::onUnanswered);
+        List<String> running = backend.running();
+        if (!running.isEmpty()) {
+            log.event("calls-cut-by-stop", "requests", running);
+        }
+    }
+
     private void waitUntilAnswered(long untilMillis) throws InterruptedException {
         while (clock.nowMillis() < untilMillis && unanswered() > 0) {
             TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL_MILLIS);
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -55,6 +55,11 @@
         }
     }
 
+    /** Logs a request whose connection ends without a response, since the router ends. */
+    void onUnanswered(CallOutcome outcome) {
+        logRequest("request-unanswered", outcome);
+    }
+
     void onRetryDecided(RetryDecision decision) {
         int[] counts = retriesByService.computeIfAbsent(decision.service(), s -> new int[3]);
         counts[decision.granted() ? 0 : 1]++;
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -244,7 +244,7 @@
             backend.setTarget(target);
             backend.retainGrants(granted);
             if (stateChanged) {
-                backend.setAccepting(!stopNow);
+                backend.setTargetAccepting(!stopNow);
             }
             // By now the dispatcher has reported the calls that a previous incarnation left unanswered.
             crashes.onHeartbeat(incarnation, isLeaving);
@@ -261,7 +261,7 @@
                 () -> {
                     LocalTargetInfo current = backend.target();
                     if (current != null && current.name().equals(heartbeat.target())) {
-                        backend.setAccepting(false);
+                        backend.setTargetAccepting(false);
                     }
                 },
                 delayMillis);
@@ -311,7 +311,7 @@
         if (divided) {
             stopAfterDrain(lastHeartbeat);
         } else {
-            traffic.execute(() -> backend.setAccepting(false));
+            traffic.execute(() -> backend.setTargetAccepting(false));
         }
     }
 
@@ -365,7 +365,7 @@
         }
         boolean accepting = !leaving || divided;
         if (!wereKnown) {
-            traffic.execute(() -> backend.setAccepting(accepting));
+            traffic.execute(() -> backend.setTargetAccepting(accepting));
         }
         member.setTargets(announcements());
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -68,7 +68,10 @@
     private final Set<String> runningRequestIds = new HashSet<>();
     private volatile LocalTargetInfo target;
     private HttpClientPool pool;
-    private boolean accepting;
+    /** Whether the backend server takes new calls. */
+    private boolean targetAccepting;
+    /** Whether this router is about to stop. */
+    private boolean stopping;
 
     private BitSet granted = new BitSet();
     private long grantEndMillis;
@@ -128,12 +131,26 @@
     }
 
     /**
-     * Accepts new calls, or refuses them and those that wait for a slot. Calls that wait for a grant are then refused
-     * when grants arrive or their wait ends.
+     * Says whether the backend server takes new calls. If not, they are refused, and so are those that wait for a slot.
+     * Calls that wait for a grant are then refused when grants arrive or their wait ends.
      */
-    public void setAccepting(boolean accept) {
-        accepting = accept;
-        if (!accept) {
+    public void setTargetAccepting(boolean accepts) {
+        targetAccepting = accepts;
+        refuseWaitingUnlessAccepting();
+    }
+
+    /** Refuses all calls that have not begun, from now on and for good, whatever the backend server's state. */
+    public void startStopping() {
+        stopping = true;
+        refuseWaitingUnlessAccepting();
+    }
+
+    private boolean isAccepting() {
+        return targetAccepting && !stopping;
+    }
+
+    private void refuseWaitingUnlessAccepting() {
+        if (!isAccepting()) {
             queue.refuseAll(Refusal.LEAVING);
             suspectLane.waiting().forEach(DispatchedCall::withdraw);
         }
@@ -189,6 +206,11 @@
         return runningRequestIds.contains(requestId);
     }
 
+    /** Returns the ids of the requests that the backend server runs. */
+    public List<String> running() {
+        return List.copyOf(runningRequestIds);
+    }
+
     /** Returns the number of slots in use. */
     public int slotsUsed() {
         return queue.used();
@@ -280,7 +302,7 @@
             LocalTargetInfo current = target;
             if (current == null || !current.service().equals(call.service())) {
                 refuse(call.slice() == null ? Refusal.NO_TARGET : Refusal.NOT_OWNER, MIN_RETRY_AFTER_MILLIS);
-            } else if (!accepting) {
+            } else if (!isAccepting()) {
                 refuse(Refusal.LEAVING, MIN_RETRY_AFTER_MILLIS);
             } else if (call.slice() == null || isGranted()) {
                 submitUnlessConvicted();
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -109,6 +109,11 @@
         List.copyOf(active).forEach(RequestAttempts::withdraw);
     }
 
+    /** Returns the outcomes of the requests that are not answered, if they will not be. */
+    public List<CallOutcome> unanswered() {
+        return active.stream().map(RequestAttempts::outcomeWithoutResponse).toList();
+    }
+
     /** Drops the observed loads of members that are not in {@code serving}. */
     public void retainMembers(Set<MemberId> serving) {
         targets.retainMembers(serving);
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -409,13 +409,18 @@
     @Override
     public void cancel() {
         if (finish()) {
-            boolean mayHaveRun = inFlightAttempt != Cancellable.NONE && inFlightAttempt.mayHaveRun();
+            CallOutcome outcome = outcomeWithoutResponse();
             inFlightAttempt.cancel();
-            Verdict finalVerdict = mayHaveRun ? verdict.combine(Verdict.MAY_HAVE_RUN) : verdict;
-            context.abandonedListener().accept(outcome(0, null, finalVerdict));
+            context.abandonedListener().accept(outcome);
         }
     }
 
+    /** Returns the outcome if the request is not answered. */
+    CallOutcome outcomeWithoutResponse() {
+        boolean mayHaveRun = inFlightAttempt != Cancellable.NONE && inFlightAttempt.mayHaveRun();
+        return outcome(0, null, mayHaveRun ? verdict.combine(Verdict.MAY_HAVE_RUN) : verdict);
+    }
+
     /**
      * The objects that all requests of a router share.
      *
--- /dev/null
+++ b/src/test/java/org/siskindyke/platform/PlannedStopTest.java
@@ -0,0 +1,89 @@
+package org.siskindyke.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+import org.siskindyke.standin.HeartbeatBackendStandin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Stops a router while the backend server beside it leaves, starts again or goes on. */
+class PlannedStopTest {
+    private static final int OK = 200;
+    private static final long TIMEOUT_MILLIS = 15_000;
+    /** Longer than a stopping router accepts calls, and shorter than it waits for those that run. */
+    private static final String LONG_CALL = "/k/1900";
+    /** The same from a caller of the stopping router. */
+    private static final String LONG_OWN_CALL = "/p/1900";
+
+    /** Leaves slots of the backend server to others. */
+    private static final long LONG_CALL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    private final ByteArrayOutputStream events = new ByteArrayOutputStream();
+    private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
+    private LoopbackCluster.Instance caller;
+    private LoopbackCluster.Instance owner;
+
+    /** Starts to stop the owner's router, and waits until it accepts no more calls while one still runs. */
+    private CompletableFuture<Void> stopAmidCalls() throws InterruptedException {
+        cluster.configure(SelfCheck.CONFIGURATION);
+        caller = cluster.start("plain", false, "a");
+        owner = cluster.start("keyed", true, "b");
+        awaitStatus(OK);
+        CompletableFuture<Void> stopped = cluster.stopRouter(owner);
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+        long nextLongCallNanos = System.nanoTime();
+        while (cluster.request(caller, "/k/0", 0) == OK) {
+            assertTrue(System.nanoTime() < endNanos, this::events);
+            if (System.nanoTime() >= nextLongCallNanos) {
+                cluster.send(caller, LONG_CALL);
+                cluster.send(owner, LONG_OWN_CALL);
+                nextLongCallNanos += LONG_CALL_INTERVAL_NANOS;
+            }
+        }
+        return stopped;
+    }
+
+    private void awaitStatus(int expected) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+        while (cluster.request(caller, "/k/0", 0) != expected) {
+            assertTrue(System.nanoTime() < endNanos, this::events);
+        }
+    }
+
+    private void assertRunsNothingUntil(CompletableFuture<Void> stopped) throws InterruptedException {
+        int before = owner.backend().executedRequestIds().size();
+        while (!stopped.isDone()) {
+            cluster.request(caller, "/k/0", 0);
+        }
+        assertEquals(before, owner.backend().executedRequestIds().size(), this::events);
+    }
+
+    /** Guards against calls that begin late in a stop and are cut off, since the leaving server opened them again. */
+    @Example
+    void aRouterThatStopsAcceptsNoCallsAgainWhenItsBackendServerLeaves() throws InterruptedException {
+        CompletableFuture<Void> stopped = stopAmidCalls();
+        owner.backend().leave();
+        assertRunsNothingUntil(stopped);
+    }
+
+    /** Guards against the same when the backend server starts again under its name. */
+    @Example
+    void aRouterThatStopsAcceptsNoCallsAgainWhenItsBackendServerStartsAgain() throws InterruptedException {
+        CompletableFuture<Void> stopped = stopAmidCalls();
+        owner.backend().stop();
+        HeartbeatBackendStandin next = cluster.startAgain(owner.settings(), 2);
+        assertRunsNothingUntil(stopped);
+        assertEquals(List.of(), next.executedRequestIds(), this::events);
+    }
+
+    private String events() {
+        return events.toString(StandardCharsets.UTF_8);
+    }
+}
