Decide in one place whether a backend server takes calls

Callers saw: 503 for all keys of a server that had started again under its name while its last run drained, for good.

Change: TargetController decides from the facts, at each heartbeat and tick.

Evidence: aServerThatStartsAgainWhileItDrainsIsUsedAfterTheDrainTime failed before (no 200 in 15 s) and passes; PlannedStopTest and DepartureTest pass.

--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -202,11 +202,11 @@
     }
 
     /** Starts a backend server beside a router, under the name of the one before, with a given start time. */
-    HeartbeatBackendStandin startAgain(InstanceSettings router, long startMillis) {
+    HeartbeatBackendStandin startAgain(InstanceSettings router, boolean divided, long startMillis) {
         HeartbeatBackendStandin backend = new HeartbeatBackendStandin(
                 traffic,
                 SystemMonotonicClock.INSTANCE,
-                newIdentity(router, false),
+                newIdentity(router, divided),
                 startMillis,
                 HeartbeatBackendStandin.Listener.NONE);
         backend.start();
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -60,6 +60,11 @@
     private boolean divided;
     private boolean leaving;
     private boolean lost;
+    /** When a backend server of a divided service that leaves stops taking new calls. */
+    private long servesUntilMillis;
+    /** Whether the dispatcher was last told that the backend server takes new calls. */
+    private boolean accepting;
+
     private long lastHeartbeatMillis;
     private final long startMillis;
 
@@ -164,7 +169,10 @@
         }
         GrantReply reply = grants.onHeartbeat(heartbeat, ownedSlices(member), leaseEndMillis(member), nowMillis);
         member.setTargets(announcements());
-        updateDispatcher(heartbeat, serviceSettings, newIncarnation || newlyLeaving);
+        if (newlyLeaving) {
+            beginDrain(nowMillis);
+        }
+        updateDispatcher(heartbeat, serviceSettings);
         return divided ? reply : GrantReply.NO_RENEWAL;
     }
 
@@ -224,8 +232,7 @@
      * Passes the backend server's state to the dispatcher. Slices that are no longer granted get no calls from now on;
      * new grants apply once the reply to the heartbeat has reached the backend server.
      */
-    private void updateDispatcher(
-            TargetHeartbeat heartbeat, Optional<ServiceSettings> serviceSettings, boolean stateChanged) {
+    private void updateDispatcher(TargetHeartbeat heartbeat, Optional<ServiceSettings> serviceSettings) {
         LocalTargetInfo target = new LocalTargetInfo(
                 heartbeat.service(),
                 heartbeat.target(),
@@ -236,35 +243,39 @@
                 divided);
         BitSet granted = grants.grantedSlices();
         long endMillis = grants.grantEndMillis();
-        boolean stopNow = leaving && !divided || !departures.areKnown();
-        boolean stopSoon = leaving && divided && stateChanged;
         TargetIncarnation incarnation = new TargetIncarnation(heartbeat.target(), heartbeat.startMillis());
         boolean isLeaving = leaving;
+        boolean accepts = acceptsCalls(lastHeartbeatMillis);
+        accepting = accepts;
         traffic.execute(() -> {
             backend.setTarget(target);
             backend.retainGrants(granted);
-            if (stateChanged) {
-                backend.setTargetAccepting(!stopNow);
-            }
+            backend.setTargetAccepting(accepts);
             // By now the dispatcher has reported the calls that a previous incarnation left unanswered.
             crashes.onHeartbeat(incarnation, isLeaving);
         });
         traffic.schedule(() -> backend.setGrants(granted, endMillis), ACKNOWLEDGEMENT_MILLIS);
-        if (stopSoon) {
-            stopAfterDrain(heartbeat);
+    }
+
+    /**
+     * Returns whether the backend server takes new calls. One that leaves takes none, or, if its service is divided,
+     * those of a part of the drain time, in which its slices move. It takes none until it is known which have left.
+     */
+    private boolean acceptsCalls(long nowMillis) {
+        return departures.areKnown() && (!leaving || divided && nowMillis < servesUntilMillis);
+    }
+
+    /** Passes on whether the backend server takes new calls, if that has changed. */
+    private void updateAccepting(long nowMillis) {
+        boolean accepts = acceptsCalls(nowMillis);
+        if (accepts != accepting) {
+            accepting = accepts;
+            traffic.execute(() -> backend.setTargetAccepting(accepts));
         }
     }
 
-    private void stopAfterDrain(TargetHeartbeat heartbeat) {
-        long delayMillis = (long) (drain.toMillis() * LeavingTargets.SERVED_SHARE_OF_DRAIN);
-        traffic.schedule(
-                () -> {
-                    LocalTargetInfo current = backend.target();
-                    if (current != null && current.name().equals(heartbeat.target())) {
-                        backend.setTargetAccepting(false);
-                    }
-                },
-                delayMillis);
+    private void beginDrain(long nowMillis) {
+        servesUntilMillis = nowMillis + (long) (drain.toMillis() * LeavingTargets.SERVED_SHARE_OF_DRAIN);
     }
 
     /**
@@ -308,11 +319,8 @@
         leaving = true;
         crashes.onLeaving();
         member.setTargets(announcements());
-        if (divided) {
-            stopAfterDrain(lastHeartbeat);
-        } else {
-            traffic.execute(() -> backend.setTargetAccepting(false));
-        }
+        beginDrain(clock.nowMillis());
+        updateAccepting(clock.nowMillis());
     }
 
     /**
@@ -337,10 +345,10 @@
     void tick(MemberController member) {
         long nowMillis = clock.nowMillis();
         grants.tick(nowMillis);
-        boolean wereKnown = departures.areKnown();
         if (departures.tick(member)) {
-            onDeparturesRead(member, wereKnown);
+            onDeparturesRead(member);
         }
+        updateAccepting(nowMillis);
         if (lastHeartbeat == null) {
             markInheritedTargetsLost(member, nowMillis);
             return;
@@ -355,7 +363,7 @@
     }
 
     /** Starts to use the backend server that sends heartbeats, or stops to if it has reported that it leaves. */
-    private void onDeparturesRead(MemberController member, boolean wereKnown) {
+    private void onDeparturesRead(MemberController member) {
         if (lastHeartbeat == null) {
             return;
         }
@@ -363,10 +371,6 @@
             log.event("target-left-before", "target", lastHeartbeat.target());
             startLeaving(member);
         }
-        boolean accepting = !leaving || divided;
-        if (!wereKnown) {
-            traffic.execute(() -> backend.setTargetAccepting(accepting));
-        }
         member.setTargets(announcements());
     }
 
--- a/src/test/java/org/siskindyke/platform/DepartureTest.java
+++ b/src/test/java/org/siskindyke/platform/DepartureTest.java
@@ -18,6 +18,8 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final long TIMEOUT_MILLIS = 15_000;
+    /** As in the settings of the cluster. */
+    private static final long DRAIN_MILLIS = 2_000;
 
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
@@ -25,13 +27,13 @@
     private LoopbackCluster.Instance startOne() throws InterruptedException {
         cluster.configure(ServerAnnouncementsTest.CONFIGURATION);
         LoopbackCluster.Instance instance = cluster.start("plain", false, "a");
-        awaitStatus(instance.settings(), status -> status == OK);
+        awaitStatus(instance.settings(), "/safe/0", status -> status == OK);
         return instance;
     }
 
-    private void awaitStatus(InstanceSettings router, IntPredicate expected) throws InterruptedException {
+    private void awaitStatus(InstanceSettings router, String path, IntPredicate expected) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-        while (!expected.test(cluster.request(router, "/safe/0", 0))) {
+        while (!expected.test(cluster.request(router, path, 0))) {
             assertTrue(System.nanoTime() < endNanos, this::events);
         }
     }
@@ -63,8 +65,35 @@
         assertEquals(OK, cluster.deregister(instance.settings(), nameOf(instance)), this::events);
         cluster.sendHeartbeat(instance.settings(), LoopbackCluster.freeAddress(), 1_000_000);
         assertEquals(UNAVAILABLE, cluster.request(instance, "/safe/0", 0), this::events);
-        cluster.startAgain(instance.settings(), 2);
-        awaitStatus(instance.settings(), status -> status == OK);
+        cluster.startAgain(instance.settings(), false, 2);
+        awaitStatus(instance.settings(), "/safe/0", status -> status == OK);
+    }
+
+    /** Guards against a new incarnation of a divided service that is refused once the drain time of the last ends. */
+    @Example
+    void aServerThatStartsAgainWhileItDrainsIsUsedAfterTheDrainTime() throws InterruptedException {
+        cluster.configure(SelfCheck.CONFIGURATION);
+        LoopbackCluster.Instance caller = cluster.start("plain", false, "a");
+        LoopbackCluster.Instance draining = cluster.start("keyed", true, "b");
+        awaitStatus(caller.settings(), "/k/0", status -> status == OK);
+        draining.backend().leave();
+        awaitEvent("departure-recorded");
+        draining.backend().stop();
+        cluster.startAgain(draining.settings(), true, 2);
+        awaitStatus(caller.settings(), "/k/0", status -> status == OK);
+        long drainedNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_MILLIS);
+        while (System.nanoTime() < drainedNanos) {
+            cluster.request(caller, "/k/0", 0);
+        }
+        awaitStatus(caller.settings(), "/k/0", status -> status == OK);
+    }
+
+    private void awaitEvent(String name) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+        while (!events().contains(name)) {
+            assertTrue(System.nanoTime() < endNanos, this::events);
+            Thread.onSpinWait();
+        }
     }
 
     private String events() {
--- a/src/test/java/org/siskindyke/platform/PlannedStopTest.java
+++ b/src/test/java/org/siskindyke/platform/PlannedStopTest.java
@@ -78,7 +78,7 @@
     void aRouterThatStopsAcceptsNoCallsAgainWhenItsBackendServerStartsAgain() throws InterruptedException {
         CompletableFuture<Void> stopped = stopAmidCalls();
         owner.backend().stop();
-        HeartbeatBackendStandin next = cluster.startAgain(owner.settings(), 2);
+        HeartbeatBackendStandin next = cluster.startAgain(owner.settings(), true, 2);
         assertRunsNothingUntil(stopped);
         assertEquals(List.of(), next.executedRequestIds(), this::events);
     }
