Serve running requests' calls while a router stops, refuse others at once

Callers saw, under planned work: no connection, and 500 for requests at work whose backend server made a call.

Cause: 2.3 s after SIGTERM the router stopped listening, but waited up to 3 s more for its requests. Callers of that instance found no connection, nor did the backend server beside it, whose running requests then failed.

Change: it goes on listening until it ends, serves the calls of running requests and refuses others at once, with a Retry-After beyond the restart. Idle connections are closed. A slot that is held for a request whose caller was answered no longer delays the end. The process does not end while requests are unanswered; the platform ends it after the grace period.

Evidence: two tests of PlannedStopTest failed before (ConnectException).

--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -229,6 +229,14 @@
         return send(instance, path, 0);
     }
 
+    /** Sends a request with a given id without waiting; the response fails where the request failed or timed out. */
+    CompletableFuture<HttpResponse<String>> sendAs(String requestId, Instance instance, String path) {
+        HttpRequest request = HttpRequest.newBuilder(newRequest(instance.settings(), path, 0), (name, value) -> true)
+                .setHeader("X-Siskindyke-Request-Id", requestId)
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Sends a request for a key; otherwise as above. */
     CompletableFuture<HttpResponse<String>> send(Instance instance, String path, int key) {
         return client.sendAsync(newRequest(instance.settings(), path, key), HttpResponse.BodyHandlers.ofString());
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -89,13 +89,13 @@
      */
     private static final long UNREADY_DETECTION_MILLIS = 2_300;
 
-    /** Part of the grace period that is left for the process to exit once {@link #stop} has given up waiting. */
-    private static final long STOP_MARGIN_MILLIS = 700;
+    /** Part of the grace period in which the calls that the platform is about to cut are logged. */
+    private static final long STOP_MARGIN_MILLIS = 200;
     /**
-     * How long before the end of its wait {@link #stop} withdraws the calls that no backend server has begun to run:
-     * two inter-region round trips.
+     * How long before the end of the grace period {@link #stop} withdraws the calls that no backend server has begun to
+     * run.
      */
-    private static final long WITHDRAW_BEFORE_END_MILLIS = 300;
+    private static final long WITHDRAW_BEFORE_END_MILLIS = 1_000;
 
     private static final long STOP_POLL_INTERVAL_MILLIS = 20;
     /** Requests that are logged one by one when the router ends before they are answered. */
@@ -456,30 +456,35 @@
     }
 
     /**
-     * Stops the router: reports it as not ready, lets its member leave unless the backend server stays, stops listening
-     * once the platform has noticed, and waits until all requests that were read are answered or the grace period is
-     * nearly over. Shortly before the wait ends, withdraws the calls that no backend server has begun to run. Blocks
-     * the calling thread.
+     * Stops the router: reports it as not ready and lets its member leave unless the backend server stays. Once the
+     * platform has noticed, refuses new requests, but for those that running requests make, and waits until all that
+     * were read are answered. Shortly before the end of the grace period, withdraws the calls that no backend server
+     * has begun to run. Calls that run are not cut: the platform ends the process if it is still there then. Blocks the
+     * calling thread.
      *
      * @throws InterruptedException if the thread is interrupted
      */
     public void stop() throws InterruptedException {
         long startMillis = clock.nowMillis();
-        long endMillis = startMillis + settings.bounds().grace().toMillis() - STOP_MARGIN_MILLIS;
+        long graceMillis = settings.bounds().grace().toMillis();
+        long endMillis = startMillis + graceMillis;
         stopping = true;
         log.event("router-stopping");
         traffic.execute(callers::startClosing);
         control.execute(() -> targets.onStopping(member));
         TimeUnit.MILLISECONDS.sleep(UNREADY_DETECTION_MILLIS);
         traffic.execute(() -> {
-            callers.close();
+            callerRequests.startRefusing(endMillis);
+            callers.closeIdle();
             backend.startStopping();
         });
         waitUntilAnswered(endMillis - WITHDRAW_BEFORE_END_MILLIS);
         traffic.execute(callerRequests::withdrawAll);
-        waitUntilAnswered(endMillis);
+        waitUntilAnswered(endMillis - STOP_MARGIN_MILLIS);
         traffic.execute(this::logUnanswered);
         log.event("router-stopped", "tookMillis", clock.nowMillis() - startMillis, "unanswered", unanswered());
+        waitUntilAnswered(endMillis + graceMillis);
+        traffic.execute(callers::close);
     }
 
     private void logUnanswered() {
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -75,6 +75,7 @@
 
     private BitSet granted = new BitSet();
     private long grantEndMillis;
+    private int unanswered;
     private long lastAnswerMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -221,9 +222,9 @@
         return queue.waiting() + waitingForGrant.size() + suspectLane.waiting().size();
     }
 
-    /** Returns the number of calls that wait or run. */
+    /** Returns the number of calls that wait or run and whose callers wait for them. */
     public int unanswered() {
-        return slotsUsed() + waiting();
+        return unanswered;
     }
 
     /**
@@ -288,6 +289,7 @@
         private boolean ended;
 
         private DispatchedCall(Call call, Consumer<Reply> onReply) {
+            unanswered++;
             this.call = call;
             this.onReply = onReply;
             this.entry =
@@ -505,6 +507,7 @@
         private void end(Reply reply) {
             if (!ended) {
                 ended = true;
+                unanswered--;
                 onReply.accept(reply.withLoad(report()));
                 leaveSuspectLane();
             }
@@ -528,6 +531,7 @@
                 return;
             }
             ended = true;
+            unanswered--;
             waitingForGrant.remove(this);
             suspectLane.remove(this);
             queue.remove(entry);
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -30,6 +30,9 @@
 
 /** Handles callers' requests: finds the route and service of each and sends it. Confined to the traffic loop. */
 public final class CallerRequestHandler implements HttpExchange.Handler {
+    /** Time from the end of a router until the next one at its address serves. */
+    private static final long RESTART_MILLIS = 1_200;
+
     private static final int NOT_FOUND = 404;
     private static final int BAD_REQUEST = 400;
 
@@ -42,6 +45,8 @@
     private final Set<RequestAttempts> active = new HashSet<>();
     private RouteTable routes;
     private boolean withdrawing;
+    private boolean refusing;
+    private long endMillis;
 
     /** Creates a handler that refuses requests until {@link #setRoutes} is called. */
     public CallerRequestHandler(
@@ -100,6 +105,21 @@
         routes = table;
     }
 
+    /**
+     * Refuses new requests, but for those of running requests, which would fail without them.
+     *
+     * @param endMillis when the router ends at the latest, by the monotonic clock
+     */
+    public void startRefusing(long endMillis) {
+        refusing = true;
+        this.endMillis = endMillis;
+    }
+
+    /** Returns the delay after which the router that comes next is expected to serve. */
+    private long retryAfterStopMillis() {
+        return Math.max(0, endMillis - clock.nowMillis()) / 2 + RESTART_MILLIS;
+    }
+
     /**
      * Withdraws each request that no target has begun, as the router is about to stop. From then on, attempts that did
      * not run are not retried.
@@ -127,6 +147,10 @@
                 fields.requestId(),
                 responder,
                 routes == null ? 0 : routes.configuration().version());
+        if (refusing && !isNested(fields.requestId())) {
+            attempts.refuse(Refusal.LEAVING, RequestAttempts.UNAVAILABLE, retryAfterStopMillis());
+            return Cancellable.NONE;
+        }
         if (routes == null) {
             attempts.refuse(Refusal.NO_SERVICE, RequestAttempts.UNAVAILABLE, RequestAttempts.NO_OWNER_RETRY_MILLIS);
             return Cancellable.NONE;
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -106,6 +106,11 @@
         List.copyOf(connections).forEach(HttpServerConnection::closeAfterResponses);
     }
 
+    /** Closes the connections on which no request was begun; goes on listening. */
+    public void closeIdle() {
+        List.copyOf(connections).forEach(HttpServerConnection::closeIfIdle);
+    }
+
     /** Stops listening and resets all connections, as the end of a process does. */
     public void abort() {
         if (channel != null) {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -112,6 +112,13 @@
         }
     }
 
+    /** Closes the connection if no request on it was begun. */
+    void closeIfIdle() {
+        if (exchanges.isEmpty() && head == null) {
+            channel.close();
+        }
+    }
+
     /** Resets the connection. */
     void abort() {
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/src/test/java/org/siskindyke/platform/PlannedStopTest.java
+++ b/src/test/java/org/siskindyke/platform/PlannedStopTest.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +17,7 @@
 /** Stops a router while the backend server beside it leaves, starts again or goes on. */
 class PlannedStopTest {
     private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
     private static final long TIMEOUT_MILLIS = 15_000;
     /** Longer than a stopping router accepts calls, and shorter than it waits for those that run. */
     private static final String LONG_CALL = "/k/1900";
@@ -29,20 +31,25 @@
     private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
     private LoopbackCluster.Instance caller;
     private LoopbackCluster.Instance owner;
+    private int longCalls;
 
-    /** Starts to stop the owner's router, and waits until it accepts no more calls while one still runs. */
-    private CompletableFuture<Void> stopAmidCalls() throws InterruptedException {
+    private void start() throws InterruptedException {
         cluster.configure(SelfCheck.CONFIGURATION);
         caller = cluster.start("plain", false, "a");
         owner = cluster.start("keyed", true, "b");
         awaitStatus(OK);
+    }
+
+    /** Starts to stop the owner's router, and waits until it accepts no more calls while one still runs. */
+    private CompletableFuture<Void> stopAmidCalls() throws InterruptedException {
+        start();
         CompletableFuture<Void> stopped = cluster.stopRouter(owner);
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
         long nextLongCallNanos = System.nanoTime();
         while (cluster.request(caller, "/k/0", 0) == OK) {
             assertTrue(System.nanoTime() < endNanos, this::events);
             if (System.nanoTime() >= nextLongCallNanos) {
-                cluster.send(caller, LONG_CALL);
+                cluster.sendAs("long" + ++longCalls, caller, LONG_CALL);
                 cluster.send(owner, LONG_OWN_CALL);
                 nextLongCallNanos += LONG_CALL_INTERVAL_NANOS;
             }
@@ -83,6 +90,27 @@
         assertEquals(List.of(), next.executedRequestIds(), this::events);
     }
 
+    /** Guards against runs that fail since the router beside their backend server stops and takes none of its calls. */
+    @Example
+    void aRouterThatStopsServesTheCallsThatARunningRequestMakes() throws Exception {
+        CompletableFuture<Void> stopped = stopAmidCalls();
+        assertEquals(
+                OK,
+                cluster.sendAs("long" + longCalls + ".1", owner, "/p/0").get().statusCode(),
+                this::events);
+        stopped.join();
+    }
+
+    /** Guards against callers that find no connection and are not told when to come back. */
+    @Example
+    void aRouterThatStopsRefusesOtherRequestsOnNewConnections() throws Exception {
+        CompletableFuture<Void> stopped = stopAmidCalls();
+        HttpResponse<String> response = cluster.respond(owner.settings(), "/p/0");
+        assertEquals(UNAVAILABLE, response.statusCode(), this::events);
+        assertTrue(response.headers().firstValue("Retry-After").isPresent());
+        stopped.join();
+    }
+
     private String events() {
         return events.toString(StandardCharsets.UTF_8);
     }
