Let the soak find calls that a stopping router takes and cuts

Cause of the gap: the soak counted only callers without any answer, its requests took 200 ms at most, and nothing ended a stopping router after its grace period.

Evidence: with the mended fault planted again, aStopCutsNoRequestWhileTheBackendServerLeaves fails (a stopping router takes no calls); it passes without.

--- a/src/main/java/org/siskindyke/soak/SoakCallers.java
+++ b/src/main/java/org/siskindyke/soak/SoakCallers.java
@@ -32,6 +32,10 @@
     private static final int CONNECTIONS = 6;
     private static final int KEYS = 65_536;
     private static final int MAX_WORK_MILLIS = 200;
+    /** One of this many requests may take longer, so that some run late in a stop. */
+    private static final int REQUESTS_PER_LONG_ONE = 40;
+    /** Shorter than a leaving backend server that still takes requests serves on. */
+    private static final int MAX_LONG_WORK_MILLIS = 1_400;
     /** The timeout that each request carries in its header. */
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(4);
     /** Longer than {@link #REQUEST_TIMEOUT}, so that an answer sent just before that timeout still arrives. */
@@ -113,7 +117,9 @@
         String id = "c" + nextId.incrementAndGet();
         boolean leaves = random.nextInt(REQUESTS_PER_ABANDONED) == 0;
         int patienceMillis = leaves ? random.nextInt(MAX_PATIENCE_MILLIS) : UNLIMITED_PATIENCE;
-        send(client, router, route, route + random.nextInt(MAX_WORK_MILLIS), id, key, id, patienceMillis);
+        boolean isLong = random.nextInt(REQUESTS_PER_LONG_ONE) == 0;
+        int workMillis = random.nextInt(isLong ? MAX_LONG_WORK_MILLIS : MAX_WORK_MILLIS);
+        send(client, router, route, route + workMillis, id, key, id, patienceMillis);
     }
 
     /** Sends a request, and closes its connection once the caller's patience, if limited, has ended. */
--- a/src/main/java/org/siskindyke/soak/SoakEvent.java
+++ b/src/main/java/org/siskindyke/soak/SoakEvent.java
@@ -53,6 +53,10 @@
         LIMITED,
         /** A configuration was written; the detail is its version. */
         CONFIGURED,
+        /** A router was told to stop; the event names its instance. */
+        STOPPING,
+        /** A router that was told to stop has ended. */
+        STOPPED,
         /** A fault began; the detail is its name. */
         FAULT,
         /** A fault ended. */
--- a/src/main/java/org/siskindyke/soak/SoakInstance.java
+++ b/src/main/java/org/siskindyke/soak/SoakInstance.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.siskindyke.platform.PlatformMain;
 
@@ -65,15 +67,19 @@
         router.kill();
     }
 
+    /** Tells the router to stop, and kills it at the end of the grace period, as the users' platform does. */
     void stopRouter() {
-        router.terminate();
+        SoakProcess stopping = router;
+        journal.add(SoakEvent.What.STOPPING, instance.name(), null);
+        stopping.terminate();
+        CompletableFuture.delayedExecutor(SoakTopology.GRACE_SECONDS, TimeUnit.SECONDS)
+                .execute(stopping::kill);
     }
 
-    /** Restarts a router that was told to stop; kills it first if it does not stop in time. */
+    /** Restarts a router that was told to stop, once it has ended. */
     void restartStoppedRouter() {
-        if (!router.awaitExit()) {
-            router.kill();
-        }
+        router.awaitExit();
+        journal.add(SoakEvent.What.STOPPED, instance.name(), null);
         startRouter();
     }
 
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -27,6 +27,9 @@
 
     private static final int MAX_LATE_RUNS = 3;
 
+    /** Time after SIGTERM from which on a request that is sent must not run beside the router that stops. */
+    private static final long MAX_TAKEN_WHILE_STOPPING_MILLIS = 3_000;
+
     /** Time after its caller has left from which on a request must not begin to run. */
     private static final long MAX_ABANDONED_MILLIS = 500;
 
@@ -38,6 +41,7 @@
 
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
     private static final int NOT_FOUND = 404;
+    private static final int BAD_GATEWAY = 502;
 
     private SoakInvariants() {}
 
@@ -49,6 +53,7 @@
                 invariant("a refused request has not run", (events, plan) -> refusedRequestsNotRun(events)),
                 invariant("answers are right and whole", (events, plan) -> correctAnswers(events)),
                 invariant("planned work cuts no request", SoakInvariants::noInterruptedRequests),
+                invariant("a stopping router takes no calls", (events, plan) -> stoppingRoutersTakeNoCalls(events)),
                 invariant("a leaving server drains in time", (events, plan) -> drainsInTime(events)),
                 invariant("the configuration is in force in time", (events, plan) -> configurationApplied(events)),
                 invariant("requests that end servers are refused", (events, plan) -> crashingRequestsRefused(events)),
@@ -199,12 +204,15 @@
                 .toList();
     }
 
-    /** Checks soaks with planned work only; the connection of a request that no backend server has run may fail. */
+    /**
+     * Checks soaks with planned work only; the connection of a request that no backend server has run may fail. A
+     * router that loses the answer to a request which ran at another one responds with 502.
+     */
     private static List<String> noInterruptedRequests(List<SoakEvent> events, SoakPlan plan) {
         List<String> violations = new ArrayList<>();
         Map<String, Integer> runs = runsByRequest(events);
         for (SoakEvent event : events) {
-            boolean failed = event.what() == What.ANSWERED && event.status() == 0;
+            boolean failed = event.what() == What.ANSWERED && (event.status() == 0 || event.status() == BAD_GATEWAY);
             if (plan.plannedOnly() && failed && runs.containsKey(event.requestId())) {
                 violations.add(event.requestId() + " at " + event.who() + " was interrupted at " + event.atMillis());
             }
@@ -212,6 +220,28 @@
         return violations;
     }
 
+    /** A stopping router is ended at the end of its grace period, so requests that come late must not begin to run. */
+    private static List<String> stoppingRoutersTakeNoCalls(List<SoakEvent> events) {
+        Map<String, SoakEvent> requests = requestsById(events);
+        Map<String, Long> stoppingSinceMillis = new HashMap<>();
+        List<String> violations = new ArrayList<>();
+        for (SoakEvent event : events) {
+            if (event.what() == What.STOPPING) {
+                stoppingSinceMillis.put(event.who(), event.atMillis());
+            } else if (event.what() == What.STOPPED) {
+                stoppingSinceMillis.remove(event.who());
+            } else if (event.what() == What.RUN && requests.containsKey(event.requestId())) {
+                String instance = event.who().substring(event.who().indexOf('-') + 1);
+                long sinceMillis = stoppingSinceMillis.getOrDefault(instance, Long.MAX_VALUE);
+                if (requests.get(event.requestId()).atMillis() - MAX_TAKEN_WHILE_STOPPING_MILLIS > sinceMillis) {
+                    violations.add(event.requestId() + " runs at " + event.who() + " at " + event.atMillis()
+                            + ", its router stops since " + sinceMillis);
+                }
+            }
+        }
+        return violations;
+    }
+
     private static List<String> drainsInTime(List<SoakEvent> events) {
         List<String> violations = new ArrayList<>();
         Map<String, Long> leavingSinceMillis = new HashMap<>();
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -58,6 +58,24 @@
         assertEquals(List.of(), violations(events));
     }
 
+    /** Guards against calls that a stopping router cuts, and whose callers another router answers. */
+    @Example
+    void aRequestThatRanAndIsAnsweredWithoutItsResponseIsAViolationOfPlannedWork() {
+        asked(0, "/s/1400");
+        events.add(SoakEvent.run(10, "t0-n0", "c1", 1, 1));
+        events.add(SoakEvent.answered(900, ROUTER, "c1", 502, null));
+        SoakInvariant invariant = SoakInvariants.all().stream()
+                .filter(each -> each.name().equals("planned work cuts no request"))
+                .findFirst()
+                .orElseThrow();
+        assertEquals(
+                1,
+                invariant
+                        .violations(events, new SoakPlan(List.of(), true, false))
+                        .size());
+        assertEquals(List.of(), invariant.violations(events, NO_FAULTS));
+    }
+
     /** Guards against a check of limits that cannot fail. */
     @Example
     void aLimitedServerThatRunsTooManyRequestsIsFound() {
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -54,6 +54,18 @@
         assertEquals(Map.of(), verdict.violations());
     }
 
+    /** Guards against a stopping router that takes calls again when its backend server leaves, and cuts them. */
+    @Example
+    void aStopCutsNoRequestWhileTheBackendServerLeaves() throws IOException, InterruptedException {
+        List<SoakPlan.Step> steps = List.of(
+                new SoakPlan.Step(500, 6_500, SoakFault.STOP_ROUTER, 0),
+                new SoakPlan.Step(550, 6_500, SoakFault.STOP_ROUTER, 1),
+                new SoakPlan.Step(3_000, 3_500, SoakFault.REPLACE_TARGET, 0),
+                new SoakPlan.Step(4_000, 3_500, SoakFault.REPLACE_TARGET, 1));
+        SoakRun.Verdict verdict = run(new SoakPlan(steps, true, false), 2 * INSTANCES);
+        assertEquals(Map.of(), verdict.violations());
+    }
+
     @Example
     void serversThatKeepUsingReleasedKeysAreDetected() throws IOException, InterruptedException {
         List<SoakPlan.Step> steps = List.of(
