Refuse requests that would begin late in a stop

Cause: requests that no backend server had begun were withdrawn only 1 s before the end, less than many runs take.

Change: callers' requests are withdrawn in the middle of the grace period, and new ones are refused from then on (before: from 2.3 s after SIGTERM on); requests of running requests are still withdrawn 1 s before the end.

Evidence: requestsThatNoBackendServerHasBegunAreRefusedHalfwayThroughTheStop failed before.

--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -92,8 +92,8 @@
     /** Part of the grace period in which the calls that the platform is about to cut are logged. */
     private static final long STOP_MARGIN_MILLIS = 200;
     /**
-     * How long before the end of the grace period {@link #stop} withdraws the calls that no backend server has begun to
-     * run.
+     * How long before the end of the grace period {@link #stop} withdraws the requests of running requests that no
+     * backend server has begun to run.
      */
     private static final long WITHDRAW_BEFORE_END_MILLIS = 1_000;
 
@@ -457,10 +457,10 @@
 
     /**
      * Stops the router: reports it as not ready and lets its member leave unless the backend server stays. Once the
-     * platform has noticed, refuses new requests, but for those that running requests make, and waits until all that
-     * were read are answered. Shortly before the end of the grace period, withdraws the calls that no backend server
-     * has begun to run. Calls that run are not cut: the platform ends the process if it is still there then. Blocks the
-     * calling thread.
+     * platform has noticed, takes no more calls for the backend server, and waits until all requests that were read are
+     * answered. From the middle of the grace period on, requests that no backend server has begun to run are refused,
+     * since their runs might be cut, but for those of running requests. Runs are not cut here: the platform ends the
+     * process if it is still there at the end. Blocks the calling thread.
      *
      * @throws InterruptedException if the thread is interrupted
      */
@@ -474,10 +474,11 @@
         control.execute(() -> targets.onStopping(member));
         TimeUnit.MILLISECONDS.sleep(UNREADY_DETECTION_MILLIS);
         traffic.execute(() -> {
-            callerRequests.startRefusing(endMillis);
             callers.closeIdle();
             backend.startStopping();
         });
+        waitUntilAnswered(startMillis + graceMillis / 2);
+        traffic.execute(() -> callerRequests.withdrawCallers(endMillis));
         waitUntilAnswered(endMillis - WITHDRAW_BEFORE_END_MILLIS);
         traffic.execute(callerRequests::withdrawAll);
         waitUntilAnswered(endMillis - STOP_MARGIN_MILLIS);
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -45,7 +45,7 @@
     private final Set<RequestAttempts> active = new HashSet<>();
     private RouteTable routes;
     private boolean withdrawing;
-    private boolean refusing;
+    private boolean withdrawingNested;
     private long endMillis;
 
     /** Creates a handler that refuses requests until {@link #setRoutes} is called. */
@@ -71,7 +71,7 @@
                 new AttemptSender(self, peers, dispatcher),
                 new RetryBudgets(() -> policies.budgets().apply(targets::routerCount), policies.retryListener()),
                 policies.crashGuard(),
-                () -> withdrawing,
+                this::isWithdrawn,
                 active::remove,
                 policies.listener(),
                 policies.abandonedListener());
@@ -106,13 +106,16 @@
     }
 
     /**
-     * Refuses new requests, but for those of running requests, which would fail without them.
+     * Refuses new requests and withdraws those that no target has begun, as they might not end before the router does.
+     * Attempts of these requests that did not run are not retried. The requests of running requests, which would fail
+     * without them, are still served.
      *
-     * @param endMillis when the router ends at the latest, by the monotonic clock
+     * @param latestEndMillis when the router ends at the latest, by the monotonic clock
      */
-    public void startRefusing(long endMillis) {
-        refusing = true;
-        this.endMillis = endMillis;
+    public void withdrawCallers(long latestEndMillis) {
+        endMillis = latestEndMillis;
+        withdrawing = true;
+        withdrawActive();
     }
 
     /** Returns the delay after which the router that comes next is expected to serve. */
@@ -120,13 +123,21 @@
         return Math.max(0, endMillis - clock.nowMillis()) / 2 + RESTART_MILLIS;
     }
 
-    /**
-     * Withdraws each request that no target has begun, as the router is about to stop. From then on, attempts that did
-     * not run are not retried.
-     */
+    /** Withdraws the requests of running requests, too, as the router is about to end. */
     public void withdrawAll() {
         withdrawing = true;
-        List.copyOf(active).forEach(RequestAttempts::withdraw);
+        withdrawingNested = true;
+        withdrawActive();
+    }
+
+    private void withdrawActive() {
+        List.copyOf(active).stream()
+                .filter(attempts -> isWithdrawn(attempts.call()))
+                .forEach(RequestAttempts::withdraw);
+    }
+
+    private boolean isWithdrawn(Call call) {
+        return call.scheduling().nested() ? withdrawingNested : withdrawing;
     }
 
     /** Returns the outcomes of the requests that are not answered, if they will not be. */
@@ -147,7 +158,7 @@
                 fields.requestId(),
                 responder,
                 routes == null ? 0 : routes.configuration().version());
-        if (refusing && !isNested(fields.requestId())) {
+        if (withdrawing && (withdrawingNested || !isNested(fields.requestId()))) {
             attempts.refuse(Refusal.LEAVING, RequestAttempts.UNAVAILABLE, retryAfterStopMillis());
             return Cancellable.NONE;
         }
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -6,8 +6,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.siskindyke.kernel.balance.ReportedTargetLoad;
 import org.siskindyke.kernel.call.Refusal;
@@ -109,6 +109,11 @@
         return startMillis;
     }
 
+    /** Returns the call; null before {@link #start}. */
+    Call call() {
+        return call;
+    }
+
     /** Makes the first attempt. */
     void start(Route chosen, Call newCall, boolean isDivided) {
         route = chosen;
@@ -290,7 +295,7 @@
         backendAttempts += arrived ? 1 : 0;
         fullTargets += full ? 1 : 0;
         lastFailure = reply;
-        boolean giveUp = context.withdrawing().getAsBoolean()
+        boolean giveUp = context.withdrawing().test(call)
                 || reply.refusal() == Refusal.SUSPECTED_OF_CRASHES
                 || call.remainingMillis(nowMillis) < MIN_ATTEMPT_MILLIS
                 || arrived && !acquireRetry(nowMillis)
@@ -431,7 +436,7 @@
      * @param sender sends calls to members
      * @param budgets the retry budgets
      * @param crashGuard tells which requests may crash backend servers
-     * @param withdrawing returns whether the router is about to stop, so that attempts that did not run are not retried
+     * @param withdrawing returns whether a call is not sent again, as the router stops
      * @param onFinished receives each request that has ended
      * @param listener receives the outcome of each request that was answered
      * @param abandonedListener receives each request whose caller's connection closed before; its status is 0
@@ -444,7 +449,7 @@
             AttemptSender sender,
             RetryBudgets budgets,
             CrashGuard crashGuard,
-            BooleanSupplier withdrawing,
+            Predicate<Call> withdrawing,
             Consumer<RequestAttempts> onFinished,
             Consumer<CallOutcome> listener,
             Consumer<CallOutcome> abandonedListener) {}
--- a/src/test/java/org/siskindyke/platform/PlannedStopTest.java
+++ b/src/test/java/org/siskindyke/platform/PlannedStopTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 import net.jqwik.api.Example;
 import org.siskindyke.standin.HeartbeatBackendStandin;
@@ -27,6 +28,11 @@
     /** Leaves slots of the backend server to others. */
     private static final long LONG_CALL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+    private static final long REQUEST_INTERVAL_MILLIS = 50;
+    /** A request that was refused since its router stops, after it had waited for an owner for 100 ms or more. */
+    private static final Pattern WITHDRAWN =
+            Pattern.compile("request-failed.*\"cause\":\"LEAVING\".*\"tookMillis\":[1-9][0-9]{2}");
+
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
     private LoopbackCluster.Instance caller;
@@ -90,6 +96,19 @@
         assertEquals(List.of(), next.executedRequestIds(), this::events);
     }
 
+    /** Guards against requests that begin to run late in a stop and are cut when the platform ends the router. */
+    @Example
+    void requestsThatNoBackendServerHasBegunAreRefusedHalfwayThroughTheStop() throws InterruptedException {
+        start();
+        owner.backend().stop();
+        CompletableFuture<Void> stopped = cluster.stopRouter(caller);
+        while (!stopped.isDone()) {
+            cluster.send(caller, "/k/0");
+            TimeUnit.MILLISECONDS.sleep(REQUEST_INTERVAL_MILLIS);
+        }
+        assertTrue(WITHDRAWN.matcher(events()).find(), this::events);
+    }
+
     /** Guards against runs that fail since the router beside their backend server stops and takes none of its calls. */
     @Example
     void aRouterThatStopsServesTheCallsThatARunningRequestMakes() throws Exception {
@@ -106,6 +125,9 @@
     void aRouterThatStopsRefusesOtherRequestsOnNewConnections() throws Exception {
         CompletableFuture<Void> stopped = stopAmidCalls();
         HttpResponse<String> response = cluster.respond(owner.settings(), "/p/0");
+        while (response.statusCode() == OK) {
+            response = cluster.respond(owner.settings(), "/p/0");
+        }
         assertEquals(UNAVAILABLE, response.statusCode(), this::events);
         assertTrue(response.headers().firstValue("Retry-After").isPresent());
         stopped.join();
