Do not send a request again whose response is lost late in a stop

Cause: retries after a lost response did not ask whether the router stops, other retries did.

Evidence: aRequestWhoseResponseIsLostLateInTheStopIsNotSentAgain failed before (two attempts) and passes.

--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -311,6 +311,7 @@
 
     private void retryOrConclude(Reply reply, long nowMillis) {
         boolean retry = call.idempotent()
+                && !context.withdrawing().test(call)
                 && call.remainingMillis(nowMillis) > MIN_ATTEMPT_MILLIS
                 && reply.refusal() != Refusal.DEADLINE
                 && !mayCrashTargets()
--- a/src/test/java/org/siskindyke/platform/PlannedStopTest.java
+++ b/src/test/java/org/siskindyke/platform/PlannedStopTest.java
@@ -33,6 +33,14 @@
     private static final Pattern WITHDRAWN =
             Pattern.compile("request-failed.*\"cause\":\"LEAVING\".*\"tookMillis\":[1-9][0-9]{2}");
 
+    /** Time after the beginning of a stop in which requests are still taken. */
+    private static final long BEFORE_REFUSAL_MILLIS = 2_000;
+    /** A call whose response is lost after requests are refused. */
+    private static final String CRASHING_CALL = "/k/crash/1500";
+    /** The crashing request, answered after one attempt. */
+    private static final Pattern GIVEN_UP =
+            Pattern.compile("request-failed\",\"request\":\"crashing\".*\"status\":502.*\"attempts\":1,");
+
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
     private LoopbackCluster.Instance caller;
@@ -109,6 +117,18 @@
         assertTrue(WITHDRAWN.matcher(events()).find(), this::events);
     }
 
+    /** Guards against a request that is sent again late in a stop, and gets no answer as the router ends. */
+    @Example
+    void aRequestWhoseResponseIsLostLateInTheStopIsNotSentAgain() throws Exception {
+        start();
+        owner.backend().crashOnRequest(TIMEOUT_MILLIS);
+        CompletableFuture<Void> stopped = cluster.stopRouter(caller);
+        TimeUnit.MILLISECONDS.sleep(BEFORE_REFUSAL_MILLIS);
+        cluster.sendAs("crashing", caller, CRASHING_CALL);
+        stopped.join();
+        assertTrue(GIVEN_UP.matcher(events()).find(), this::events);
+    }
+
     /** Guards against runs that fail since the router beside their backend server stops and takes none of its calls. */
     @Example
     void aRouterThatStopsServesTheCallsThatARunningRequestMakes() throws Exception {
