Reset connections between routers in the soak, in series

Change: the settings may name a local address for connections of other routers (inbound_bind), so that a proxy can stand in between; RESET_PEERS resets them four times, 4 ms apart. It is drawn beside the other faults by seeds with a remainder of 2 by 4, so that the plans of other seeds stay as they are.

--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -101,12 +101,13 @@
     InstanceSettings startRouter(String service, String failureDomain) {
         InetSocketAddress storeAddress = freeAddress();
         store.listen(storeAddress);
+        InetSocketAddress peers = freeAddress();
         InstanceSettings settings = new InstanceSettings(
                 InstanceName.of(service + instanceCount++),
                 FailureDomain.of(failureDomain),
                 ServiceName.of(service),
                 new InstanceSettings.Addresses(
-                        freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()),
+                        freeAddress(), peers, peers, freeAddress(), freeAddress(), freeAddress()),
                 storeAddress,
                 HEARTBEAT_INTERVAL,
                 BOUNDS);
--- a/src/main/java/org/siskindyke/platform/SettingsReader.java
+++ b/src/main/java/org/siskindyke/platform/SettingsReader.java
@@ -29,6 +29,7 @@
     /** The highest value of a number, some 30 years in milliseconds. */
     private static final long MAX_NUMBER = 1_000_000_000_000L;
 
+    private static final String INBOUND_BIND = "/listen/inbound_bind";
     private static final String MAX_SKEW = "/bounds/max_skew_ms";
     private static final Duration DEFAULT_MAX_SKEW = Duration.ofSeconds(5);
 
@@ -80,6 +81,7 @@
                 new InstanceSettings.Addresses(
                         address(root, "/listen/outbound"),
                         address(root, "/listen/inbound"),
+                        address(root, root.at(INBOUND_BIND).isMissingNode() ? "/listen/inbound" : INBOUND_BIND),
                         address(root, "/listen/ready"),
                         address(root, "/listen/control"),
                         new InetSocketAddress(address(root, "/listen/inbound").getAddress(), METRICS_PORT)),
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -238,7 +238,7 @@
     public void start() {
         member = newMember();
         peers.attach(member);
-        peers.listen(settings.addresses().peers());
+        peers.listen(settings.addresses().peersBind());
         callers.listen(settings.addresses().callers());
         control.scheduleWithFixedDelay(this::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(backend::tick, TICK_MILLIS);
--- a/src/main/java/org/siskindyke/runtime/InstanceSettings.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceSettings.java
@@ -27,10 +27,11 @@
         Duration heartbeat,
         Bounds bounds) {
     /**
-     * The addresses that a router listens on.
+     * The addresses that a router listens on, and the one at which other routers reach it.
      *
      * @param callers for requests of callers, including the backend server beside the router
-     * @param peers for connections of other routers
+     * @param peers the address that other routers connect to
+     * @param peersBind the local address that their connections arrive at; another one where a proxy is in between
      * @param readiness for readiness checks
      * @param heartbeats for heartbeats of the backend server beside the router
      * @param metrics for scraping metrics
@@ -38,6 +39,7 @@
     public record Addresses(
             InetSocketAddress callers,
             InetSocketAddress peers,
+            InetSocketAddress peersBind,
             InetSocketAddress readiness,
             InetSocketAddress heartbeats,
             InetSocketAddress metrics) {}
--- a/src/main/java/org/siskindyke/soak/FaultProxy.java
+++ b/src/main/java/org/siskindyke/soak/FaultProxy.java
@@ -55,10 +55,15 @@
     void setMode(Mode newMode) {
         mode = newMode;
         if (newMode == Mode.RESET) {
-            sockets.forEach(FaultProxy::reset);
+            resetConnections();
         }
     }
 
+    /** Resets the connections that are open. */
+    void resetConnections() {
+        sockets.forEach(FaultProxy::reset);
+    }
+
     private static void startDaemon(Runnable work) {
         Thread thread = new Thread(work, "fault-proxy");
         thread.setDaemon(true);
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -77,7 +77,9 @@
             Component.ALL_ROUTERS,
             false,
             (cluster, instanceIndex) -> cluster.killAllRouters(),
-            (cluster, instanceIndex) -> cluster.startAllRouters());
+            (cluster, instanceIndex) -> cluster.startAllRouters()),
+    /** The connections of other routers to one are reset several times in a row. */
+    RESET_PEERS(Component.PEERS, false, SoakInstance::resetPeers, instance -> {});
 
     /** Longer than the late heartbeats of a backend server that has deregistered are under way. */
     private static final long MIN_DEREGISTERED_MILLIS = 7_000;
@@ -116,6 +118,8 @@
         ALL_ROUTERS,
         /** The connections from the router to the store. */
         LINK,
+        /** The connections from other routers to the router. */
+        PEERS,
         /** The store. */
         STORE,
         /** The configuration that the operator writes. */
--- a/src/main/java/org/siskindyke/soak/SoakInstance.java
+++ b/src/main/java/org/siskindyke/soak/SoakInstance.java
@@ -10,15 +10,20 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.siskindyke.platform.PlatformMain;
 
 /** One instance of a running soak: a router and a backend server. Not thread-safe. */
 final class SoakInstance {
+    private static final int RESETS = 4;
+    private static final long RESET_GAP_MILLIS = 4;
+
     private final SoakTopology.Instance instance;
     private final File directory;
     private final SoakJournal journal;
     private final FaultProxy link;
+    private final FaultProxy peers;
     private final boolean hidesKeys;
     private SoakProcess router;
     private SoakProcess target;
@@ -35,6 +40,9 @@
         this.directory = directory;
         this.journal = journal;
         this.link = new FaultProxy(new InetSocketAddress(instance.host(), SoakTopology.STORE_PORT), store);
+        this.peers = new FaultProxy(
+                new InetSocketAddress(instance.host(), SoakTopology.PEER_PORT),
+                new InetSocketAddress(instance.host(), SoakTopology.PEER_BIND_PORT));
         try {
             Files.writeString(settings().toPath(), instance.settings());
         } catch (IOException e) {
@@ -200,7 +208,15 @@
         link.setMode(mode);
     }
 
-    /** Kills both processes and closes the proxy. */
+    /** Resets the connections of other routers several times within milliseconds. */
+    void resetPeers() {
+        for (int i = 0; i < RESETS; i++) {
+            peers.resetConnections();
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RESET_GAP_MILLIS));
+        }
+    }
+
+    /** Kills both processes and closes the proxies. */
     void close() {
         for (SoakProcess process : new SoakProcess[] {router, target}) {
             if (process != null) {
@@ -209,6 +225,7 @@
         }
         try {
             link.close();
+            peers.close();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/org/siskindyke/soak/SoakPlan.java
+++ b/src/main/java/org/siskindyke/soak/SoakPlan.java
@@ -19,6 +19,8 @@
     private static final long MAX_DURATION_MILLIS = 4_000;
     /** Seeds that are multiples of this number draw planned work only. */
     private static final int PLANNED_SEED_INTERVAL = 4;
+    /** The remainder of seeds that draw resets of connections between routers, too. */
+    private static final int PEER_RESETS_SEED = 2;
 
     /**
      * A fault.
@@ -42,6 +44,7 @@
         boolean plannedOnly = Math.floorMod(seed, PLANNED_SEED_INTERVAL) == 0;
         List<SoakFault> kinds = List.of(SoakFault.values()).stream()
                 .filter(kind -> kind.isPlanned() || !plannedOnly)
+                .filter(kind -> kind != SoakFault.RESET_PEERS)
                 .toList();
         List<Step> steps = new ArrayList<>();
         long atMillis = FIRST_FAULT_MILLIS;
@@ -51,9 +54,23 @@
             steps.add(new Step(atMillis, fault.durationMillis(durationMillis), fault, random.nextInt(instances)));
             atMillis += MIN_GAP_MILLIS + random.nextLong(MAX_GAP_MILLIS - MIN_GAP_MILLIS);
         }
+        if (Math.floorMod(seed, PLANNED_SEED_INTERVAL) == PEER_RESETS_SEED) {
+            steps.addAll(drawPeerResets(new Random(~seed), instances, lengthMillis));
+        }
         return new SoakPlan(List.copyOf(steps), plannedOnly, false);
     }
 
+    /** Draws resets beside the other faults, so that these are the same with and without them. */
+    private static List<Step> drawPeerResets(Random random, int instances, long lengthMillis) {
+        List<Step> resets = new ArrayList<>();
+        long atMillis = FIRST_FAULT_MILLIS;
+        while (atMillis < lengthMillis) {
+            resets.add(new Step(atMillis, 0, SoakFault.RESET_PEERS, random.nextInt(instances)));
+            atMillis += MIN_GAP_MILLIS + random.nextLong(MAX_GAP_MILLIS - MIN_GAP_MILLIS);
+        }
+        return resets;
+    }
+
     /** Returns this plan with backend servers that violate the heartbeat protocol on purpose. */
     public SoakPlan withHiddenKeys() {
         return new SoakPlan(steps, plannedOnly, true);
--- a/src/main/java/org/siskindyke/soak/SoakTopology.java
+++ b/src/main/java/org/siskindyke/soak/SoakTopology.java
@@ -19,7 +19,11 @@
     /** Requests a second that a limited backend server names. */
     static final int LIMIT_PER_SECOND = 2;
 
-    private static final int PEER_PORT = 7001;
+    /** Where a proxy takes the connections of other routers. */
+    static final int PEER_PORT = 7001;
+    /** Where the router itself takes them. */
+    static final int PEER_BIND_PORT = 7005;
+
     private static final int READINESS_PORT = 7002;
     private static final int HEARTBEAT_PORT = 7003;
     private static final int TARGET_PORT = 7004;
@@ -56,7 +60,7 @@
         String settings() {
             return """
                     {"node_name":"%s","zone":"%s","service":"%s",
-                     "listen":{"outbound":"%s","inbound":"%s:%d","ready":"%s:%d","control":"%s"},
+                     "listen":{"outbound":"%s","inbound":"%s:%d","inbound_bind":"%s:%d","ready":"%s:%d","control":"%s"},
                      "platform":{"address":"%s"},"heartbeat_ms":%d,
                      "bounds":{"drain_ms":%d,"grace_s":%d,"hold_max_ms":10000,"retry_budget_ratio":0.2,
                                "budget_extra":60,"budget_window_s":10}}
@@ -68,6 +72,8 @@
                             host,
                             PEER_PORT,
                             host,
+                            PEER_BIND_PORT,
+                            host,
                             READINESS_PORT,
                             heartbeatAddress(),
                             storeAddress(),
--- a/src/test/java/org/siskindyke/platform/PlatformDecodersTest.java
+++ b/src/test/java/org/siskindyke/platform/PlatformDecodersTest.java
@@ -53,6 +53,15 @@
         InstanceSettings settings = SettingsReader.parse(SETTINGS);
         assertEquals("n-1", settings.instance().value());
         assertEquals(6_000, settings.bounds().grace().toMillis());
+        assertEquals(settings.addresses().peers(), settings.addresses().peersBind());
+    }
+
+    @Example
+    void theLocalAddressForOtherRoutersMayDifferFromTheOneThatTheyConnectTo() {
+        String bound = SETTINGS.replace("\"inbound\":", "\"inbound_bind\":\"10.1.0.8:9\",\"inbound\":");
+        InstanceSettings.Addresses addresses = SettingsReader.parse(bound).addresses();
+        assertEquals(9, addresses.peersBind().getPort());
+        assertEquals(1, addresses.peers().getPort());
     }
 
     @Example
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.Example;
 
@@ -14,6 +15,8 @@
 /** Runs a short soak with real processes, and one in which backend servers violate an invariant on purpose. */
 class SoakTest {
     private static final int INSTANCES = 3;
+    private static final int PEER_RESETS = 24;
+    private static final long PEER_RESET_INTERVAL_MILLIS = 250;
     private static final List<SoakPlan.Step> STEPS = List.of(
             new SoakPlan.Step(500, 2_500, SoakFault.REPLACE_TARGET, 0),
             new SoakPlan.Step(500, 8_000, SoakFault.CRASHING_REQUEST, 0),
@@ -66,6 +69,16 @@
         assertEquals(Map.of(), verdict.violations());
     }
 
+    /** Guards against orders that run twice when connections between routers are reset several times in a row. */
+    @Example
+    void ordersRunOnceThoughConnectionsBetweenRoutersAreResetInSeries() throws IOException, InterruptedException {
+        List<SoakPlan.Step> steps = IntStream.range(0, PEER_RESETS)
+                .mapToObj(i -> new SoakPlan.Step(500 + i * PEER_RESET_INTERVAL_MILLIS, 0, SoakFault.RESET_PEERS, 2))
+                .toList();
+        SoakRun.Verdict verdict = run(new SoakPlan(steps, false, false));
+        assertEquals(Map.of(), verdict.violations());
+    }
+
     @Example
     void serversThatKeepUsingReleasedKeysAreDetected() throws IOException, InterruptedException {
         List<SoakPlan.Step> steps = List.of(
