Wait between connections to a router that ends each of them at once

Cause: a link with requests to settle opened a new connection as soon as the last one ended, also where the other end (a proxy whose router is away) ends each of them at once; found while the soak got its proxy.

Change: after five in a row that ended unanswered, the next one waits for the link's next check.

--- a/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerLink.java
@@ -42,6 +42,8 @@
 
     /** Ids from which on the link is replaced; a frame has room for ids of 32 bits. */
     private static final long EXHAUSTED_FROM_ID = 0xFFF0_0000L;
+    /** Connections that may end unanswered in a row until the next one waits for {@link #checkTimeouts}. */
+    private static final int MAX_IMMEDIATE_RECONNECTS = 5;
     /** Ids of requests that a log line names, at most. */
     private static final int MAX_LOGGED_IDS = 8;
 
@@ -62,6 +64,9 @@
     /** Since when requests of earlier connections are not settled; 0 for none. */
     private long unsettledSinceMillis;
 
+    /** Connections that ended one after the other before the peer had answered. */
+    private int unansweredInARow;
+
     private boolean connecting;
     private long replacedMillis = Long.MIN_VALUE / 2;
 
@@ -280,7 +285,8 @@
         current = null;
         requests.close();
         checkUnsettled();
-        if (unsettledSinceMillis != 0) {
+        unansweredInARow = previous.answered ? 0 : unansweredInARow + 1;
+        if (unsettledSinceMillis != 0 && unansweredInARow <= MAX_IMMEDIATE_RECONNECTS) {
             connect();
         }
     }
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
@@ -51,6 +51,8 @@
     /** Index of a connection whose messages from the peer are dropped from its start; -1 for none. */
     private int silentOutFrom = -1;
 
+    private final AtomicInteger closedConnections = new AtomicInteger();
+    private boolean closesConnections;
     private PeerLink link;
 
     /** Holds back what passes a connection in either direction while it is silent. */
@@ -143,7 +145,12 @@
         Channel listening = loop.listen(new InetSocketAddress("127.0.0.1", 0), new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel accepted) {
-                accepted.pipeline().addLast(new PeerFrameCodec(), new Silencer(), new Peer());
+                if (closesConnections) {
+                    closedConnections.incrementAndGet();
+                    accepted.close();
+                } else {
+                    accepted.pipeline().addLast(new PeerFrameCodec(), new Silencer(), new Peer());
+                }
             }
         });
         link = new PeerLink(loop, SystemMonotonicClock.INSTANCE, (InetSocketAddress) listening.localAddress(), log);
@@ -396,6 +403,21 @@
         assertEquals(1, runs.get());
     }
 
+    /** Guards against a router that spends its time on connections which the other end closes at once. */
+    @Example
+    void connectionsThatEndUnansweredAreNotReplacedAtOnceForEver() throws InterruptedException {
+        start();
+        workMillis = TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS);
+        send("order");
+        awaitRuns(2);
+        onLoop(() -> {
+            closesConnections = true;
+            connections.get(0).context.close();
+        });
+        assertEquals(LOST + true, outcome());
+        assertTrue(closedConnections.get() < 60, closedConnections::toString);
+    }
+
     /** Guards against ids of which the peer reads only the lowest 32 bits. */
     @Example
     void aLinkWhoseIdsAreNearlyUsedUpIsReplaced() {
