Log which connection a dropped response and a repeated request were on

No line named the connection to the backend server, whether it had carried a request's id before, or that a response was dropped.

Change: connections have numbers and remember hashes of the ids they have carried (1,024 at most). New events target-response-dropped, target-stray-bytes and target-connection-carries-request-again, 20 a second at most, and the gauge siskindyke_target_responses_dropped. No decision depends on them.

Measured: HttpClientConnectionTest and OddMessagesTest pass.

--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -248,6 +248,7 @@
                 () -> metrics.start(
                         backend::slotsUsed,
                         backend::waiting,
+                        backend::responsesDropped,
                         log::dropped,
                         this::convictedRequests,
                         this::membersServing,
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -32,6 +32,7 @@
     void start(
             Supplier<Number> slotsUsed,
             Supplier<Number> callsWaiting,
+            Supplier<Number> responsesDropped,
             Supplier<Number> eventsDropped,
             Supplier<Number> convictedRequests,
             Supplier<Number> membersServing,
@@ -41,6 +42,7 @@
         registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         Gauge.builder("siskindyke.slots.used", slotsUsed).register(registry);
         Gauge.builder("siskindyke.calls.waiting", callsWaiting).register(registry);
+        Gauge.builder("siskindyke.target.responses.dropped", responsesDropped).register(registry);
         Gauge.builder("siskindyke.convicted.requests", convictedRequests).register(registry);
         Gauge.builder("siskindyke.members.serving", membersServing).register(registry);
         Gauge.builder("siskindyke.configuration.version", configurationVersion).register(registry);
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -127,7 +127,13 @@
             if (pool != null) {
                 pool.close();
             }
-            pool = new HttpClientPool(traffic, clock, announced.address(), announced.connections(), dialect);
+            pool = new HttpClientPool(
+                    traffic,
+                    clock,
+                    announced.address(),
+                    announced.connections(),
+                    dialect,
+                    log.ofConnections(announced.name()));
         }
     }
 
@@ -207,6 +213,11 @@
         return runningRequestIds.contains(requestId);
     }
 
+    /** Returns the number of responses that belonged to no awaited request. May be called on any thread. */
+    public long responsesDropped() {
+        return log.responsesDropped();
+    }
+
     /** Returns the ids of the requests that the backend server runs. */
     public List<String> running() {
         return List.copyOf(runningRequestIds);
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -65,6 +65,9 @@
     /** Requests that the server refused on this connection; see {@link #mayCarry}. */
     private final Set<String> refusedIds = new HashSet<>();
 
+    private final CarriedRequests carried = new CarriedRequests();
+    private final long number;
+    private final ConnectionObserver observer;
     private final Runnable onIdle;
     private final ResponseMemory memory;
     private Channel channel;
@@ -82,12 +85,17 @@
     /**
      * Creates a connection that is not established yet.
      *
+     * @param number the connection's number in its pool
      * @param dialect tells to which request a response belongs
      * @param memory limits the memory for partly received responses
+     * @param observer receives events of the connection
      * @param onIdle runs when the connection can take another request
      */
-    HttpClientConnection(ResponseDialect dialect, ResponseMemory memory, Runnable onIdle) {
+    HttpClientConnection(
+            long number, ResponseDialect dialect, ResponseMemory memory, ConnectionObserver observer, Runnable onIdle) {
+        this.number = number;
         this.dialect = dialect;
+        this.observer = observer;
         this.memory = memory;
         this.onIdle = onIdle;
     }
@@ -122,9 +130,18 @@
     void send(FullHttpRequest request, String requestId, HttpClientPool.ResponseListener listener) {
         exchange = new Exchange(requestId, request.method().equals(HttpMethod.HEAD), listener);
         skippedResponses = 0;
+        boolean again = carried.contains(requestId);
+        carried.add(requestId);
+        if (again) {
+            observer.onRequestCarriedAgain(state());
+        }
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
+    private ConnectionObserver.Connection state() {
+        return new ConnectionObserver.Connection(number, carried.count(), carried.lastId());
+    }
+
     boolean isUsable() {
         return reusable && channel != null && channel.isActive();
     }
@@ -182,7 +199,7 @@
                 return;
             }
             if (exchange == null) {
-                fail(ResponseLoss.BAD_RESPONSE, "received bytes without a request");
+                failOnStrayBytes();
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -206,7 +223,7 @@
             public void channelRead(ChannelHandlerContext context, Object message) {
                 if (exchange == null && !broken) {
                     ReferenceCountUtil.release(message);
-                    fail(ResponseLoss.BAD_RESPONSE, "received bytes without a request");
+                    failOnStrayBytes();
                 } else {
                     context.fireChannelRead(message);
                 }
@@ -214,6 +231,11 @@
         };
     }
 
+    private void failOnStrayBytes() {
+        observer.onStrayBytes(state());
+        fail(ResponseLoss.BAD_RESPONSE, "received bytes without a request");
+    }
+
     private void onHead(HttpResponse response) {
         if (response.decoderResult().cause() instanceof PrematureChannelClosureException) {
             fail(ResponseLoss.TRUNCATED, "connection closed amid the header section");
@@ -267,7 +289,9 @@
             headers.add(new Header(field.getKey(), field.getValue()));
         }
         if (exchange.requestId() != null) {
-            if (!exchange.requestId().equals(dialect.answeredRequestId(headers))) {
+            String namedId = dialect.answeredRequestId(headers);
+            if (!exchange.requestId().equals(namedId)) {
+                observer.onResponseDropped(state(), namedId, status);
                 reusable = false;
                 skipResponse();
                 return;
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -31,9 +31,11 @@
     private final InetSocketAddress address;
     private final int maxConnections;
     private final ResponseDialect dialect;
+    private final ConnectionObserver observer;
     private final ResponseMemory memory = new ResponseMemory(MAX_PARTIAL_RESPONSES_BYTES);
     private final Deque<HttpClientConnection> idle = new ArrayDeque<>();
     private final Set<HttpClientConnection> all = new HashSet<>();
+    private long connectionsOpened;
 
     /** Receives the outcome of a request. */
     interface ResponseListener {
@@ -61,12 +63,14 @@
             MonotonicClock clock,
             InetSocketAddress address,
             int maxConnections,
-            ResponseDialect dialect) {
+            ResponseDialect dialect,
+            ConnectionObserver observer) {
         this.traffic = traffic;
         this.clock = clock;
         this.address = address;
         this.maxConnections = maxConnections;
         this.dialect = dialect;
+        this.observer = observer;
     }
 
     /**
@@ -98,7 +102,9 @@
 
     private Cancellable connect(FullHttpRequest request, String requestId, ResponseListener listener) {
         HttpClientConnection[] holder = new HttpClientConnection[1];
-        HttpClientConnection connection = new HttpClientConnection(dialect, memory, () -> putIdle(holder[0]));
+        connectionsOpened++;
+        HttpClientConnection connection =
+                new HttpClientConnection(connectionsOpened, dialect, memory, observer, () -> putIdle(holder[0]));
         holder[0] = connection;
         all.add(connection);
         boolean[] cancelled = new boolean[1];
--- a/src/main/java/org/siskindyke/runtime/traffic/PooledHttpClient.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PooledHttpClient.java
@@ -27,7 +27,8 @@
     /** Creates a client of the server at an address. */
     public PooledHttpClient(TrafficLoop traffic, MonotonicClock clock, InetSocketAddress address) {
         this.traffic = traffic;
-        this.pool = new HttpClientPool(traffic, clock, address, MAX_CONNECTIONS, ResponseDialect.ANONYMOUS);
+        this.pool = new HttpClientPool(
+                traffic, clock, address, MAX_CONNECTIONS, ResponseDialect.ANONYMOUS, ConnectionObserver.NONE);
         this.host = address.getHostString() + ":" + address.getPort();
     }
 
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -25,6 +25,7 @@
 /** Tests faulty responses: to another request, followed by more bytes, without a length, truncated. */
 class HttpClientConnectionTest {
     private final List<String> outcomes = new ArrayList<>();
+    private final List<String> events = new ArrayList<>();
     private int idle;
     private ResponseMemory memory;
     private HttpClientConnection connection;
@@ -38,7 +39,7 @@
         releaseWritten();
         outcomes.clear();
         memory = new ResponseMemory(2L * HttpClientConnection.MAX_BODY_BYTES);
-        connection = new HttpClientConnection(new TestDialect(), memory, () -> idle++);
+        connection = new HttpClientConnection(1, new TestDialect(), memory, observer, () -> idle++);
         channel = new EmbeddedChannel(connection.handlers());
     }
 
@@ -50,6 +51,23 @@
         }
     }
 
+    private final ConnectionObserver observer = new ConnectionObserver() {
+        @Override
+        public void onResponseDropped(Connection connection, String namedRequestId, int status) {
+            events.add("dropped " + status + " of " + namedRequestId + " for " + connection);
+        }
+
+        @Override
+        public void onStrayBytes(Connection connection) {
+            events.add("stray bytes after " + connection);
+        }
+
+        @Override
+        public void onRequestCarriedAgain(Connection connection) {
+            events.add("again " + connection);
+        }
+    };
+
     /** Responses name their request in the field {@code Id}; those with status 503 are refusals. */
     private static final class TestDialect implements ResponseDialect {
         @Override
@@ -108,6 +126,28 @@
         assertFalse(connection.isUsable());
     }
 
+    @Example
+    void dropsAndRepeatedRequestsAreReportedWithTheConnection() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        send("a");
+        receive("HTTP/1.1 503 Busy\r\nId: old\r\nContent-Length: 0\r\n\r\n");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(
+                List.of(
+                        "again Connection[number=1, requests=2, lastRequestId=a]",
+                        "dropped 503 of old for Connection[number=1, requests=2, lastRequestId=a]"),
+                events);
+    }
+
+    @Example
+    void bytesBetweenRequestsAreReportedWithTheLastRequest() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(List.of("stray bytes after Connection[number=1, requests=1, lastRequestId=a]"), events);
+    }
+
     /**
      * Guards against callers told "not run" for requests that ran: a server wrote an earlier refusal once more, without
      * an id, ahead of the response.
