Reproduce late copies of responses taken for those of a later run

Cause, as the tests show: a backend server writes a response once more, late, in front of the next one on its connection. Where the next one is that of the same request, sent again over the same connection, both name the same id and the copy is delivered.

--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -160,6 +160,12 @@
         return client.send(newRequest(router, path, 0), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a request with a given id to the router with the given settings and returns the response. */
+    HttpResponse<String> respondAs(String requestId, InstanceSettings router, String path)
+            throws InterruptedException, IOException {
+        return client.send(newRequest(requestId, router, path), HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Sends a heartbeat to the router with the given settings, for a backend server that the caller runs. */
     void sendHeartbeat(InstanceSettings router, InetSocketAddress backend, int sequence) throws InterruptedException {
         String body = "{\"service\":\"" + router.service() + "\",\"address\":\"" + HOST + ":" + backend.getPort()
@@ -232,10 +238,13 @@
 
     /** Sends a request with a given id without waiting; the response fails where the request failed or timed out. */
     CompletableFuture<HttpResponse<String>> sendAs(String requestId, Instance instance, String path) {
-        HttpRequest request = HttpRequest.newBuilder(newRequest(instance.settings(), path, 0), (name, value) -> true)
+        return client.sendAsync(newRequest(requestId, instance.settings(), path), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpRequest newRequest(String requestId, InstanceSettings router, String path) {
+        return HttpRequest.newBuilder(newRequest(router, path, 0), (name, value) -> true)
                 .setHeader("X-Siskindyke-Request-Id", requestId)
                 .build();
-        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
     }
 
     /** Sends a request for a key; otherwise as above. */
--- /dev/null
+++ b/src/test/java/org/siskindyke/RawHttpServer.java
@@ -0,0 +1,102 @@
+package org.siskindyke;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A server on loopback that writes whatever bytes a test wants to the connection of each request. */
+public final class RawHttpServer implements AutoCloseable {
+    private static final Pattern ID = Pattern.compile("(?i)(?:x-siskindyke-request-)?id: *(\\S+)");
+    private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
+
+    private final ServerSocket listener;
+    private final Supplier<Script> scripts;
+
+    /** Answers the requests on one connection. */
+    public interface Script {
+        /** Returns the bytes to write after a request with the given id was read, as characters of ISO 8859-1. */
+        String respond(String requestId);
+    }
+
+    /** Starts a server that takes a new script for each connection. */
+    public RawHttpServer(Supplier<Script> scripts) throws IOException {
+        this.scripts = scripts;
+        this.listener = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        startThread(this::accept);
+    }
+
+    public InetSocketAddress address() {
+        return new InetSocketAddress("127.0.0.1", listener.getLocalPort());
+    }
+
+    private static void startThread(Runnable action) {
+        Thread thread = new Thread(action, "raw-http-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                startThread(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test has closed the server.
+        }
+    }
+
+    private void serve(Socket socket) {
+        Script script = scripts.get();
+        try (socket) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            OutputStream out = socket.getOutputStream();
+            for (String id = readRequest(in); id != null; id = readRequest(in)) {
+                out.write(script.respond(id).getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+            }
+        } catch (IOException e) {
+            // The client has closed the connection.
+        }
+    }
+
+    /** Reads a request and returns its id; null at the end of the connection. */
+    private static String readRequest(BufferedReader in) throws IOException {
+        String id = "none";
+        int length = 0;
+        String line = in.readLine();
+        if (line == null) {
+            return null;
+        }
+        for (; line != null && !line.isEmpty(); line = in.readLine()) {
+            Matcher idField = ID.matcher(line);
+            Matcher lengthField = LENGTH.matcher(line);
+            id = idField.matches() ? idField.group(1) : id;
+            length = lengthField.matches() ? Integer.parseInt(lengthField.group(1)) : length;
+        }
+        for (int i = 0; i < length; i++) {
+            in.read();
+        }
+        return id;
+    }
+
+    @Override
+    public void close() {
+        try {
+            listener.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -184,6 +184,17 @@
         assertTrue(connection.mayCarry("b"));
     }
 
+    /** Guards against a late copy of any response that is taken for the response to the same request, sent again. */
+    @Example
+    void aRequestIsNotSentAgainOnAConnectionThatHasCarriedItWhateverCameOfIt() {
+        for (String response : List.of("200 OK\r\nSigned: 1", "200 OK", "500 Error", "404 None", "503 Busy")) {
+            open();
+            send("a");
+            receive("HTTP/1.1 " + response + "\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+            assertFalse(connection.mayCarry("a"), response);
+        }
+    }
+
     @Example
     void aConnectionEndsOnceItCannotRememberMoreRefusals() {
         for (int i = 0; connection.isUsable(); i++) {
