Send a request over each connection to a backend server once

Cause: a connection to a backend server took the response that names the awaited id. The id names a request, not one of its runs, and the pool reuses the connection used last first, so a request that came again mostly went out over the connection that had carried it before. A server that writes a response once more, late, then answers the second run with the response of the first. Only refused requests (256 a connection) were kept from going out twice.

Ruled out: replies crossed between routers (LateCopiesTest has one hop and no replaced connection), and the decoder's state (the copies are whole).

Change: a connection never carries an id twice, whatever came of the first time and however long ago. It remembers hashes of 512 ids and takes no further request then; it does not forget. A request that all idle connections have carried gets a new one; beside a full pool the idle connection used least recently makes room. Passed-over connections keep their place, and target-connections-passed-over is logged.

Why it works: a copy can only arrive on the connection whose request it answers, and a response is taken only on the connection that has carried its id exactly once.

--- a/src/main/java/org/siskindyke/runtime/traffic/CarriedRequests.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CarriedRequests.java
@@ -8,8 +8,7 @@
  * rarely appear to have been.
  */
 final class CarriedRequests {
-    /** Requests that are remembered at most. */
-    static final int MAX_REMEMBERED = 1_024;
+    private static final int MAX_IDS = 512;
 
     private final Set<Integer> idHashes = new HashSet<>();
     private int count;
@@ -19,7 +18,7 @@
     void add(String requestId) {
         count++;
         lastId = requestId;
-        if (requestId != null && idHashes.size() < MAX_REMEMBERED) {
+        if (requestId != null) {
             idHashes.add(requestId.hashCode());
         }
     }
@@ -29,6 +28,11 @@
         return requestId != null && idHashes.contains(requestId.hashCode());
     }
 
+    /** Returns whether no further request should be recorded. */
+    boolean isFull() {
+        return idHashes.size() >= MAX_IDS;
+    }
+
     /** Returns the number of recorded requests. */
     int count() {
         return count;
--- a/src/main/java/org/siskindyke/runtime/traffic/ConnectionObserver.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ConnectionObserver.java
@@ -26,6 +26,11 @@
     /** Called when bytes arrive while no request waits for a response, which closes the connection. */
     default void onStrayBytes(Connection connection) {}
 
-    /** Called when a connection gets a request that it has carried before, by its id. */
-    default void onRequestCarriedAgain(Connection connection) {}
+    /**
+     * Called when a request is sent over another connection than the one used last, since that one may have carried it.
+     *
+     * @param requestId the id of the request
+     * @param passedOver the number of idle connections that may have carried it
+     */
+    default void onConnectionsPassedOver(String requestId, int passedOver) {}
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/DispatchLog.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/DispatchLog.java
@@ -95,8 +95,17 @@
             }
 
             @Override
-            public void onRequestCarriedAgain(Connection connection) {
-                onConnectionEvent("target-connection-carries-request-again", target, connection);
+            public void onConnectionsPassedOver(String requestId, int passedOver) {
+                if (connectionEvents.tryAcquire(clock.nowMillis())) {
+                    log.event(
+                            "target-connections-passed-over",
+                            "target",
+                            target,
+                            "request",
+                            requestId,
+                            "connections",
+                            passedOver);
+                }
             }
         };
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -1,10 +1,8 @@
 package org.siskindyke.runtime.traffic;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -31,11 +29,13 @@
 import org.siskindyke.runtime.call.Header;
 
 /**
- * A connection to a server that carries one request at a time.
+ * A connection to a server that carries one request at a time, and each request once.
  *
  * <p>Where the request has an id, only a response that names it is taken for its response; another one, or one that
- * names no request, is dropped and the connection ends after the request. Bytes that arrive while there is no request
- * close the connection, as does a response without end. Confined to the traffic loop.
+ * names no request, is dropped and the connection ends after the request. As a server may write a response once more at
+ * any later time, and the id does not tell the runs of a request apart, a request that is sent again needs another
+ * connection, see {@link #mayCarry}. Bytes that arrive while there is no request close the connection, as does a
+ * response without end. Confined to the traffic loop.
  */
 final class HttpClientConnection extends ChannelInboundHandlerAdapter {
     /** Largest body of a response that is collected. */
@@ -46,9 +46,6 @@
     /** Responses that are skipped while one is awaited: interim ones and those that name another request. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
 
-    /** Refused requests that a connection remembers at most. */
-    private static final int MAX_REFUSED_IDS = 256;
-
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int CHUNK_BYTES = 16_384;
@@ -62,9 +59,6 @@
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private final ResponseDialect dialect;
-    /** Requests that the server refused on this connection; see {@link #mayCarry}. */
-    private final Set<String> refusedIds = new HashSet<>();
-
     private final CarriedRequests carried = new CarriedRequests();
     private final long number;
     private final ConnectionObserver observer;
@@ -130,11 +124,7 @@
     void send(FullHttpRequest request, String requestId, HttpClientPool.ResponseListener listener) {
         exchange = new Exchange(requestId, request.method().equals(HttpMethod.HEAD), listener);
         skippedResponses = 0;
-        boolean again = carried.contains(requestId);
         carried.add(requestId);
-        if (again) {
-            observer.onRequestCarriedAgain(state());
-        }
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
@@ -147,11 +137,11 @@
     }
 
     /**
-     * Returns whether a request may be sent on this connection: not where the server has refused it here before, since
-     * a second copy of that refusal could not be told from the response to the request sent again.
+     * Returns whether a request may be sent on this connection: not where it was sent here before, whatever came of it,
+     * since a late copy of that response could not be told from the one to the request sent again.
      */
     boolean mayCarry(String requestId) {
-        return !refusedIds.contains(requestId);
+        return !carried.contains(requestId);
     }
 
     /** Returns the idle timeout that the server has announced, or 0 for none. */
@@ -291,12 +281,10 @@
         if (exchange.requestId() != null) {
             String namedId = dialect.answeredRequestId(headers);
             if (!exchange.requestId().equals(namedId)) {
-                observer.onResponseDropped(state(), namedId, status);
-                reusable = false;
-                skipResponse();
+                onOtherResponse(namedId, status);
                 return;
             }
-            recordRefusal(status, headers);
+            reusable &= !carried.isFull();
         }
         updateKeepAlive(response);
         Exchange ended = exchange;
@@ -305,12 +293,10 @@
         ended.listener().onResponse(status, headers, bytes, !channel.isActive());
     }
 
-    /** Remembers a request that was refused; the connection ends once it would have to remember too many. */
-    private void recordRefusal(int status, List<Header> headers) {
-        if (dialect.isNotRun(status, headers)) {
-            refusedIds.add(exchange.requestId());
-            reusable &= refusedIds.size() < MAX_REFUSED_IDS;
-        }
+    private void onOtherResponse(String namedId, int status) {
+        observer.onResponseDropped(state(), namedId, status);
+        reusable = false;
+        skipResponse();
     }
 
     private void skipResponse() {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -2,9 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 
@@ -16,7 +16,10 @@
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.call.Header;
 
-/** A pool of connections to one server; the one used last is reused first. Confined to the traffic loop. */
+/**
+ * A pool of connections to one server. Of those that have not carried a request before, the one used last is reused
+ * first. Confined to the traffic loop.
+ */
 final class HttpClientPool {
     /** Idle time after which a connection is not reused where the server announces no timeout. */
     private static final long DEFAULT_IDLE_MILLIS = 8_000;
@@ -89,8 +92,8 @@
             return reused::closeSilently;
         }
         if (all.size() >= maxConnections && !idle.isEmpty()) {
-            // The idle connections may not carry this request; one of them makes room for a new one.
-            idle.pop().closeSilently();
+            // The idle connections may not carry this request; the one used least recently makes room for a new one.
+            close(idle.pollLast());
         }
         if (all.size() >= maxConnections) {
             ReferenceCountUtil.release(request);
@@ -137,22 +140,31 @@
 
     private HttpClientConnection takeIdle(String requestId) {
         long nowMillis = clock.nowMillis();
+        int passedOver = 0;
         HttpClientConnection found = null;
-        List<HttpClientConnection> passedOver = new ArrayList<>();
-        while (found == null && !idle.isEmpty()) {
-            HttpClientConnection connection = idle.pop();
+        for (Iterator<HttpClientConnection> remaining = idle.iterator(); found == null && remaining.hasNext(); ) {
+            HttpClientConnection connection = remaining.next();
             if (!connection.isUsable() || nowMillis >= idleEndMillis(connection)) {
-                connection.closeSilently();
+                remaining.remove();
+                close(connection);
             } else if (connection.mayCarry(requestId)) {
+                remaining.remove();
                 found = connection;
             } else {
-                passedOver.add(connection);
+                passedOver++;
             }
         }
-        passedOver.forEach(idle::addLast);
+        if (passedOver > 0) {
+            observer.onConnectionsPassedOver(requestId, passedOver);
+        }
         return found;
     }
 
+    private void close(HttpClientConnection connection) {
+        connection.closeSilently();
+        remove(connection);
+    }
+
     private static long idleEndMillis(HttpClientConnection connection) {
         long announced = connection.keepAliveMillis();
         long allowed = announced > 0 ? (long) (announced * IDLE_TIMEOUT_FRACTION) : DEFAULT_IDLE_MILLIS;
