End a connection whose response lacks the server's signature

Cause: a successful response without the signature counts as lost, but its connection went on carrying requests, though the server may have broken off or spoiled what it wrote and may write the response once more, whole.

Change: the connection takes no further request. Whether a response is genuine is asked where the connection decides about its reuse.

Measured: aResponseThatIsNotGenuineIsDeliveredAndItsConnectionEnds failed before (the connection stayed open) and passes.

--- a/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
@@ -46,9 +46,6 @@
     /** Returns the fields of a response to return to the caller, without {@link #requestIdField}. */
     List<Header> returnedHeaders(List<Header> headers);
 
-    /** Returns whether a response has the fields that a backend server sets on responses of this status. */
-    boolean isGenuine(int status, List<Header> headers);
-
     /** Returns the limit on requests that a response names; the lowest where it names several. */
     AnnouncedLimit limit(List<Header> headers);
 
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -286,6 +286,7 @@
             }
             reusable &= !carried.isFull();
         }
+        reusable &= dialect.isGenuine(status, headers);
         updateKeepAlive(response);
         Exchange ended = exchange;
         exchange = null;
--- a/src/main/java/org/siskindyke/runtime/traffic/ResponseDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ResponseDialect.java
@@ -17,6 +17,11 @@
         public boolean isNotRun(int status, List<Header> headers) {
             return false;
         }
+
+        @Override
+        public boolean isGenuine(int status, List<Header> headers) {
+            return true;
+        }
     };
 
     /** Returns the id of the request that a response names; null where it names none. */
@@ -24,4 +29,7 @@
 
     /** Returns whether a response says that the server has not run the request and never will. */
     boolean isNotRun(int status, List<Header> headers);
+
+    /** Returns whether a response has the fields that the server sets on responses of this status. */
+    boolean isGenuine(int status, List<Header> headers);
 }
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -63,7 +63,10 @@
         }
     };
 
-    /** Responses name their request in the field {@code Id}; those with status 503 are refusals. */
+    /**
+     * Responses name their request in the field {@code Id}; those with status 503 are refusals, those with the field
+     * {@code Unsigned} not genuine.
+     */
     private static final class TestDialect implements ResponseDialect {
         @Override
         public String answeredRequestId(List<Header> headers) {
@@ -74,6 +77,11 @@
         public boolean isNotRun(int status, List<Header> headers) {
             return status == 503;
         }
+
+        @Override
+        public boolean isGenuine(int status, List<Header> headers) {
+            return Headers.firstIgnoringCase(headers, "Unsigned") == null;
+        }
     }
 
     private void send(String id) {
@@ -200,6 +208,15 @@
         assertFalse(channel.isOpen());
     }
 
+    /** A server that leaves out its fields once may write the response once more, whole. */
+    @Example
+    void aResponseThatIsNotGenuineIsDeliveredAndItsConnectionEnds() {
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nUnsigned: 1\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(List.of("200 "), outcomes);
+        assertFalse(channel.isOpen());
+    }
+
     @Example
     void aConnectionEndsOnceItCannotRememberMoreRefusals() {
         for (int i = 0; connection.isUsable(); i++) {
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientPoolTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientPoolTest.java
@@ -53,6 +53,11 @@
         public boolean isNotRun(int status, List<Header> headers) {
             return false;
         }
+
+        @Override
+        public boolean isGenuine(int status, List<Header> headers) {
+            return true;
+        }
     }
 
     /** Writes the previous response once more ahead of each response; a body is the number of the run. */
