Lose a request behind a response whose end cannot be told

What callers would see: bytes of another request's response as their own.

Cause: whether a response has a body depends on the method of its request. A copy of a GET response that arrives while the response to a HEAD request is awaited was read without its body, so the body's bytes were read as the next response; the copy of a HEAD response takes as many bytes of the next one as its length says.

Change: a connection that has carried a HEAD request ends on a response to another request, and the awaited one is lost.

Measured: aCopyWhoseEndIsUnclearLosesTheRequest delivered the "200" that stood in the body of the copy before, where the server answered 500; it passes now.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -66,6 +66,9 @@
     private final ResponseMemory memory;
     private Channel channel;
     private Exchange exchange;
+    /** Whether the connection has carried a request to whose response alone the rule for {@code HEAD} applies. */
+    private boolean carriedHead;
+
     private HttpResponse head;
     private ByteBuf body;
     private int bodyParts;
@@ -125,6 +128,7 @@
         exchange = new Exchange(requestId, request.method().equals(HttpMethod.HEAD), listener);
         skippedResponses = 0;
         carried.add(requestId);
+        carriedHead |= exchange.isHead();
         channel.writeAndFlush(request, channel.voidPromise());
     }
 
@@ -297,7 +301,11 @@
     private void onOtherResponse(String namedId, int status) {
         observer.onResponseDropped(state(), namedId, status);
         reusable = false;
-        skipResponse();
+        if (carriedHead) {
+            fail(ResponseLoss.BAD_RESPONSE, "cannot tell where a response to another request ends");
+        } else {
+            skipResponse();
+        }
     }
 
     private void skipResponse() {
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -217,6 +217,30 @@
         assertFalse(channel.isOpen());
     }
 
+    /**
+     * Guards against bytes of another response that are read as the awaited one: a copy of the response to a HEAD
+     * request has a length and no body, and one of the response to a GET request has a body that HEAD does not expect.
+     */
+    @Example
+    void aCopyWhoseEndIsUnclearLosesTheRequest() {
+        String hidden = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n";
+        for (List<String> methods : List.of(List.of("GET", "HEAD"), List.of("HEAD", "GET"))) {
+            open();
+            boolean headFirst = methods.get(0).equals("HEAD");
+            String head = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: " + hidden.length() + "\r\n\r\n";
+            String response = headFirst ? head : head + hidden;
+            send("a", methods.get(0));
+            receive(response);
+            outcomes.clear();
+            send("b", methods.get(1));
+            receive(response);
+            if (channel.isOpen()) {
+                receive("HTTP/1.1 500 Error\r\nId: b\r\nContent-Length: 0\r\n\r\n");
+            }
+            assertEquals(List.of("lost BAD_RESPONSE"), outcomes, methods::toString);
+        }
+    }
+
     @Example
     void aConnectionEndsOnceItCannotRememberMoreRefusals() {
         for (int i = 0; connection.isUsable(); i++) {
