--- a/src/test/java/org/siskindyke/RawHttpServer.java
+++ b/src/test/java/org/siskindyke/RawHttpServer.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -22,10 +23,13 @@
     private final ServerSocket listener;
     private final Supplier<Script> scripts;
 
+    /** A request, without its body. */
+    public record Request(String method, String id) {}
+
     /** Answers the requests on one connection. */
     public interface Script {
-        /** Returns the bytes to write after a request with the given id was read, as characters of ISO 8859-1. */
-        String respond(String requestId);
+        /** Returns the bytes to write after a request was read, in pieces, as characters of ISO 8859-1. */
+        List<String> respond(Request request);
     }
 
     /** Starts a server that takes a new script for each connection. */
@@ -62,23 +66,27 @@
             BufferedReader in =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             OutputStream out = socket.getOutputStream();
-            for (String id = readRequest(in); id != null; id = readRequest(in)) {
-                out.write(script.respond(id).getBytes(StandardCharsets.ISO_8859_1));
-                out.flush();
+            socket.setTcpNoDelay(true);
+            for (Request request = readRequest(in); request != null; request = readRequest(in)) {
+                for (String piece : script.respond(request)) {
+                    out.write(piece.getBytes(StandardCharsets.ISO_8859_1));
+                    out.flush();
+                }
             }
         } catch (IOException e) {
             // The client has closed the connection.
         }
     }
 
-    /** Reads a request and returns its id; null at the end of the connection. */
-    private static String readRequest(BufferedReader in) throws IOException {
+    /** Reads a request; returns null at the end of the connection. */
+    private static Request readRequest(BufferedReader in) throws IOException {
         String id = "none";
         int length = 0;
         String line = in.readLine();
         if (line == null) {
             return null;
         }
+        String method = line.split(" ", 2)[0];
         for (; line != null && !line.isEmpty(); line = in.readLine()) {
             Matcher idField = ID.matcher(line);
             Matcher lengthField = LENGTH.matcher(line);
@@ -88,7 +96,7 @@
         for (int i = 0; i < length; i++) {
             in.read();
         }
-        return id;
+        return new Request(method, id);
     }
 
     @Override
--- a/src/test/java/org/siskindyke/platform/LateCopiesTest.java
+++ b/src/test/java/org/siskindyke/platform/LateCopiesTest.java
@@ -48,13 +48,14 @@
         }
 
         @Override
-        public String respond(String id) {
+        public List<String> respond(RawHttpServer.Request request) {
+            String id = request.id();
             int run = runs.merge(id, 1, Integer::sum);
             String copy = previous;
             copies.addAndGet(copy.isEmpty() ? 0 : 1);
             previous = "HTTP/1.1 " + statuses.get((run - 1) % statuses.size()) + " Status\r\nX-Siskindyke-Request-Id: "
                     + id + "\r\nX-Siskindyke-Response-Signature: s" + run + "\r\nContent-Length: 2\r\n\r\nok";
-            return copy + previous;
+            return List.of(copy, previous);
         }
     }
 
--- a/src/test/java/org/siskindyke/platform/RepeatingServer.java
+++ b/src/test/java/org/siskindyke/platform/RepeatingServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -44,15 +45,18 @@
         private String refused;
 
         @Override
-        public String respond(String id) {
+        public List<String> respond(RawHttpServer.Request request) {
+            String id = request.id();
             if (refused == null) {
                 refused = id;
-                return refusal(idField(id));
+                return List.of(refusal(idField(id)));
             }
             runs.add(id);
             copies.incrementAndGet();
-            return refusal(copyNamesRequest ? idField(refused) : "") + "HTTP/1.1 200 OK\r\n" + idField(id)
-                    + "X-Siskindyke-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+            return List.of(
+                    refusal(copyNamesRequest ? idField(refused) : ""),
+                    "HTTP/1.1 200 OK\r\n" + idField(id)
+                            + "X-Siskindyke-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok");
         }
     }
 
