Tell a busy backend server from one that refuses connections

What callers would see: 503 from all requests to a backend server that is counted as lost, though it only had no free connection.

Since a request is sent over each connection once, one that comes again is more likely to find no connection.

Change: its own kind of loss, answered as a full queue; only a connection that could not be opened says that the server may be gone.

--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -475,13 +475,15 @@
             }
             releaseSlot();
             log.onAnswerLost(call, target.name(), loss, cause);
-            if (!loss.isSent()) {
+            if (loss == ResponseLoss.NOT_SENT) {
                 observer.onUnreachable();
             }
             end(
-                    loss.isSent()
-                            ? Reply.mayHaveRun(Refusal.ANSWER_LOST)
-                            : Reply.notRun(Refusal.TARGET_UNREACHABLE, MIN_RETRY_AFTER_MILLIS));
+                    switch (loss) {
+                        case NOT_SENT -> Reply.notRun(Refusal.TARGET_UNREACHABLE, MIN_RETRY_AFTER_MILLIS);
+                        case NO_CONNECTION_FREE -> Reply.notRun(Refusal.QUEUE_FULL, MIN_RETRY_AFTER_MILLIS);
+                        default -> Reply.mayHaveRun(Refusal.ANSWER_LOST);
+                    });
         }
 
         private void onDeadline() {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -97,7 +97,7 @@
         }
         if (all.size() >= maxConnections) {
             ReferenceCountUtil.release(request);
-            listener.onLost(ResponseLoss.NOT_SENT, "all connections are in use");
+            listener.onLost(ResponseLoss.NO_CONNECTION_FREE, "all connections are in use");
             return Cancellable.NONE;
         }
         return connect(request, requestId, listener);
--- a/src/main/java/org/siskindyke/runtime/traffic/ResponseLoss.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ResponseLoss.java
@@ -4,6 +4,8 @@
 enum ResponseLoss {
     /** The request did not reach the server. */
     NOT_SENT,
+    /** The request was not sent, since all connections that the server accepts carry other requests. */
+    NO_CONNECTION_FREE,
     /** The connection ended before any byte of the response. */
     CONNECTION_LOST,
     /** The connection ended amid the response. */
@@ -15,9 +17,4 @@
     boolean isConnectionEnd() {
         return this == CONNECTION_LOST || this == TRUNCATED;
     }
-
-    /** Returns whether the request may have reached the server. */
-    boolean isSent() {
-        return this != NOT_SENT;
-    }
 }
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientPoolTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientPoolTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -181,6 +182,37 @@
         assertEquals("2", send(pool, "b"));
     }
 
+    /** Guards against a busy server that is taken for one that refuses connections. */
+    @Example
+    void aRequestThatFindsAllConnectionsInUseIsLostForThatReason() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        server = new RawHttpServer(() -> request -> {
+            awaitEnd(ended);
+            return List.of();
+        });
+        HttpClientPool pool = newPool(server, 1);
+        traffic.execute(() -> pool.send(
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), "a", new IgnoredResponse()));
+        assertEquals("NO_CONNECTION_FREE: all connections are in use", send(pool, "b"));
+        ended.countDown();
+    }
+
+    private static void awaitEnd(CountDownLatch ended) {
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static final class IgnoredResponse implements HttpClientPool.ResponseListener {
+        @Override
+        public void onResponse(int status, List<Header> headers, byte[] body, boolean endedByClose) {}
+
+        @Override
+        public void onLost(ResponseLoss loss, String cause) {}
+    }
+
     /** Writes copies of any earlier responses on the connection, in any form, ahead of each response. */
     private final class RandomStutter implements RawHttpServer.Script {
         private final Random random;
