Let a table say whether its answer has all rows

Cause: TableSync took an answer of 2,000 rows or more for an incomplete one and read again from the beginning. The platform's table always answers with all rows; a table that answers in parts was asked for its first part again and again. So the first read never ended, and no router joined.

Change: TableChanges.truncated; a first read in parts goes on where the last part ended. The stand-in of the store says has_more, so that the paging of PlatformTable is run.

--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -72,6 +72,9 @@
     private long spreadAtMillis = Long.MAX_VALUE;
 
     private boolean synced;
+    /** The version up to which the first read of all rows, which may take several calls, has come. */
+    private long firstReadUpTo;
+
     /** Whether a peer that knew all rows has sent the last ones that this member lacked. */
     private boolean completedByPeer;
 
@@ -321,7 +324,8 @@
                 + jittered(context.settings().pollMillis())
                 + context.table().maxPollMillis();
         // What peers have told so far does not spare the first read of all rows.
-        context.whenComplete(context.table().changesSince(synced ? version() : 0, POLL_LIMIT_ROWS), this::onPolled);
+        long sinceVersion = synced ? version() : firstReadUpTo;
+        context.whenComplete(context.table().changesSince(sinceVersion, POLL_LIMIT_ROWS), this::onPolled);
     }
 
     private void onPolled(TableChanges changes, Throwable failure) {
@@ -337,13 +341,13 @@
         onTableAnswer(nowMillis);
         lastConfirmedMillis = nowMillis;
         nextPollMillis = nowMillis + jittered(pauseMillis(!changes.rows().isEmpty()));
-        boolean complete = changes.rows().size() < POLL_LIMIT_ROWS;
-        synced |= complete;
+        firstReadUpTo = changes.upToVersion();
+        synced |= !changes.truncated();
         notifyOf(context.view().apply(changes, nowMillis));
         if (!changes.rows().isEmpty() && context.table().maxPollMillis() > 0) {
             pushToDomain();
         }
-        if (pollAgain || !complete) {
+        if (pollAgain || changes.truncated()) {
             pollAgain = false;
             poll();
         }
--- a/src/main/java/org/siskindyke/kernel/table/TableChanges.java
+++ b/src/main/java/org/siskindyke/kernel/table/TableChanges.java
@@ -9,8 +9,9 @@
  * @param rows the latest state of each changed row
  * @param sinceVersion the version from which on the rows are complete; {@link #UNKNOWN} where only the reader who asked
  *     knows it
+ * @param truncated whether there are more changes after {@code upToVersion} than were returned
  */
-public record TableChanges(long upToVersion, List<Row> rows, long sinceVersion) {
+public record TableChanges(long upToVersion, List<Row> rows, long sinceVersion, boolean truncated) {
     /** Stands for a version that is not known; above all versions. */
     public static final long UNKNOWN = Long.MAX_VALUE;
 
@@ -19,9 +20,9 @@
         rows = List.copyOf(rows);
     }
 
-    /** Creates changes since the version that the reader has asked for. */
+    /** Creates all changes since the version that the reader has asked for. */
     public TableChanges(long upToVersion, List<Row> rows) {
-        this(upToVersion, rows, UNKNOWN);
+        this(upToVersion, rows, UNKNOWN, false);
     }
 
     /** Returns changes without rows that are complete up to a version. */
--- a/src/main/java/org/siskindyke/kernel/table/TableReplica.java
+++ b/src/main/java/org/siskindyke/kernel/table/TableReplica.java
@@ -83,13 +83,13 @@
                 break;
             }
             if (changed.size() >= maxRows) {
-                return new TableChanges(entry.getKey() - 1, changed, sinceVersion);
+                return new TableChanges(entry.getKey() - 1, changed, sinceVersion, true);
             }
             for (RowPath path : entry.getValue()) {
                 changed.add(rows.get(path));
             }
         }
-        return new TableChanges(version, changed, sinceVersion);
+        return new TableChanges(version, changed, sinceVersion, false);
     }
 
     private boolean putIfNewer(Row row) {
--- a/src/main/java/org/siskindyke/kernel/table/TableService.java
+++ b/src/main/java/org/siskindyke/kernel/table/TableService.java
@@ -14,8 +14,8 @@
      * Reads replicated rows that changed after a version.
      *
      * @param version the version up to which the caller knows all changes; 0 for none
-     * @param maxRows approximate maximum number of rows to return, with {@code upToVersion} lowered to match; an
-     *     implementation may return more
+     * @param maxRows approximate maximum number of rows to return, with {@code upToVersion} lowered to match and the
+     *     changes marked as truncated; an implementation may return more
      * @return the changes; fails with {@code TABLE_UNAVAILABLE} when the table does not answer
      */
     CompletionStage<TableChanges> changesSince(long version, int maxRows);
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -248,7 +248,8 @@
                 .map(r -> new Row(RowPath.of(r.getPath()), r.getVersion(), r.getValue(), r.isDeleted()))
                 .toList();
         long sinceVersion = wire.isSetSinceVersion() ? wire.getSinceVersion() : TableChanges.UNKNOWN;
-        return new TableChanges(wire.getUpToVersion(), rows, sinceVersion);
+        // Nobody relies on gossip for all changes, so whether a peer has more does not matter.
+        return new TableChanges(wire.getUpToVersion(), rows, sinceVersion, false);
     }
 
     /**
--- a/src/main/java/org/siskindyke/standin/StoreStandin.java
+++ b/src/main/java/org/siskindyke/standin/StoreStandin.java
@@ -409,13 +409,18 @@
         ArrayNode rows = answer.putArray("rows");
         String table = parameter(query, "table", "");
         long asOfMillis = staleMillis == 0 ? Long.MAX_VALUE : clock.nowMillis() - staleMillis;
+        boolean hasMore = false;
         for (Map.Entry<String, RowHistory> entry : table(table).subMap(from, to).entrySet()) {
             StoredRow row = entry.getValue().at(asOfMillis);
-            if (rows.size() < limit && row != null && !row.deleted()) {
+            if (row != null && !row.deleted()) {
+                hasMore = rows.size() >= limit;
+                if (hasMore) {
+                    break;
+                }
                 append(rows, table, entry.getKey(), row);
             }
         }
-        answer.put("has_more", false);
+        answer.put("has_more", hasMore);
         responder.respond(json(OK, answer));
     }
 
