Refuse bodies that no other router takes, and bound those held at once

Found beside it: one body of 10 MB that is forwarded ends the connection between the two routers, and each one on which the request is sent again, until its deadline, with all other requests on them.

Cause: the configuration's limit on bodies (64 MiB there) was compared neither with the longest message between routers (9 MiB) nor with what the process can hold; each body is held in several forms.

Change: a listener reserves memory for bodies of more than 64 KiB when they are announced or as they grow: 8 MiB a body, a quarter of the heap in all. Beyond that the request is refused at once with 503 and a Retry-After, which is true, as it has not run. Short bodies are not counted.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -26,6 +26,7 @@
     private final MonotonicClock clock;
     private final HttpExchange.Handler handler;
     private final Supplier<CallerLimits> limits;
+    private final RequestMemory requestMemory = new RequestMemory();
     private final Set<HttpServerConnection> connections = new HashSet<>();
     private Channel channel;
     private boolean closing;
@@ -71,6 +72,10 @@
         connections.add(connection);
     }
 
+    RequestMemory requestMemory() {
+        return requestMemory;
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -54,6 +54,11 @@
     private static final long LINGER_MILLIS = 1_000;
 
     private static final int BAD_REQUEST = 400;
+    private static final int UNAVAILABLE = 503;
+    /** Refuses a request for whose body there is no memory now. */
+    private static final HttpExchange.Response NO_MEMORY =
+            new HttpExchange.Response(UNAVAILABLE, List.of(new Header("Retry-After", "0.5")), new byte[0]);
+
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
     private static final int URI_TOO_LONG = 414;
@@ -68,6 +73,7 @@
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
     private HttpRequest head;
     private CompositeByteBuf body;
+    private RequestMemory.Reservation bodyMemory;
     /** When the header section of the partly read request was complete. */
     private long headReadMillis;
 
@@ -88,13 +94,15 @@
     private static final class Exchange {
         private final boolean keepAlive;
         private final boolean headRequest;
+        private final RequestMemory.Reservation bodyMemory;
         private HttpExchange.Response response;
         private Cancellable work = Cancellable.NONE;
         private boolean abandoned;
 
-        private Exchange(boolean keepAlive, boolean headRequest) {
+        private Exchange(boolean keepAlive, boolean headRequest, RequestMemory.Reservation bodyMemory) {
             this.keepAlive = keepAlive;
             this.headRequest = headRequest;
+            this.bodyMemory = bodyMemory;
         }
     }
 
@@ -185,10 +193,16 @@
             return;
         }
         headReadMillis = clock.nowMillis();
-        if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
+        long announcedBytes = HttpUtil.getContentLength(request, 0L);
+        if (announcedBytes > listener.limits().maxBodyBytes()) {
             reject(TOO_LARGE);
             return;
         }
+        bodyMemory = listener.requestMemory().new Reservation();
+        if (!bodyMemory.growTo(announcedBytes)) {
+            reject(NO_MEMORY);
+            return;
+        }
         head = request;
         // The argument is the number of parts above which the buffer merges them; it does not limit the body.
         body = Unpooled.compositeBuffer(MAX_UNANSWERED * MAX_UNANSWERED);
@@ -210,11 +224,15 @@
             return;
         }
         ByteBuf bytes = content.content();
-        if (body.readableBytes() + (long) bytes.readableBytes()
-                > listener.limits().maxBodyBytes()) {
+        long readBytes = body.readableBytes() + (long) bytes.readableBytes();
+        if (readBytes > listener.limits().maxBodyBytes()) {
             reject(TOO_LARGE);
             return;
         }
+        if (!bodyMemory.growTo(readBytes)) {
+            reject(NO_MEMORY);
+            return;
+        }
         if (bytes.isReadable()) {
             body.addComponent(true, bytes.retain());
         }
@@ -226,9 +244,10 @@
     private void onRequestComplete() {
         HttpRequest request = head;
         byte[] bytes = ByteBufUtil.getBytes(body);
-        discardPartialRequest();
         Exchange exchange = new Exchange(
-                HttpUtil.isKeepAlive(request), request.method().name().equals("HEAD"));
+                HttpUtil.isKeepAlive(request), request.method().name().equals("HEAD"), bodyMemory);
+        bodyMemory = null;
+        discardPartialRequest();
         exchanges.add(exchange);
         if (!exchange.keepAlive) {
             ignoreInput = true;
@@ -254,11 +273,15 @@
 
     /** Rejects input that is not an acceptable request; responses to requests before it are still sent. */
     private void reject(int status) {
+        reject(HttpExchange.Response.empty(status));
+    }
+
+    private void reject(HttpExchange.Response response) {
         ignoreInput = true;
         discardPartialRequest();
-        Exchange exchange = new Exchange(false, false);
+        Exchange exchange = new Exchange(false, false, listener.requestMemory().new Reservation());
         exchanges.add(exchange);
-        onResponse(exchange, HttpExchange.Response.empty(status));
+        onResponse(exchange, response);
     }
 
     private void discardPartialRequest() {
@@ -267,6 +290,10 @@
             body.release();
             body = null;
         }
+        if (bodyMemory != null) {
+            bodyMemory.release();
+            bodyMemory = null;
+        }
     }
 
     private void onResponse(Exchange exchange, HttpExchange.Response response) {
@@ -289,6 +316,7 @@
     }
 
     private void write(Exchange exchange) {
+        exchange.bodyMemory.release();
         HttpExchange.Response response = exchange.response;
         ByteBuf content = exchange.headRequest ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(response.body());
         FullHttpResponse message = new DefaultFullHttpResponse(
@@ -327,6 +355,7 @@
         exchanges.clear();
         rest.forEach(e -> {
             e.abandoned = true;
+            e.bodyMemory.release();
             e.work.cancel();
         });
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerFrameCodec.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerFrameCodec.java
@@ -16,11 +16,8 @@
     private static final int LENGTH_BYTES = 4;
     private static final int FIELDS_LENGTH_BYTES = 3;
     private static final int HEADER_BYTES = 5 + FIELDS_LENGTH_BYTES;
-    /**
-     * Longest frame that is accepted. It must have room for the longest body that callers may send and its header
-     * fields; the configuration is not checked for that.
-     */
-    private static final int MAX_FRAME_BYTES = 9 * 1024 * 1024;
+    /** Longest frame that is accepted; {@link RequestMemory} refuses bodies for which it has no room. */
+    static final int MAX_FRAME_BYTES = 9 * 1024 * 1024;
 
     private final FieldCompression compression = new FieldCompression();
 
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -34,12 +34,15 @@
     /** Rounds of the event loop after which it has read the bytes that lie in the socket. */
     private static final int LOOP_ROUNDS = 4;
 
+    private static final CallerLimits LARGE_BODIES = new CallerLimits(16_384, 64L << 20, 3_000, 15_000);
+
     /** Time by which the loop is always behind. */
     private final AtomicLong lateMillis = new AtomicLong();
 
     private TrafficLoop traffic = new TrafficLoop();
     private final LinkedBlockingQueue<HttpExchange.Responder> started = new LinkedBlockingQueue<>();
     private final CountDownLatch cancelled = new CountDownLatch(1);
+    private CallerLimits limits = CallerLimits.DEFAULT;
     private int port;
     private HttpListener listener;
 
@@ -47,8 +50,8 @@
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
-        listener = new HttpListener(
-                traffic, () -> System.nanoTime() / 1_000_000, () -> CallerLimits.DEFAULT, (request, responder) -> {
+        listener =
+                new HttpListener(traffic, () -> System.nanoTime() / 1_000_000, () -> limits, (request, responder) -> {
                     started.add(responder);
                     return cancelled::countDown;
                 });
@@ -209,4 +212,65 @@
             assertTrue(status.startsWith("HTTP/1.1 431"), status);
         }
     }
+
+    private static String largeRequest(String path, long bodyBytes) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    }
+
+    private static String statusLine(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+    }
+
+    /**
+     * Guards against a router that stands still, as the bodies of its callers fill its memory. Refused at once, since
+     * the request has not run, and accepted again once another one is answered or its caller has left.
+     */
+    @Example
+    void aBodyBeyondTheMemoryForBodiesIsRefusedAndOneAfterItIsRead() throws Exception {
+        long bodyBytes = RequestMemory.MAX_BODY_BYTES;
+        limits = LARGE_BODIES;
+        try (Socket leaving = connect()) {
+            long room = new RequestMemory().maxBytes() / bodyBytes;
+            List<Socket> reading = new ArrayList<>();
+            for (int i = 0; i < room; i++) {
+                Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                reading.add(socket);
+                send(socket, largeRequest("/" + i, bodyBytes));
+            }
+            awaitUsedBytes(room * bodyBytes);
+            send(leaving, largeRequest("/refused", bodyBytes));
+            assertEquals("HTTP/1.1 503 Service Unavailable", statusLine(leaving));
+            try (Socket small = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                send(small, largeRequest("/small", 2) + "ok");
+                assertNotNull(started.poll(WAIT_SECONDS, TimeUnit.SECONDS), "a small body is refused");
+            }
+            for (Socket socket : reading) {
+                socket.close();
+            }
+            awaitUsedBytes(0);
+            try (Socket next = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                send(next, largeRequest("/next", bodyBytes) + "x".repeat((int) bodyBytes));
+                assertNotNull(started.poll(WAIT_SECONDS, TimeUnit.SECONDS), "memory is not released");
+            }
+        }
+    }
+
+    /** Guards against a body that no other router accepts in a message, which ends the connection between them. */
+    @Example
+    void aBodyTooLongForAMessageBetweenRoutersIsRefused() throws Exception {
+        limits = LARGE_BODIES;
+        try (Socket socket = connect()) {
+            send(socket, largeRequest("/", RequestMemory.MAX_BODY_BYTES + 1));
+            assertEquals("HTTP/1.1 503 Service Unavailable", statusLine(socket));
+        }
+    }
+
+    private void awaitUsedBytes(long expectedBytes) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        AtomicLong usedBytes = new AtomicLong(-1);
+        while (usedBytes.get() != expectedBytes) {
+            assertTrue(System.nanoTime() < endNanos, () -> usedBytes + " bytes are used");
+            runOnLoop(() -> usedBytes.set(listener.requestMemory().usedBytes()));
+        }
+    }
 }
