End a connection whose response names another call

Callers of a backend server that wrote one response twice got ANSWER_LOST for every later call on that connection, and for good: the client gave up the call that the copy reached, but sent the next call over the same connection, where it got the response of the call before.

Cause: BackendClient checked the echoed id after the connection had been released, so nothing ended the connection. A connection filter now closes it, gracefully, so that no later call is sent over it. A response that cannot be told from the right one (a server that does not echo the id) is not affected.

Ruled out: a server that writes the copy and the response at once. RawHttpServer also reads the id from siskindyke-call-id.

BackendClientTest.aResponseThatNamesAnotherCallEndsItsConnection, with a server that stays one response behind: before, "call 2 ==> expected: <200> but was: <0>"; after, it passes.

--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -33,12 +33,17 @@
      *
      * @param target the backend server
      * @param connections number of open connections that are tried before a new one is opened; not a limit on their
-     *     number, see {@link Http#client(String, int, Http.Protocol, int, int)}
+     *     number, see {@link Http#client(String, int, Http.Protocol, int, int, StreamingHttpConnectionFilterFactory)}
      */
     public BackendClient(TargetAnnouncement target, int connections) {
         this.target = target;
-        this.client =
-                Http.client(target.host(), target.port(), Http.Protocol.HTTP_1_1, connections, MAX_RESPONSE_BYTES);
+        this.client = Http.client(
+                target.host(),
+                target.port(),
+                Http.Protocol.HTTP_1_1,
+                connections,
+                MAX_RESPONSE_BYTES,
+                new CallIdFilter());
     }
 
     /**
@@ -114,9 +119,8 @@
     }
 
     private static Reply toReply(Call call, HttpResponse response) {
-        CharSequence echoed = response.headers().get(Headers.CALL_ID);
-        // A response that echoes another id belongs to another call; this call may have run.
-        if (echoed != null && !echoed.toString().equals(call.id())) {
+        // This call may have run, although the response belongs to another.
+        if (CallIdFilter.namesOther(response.headers().get(Headers.CALL_ID), call.id())) {
             return Reply.mayHaveRun(Refusal.ANSWER_LOST);
         }
         CharSequence notRun = response.headers().get(Headers.NOT_RUN);
--- a/src/main/java/org/siskindyke/runtime/http/Http.java
+++ b/src/main/java/org/siskindyke/runtime/http/Http.java
@@ -13,6 +13,8 @@
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.HttpService;
 import io.servicetalk.http.api.SingleAddressHttpClientBuilder;
+import io.servicetalk.http.api.StreamingHttpConnectionFilter;
+import io.servicetalk.http.api.StreamingHttpConnectionFilterFactory;
 import io.servicetalk.http.netty.DefaultHttpLoadBalancerFactory;
 import io.servicetalk.http.netty.H2KeepAlivePolicies;
 import io.servicetalk.http.netty.HttpClients;
@@ -37,6 +39,9 @@
     /** Largest header section of a response, with interim responses before it and a first part of its body. */
     private static final int MAX_RESPONSE_HEAD_BYTES = 1024 * 1024;
 
+    private static final StreamingHttpConnectionFilterFactory NO_FILTER =
+            connection -> new StreamingHttpConnectionFilter(connection) {};
+
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final Duration PING_WHEN_IDLE = Duration.ofSeconds(1);
     private static final Duration PING_TIMEOUT = Duration.ofSeconds(1);
@@ -112,7 +117,7 @@
 
     /** Creates a client of one address with the default search space. */
     public static HttpClient client(String host, int port, Protocol protocol) {
-        return client(host, port, protocol, DEFAULT_SEARCH_SPACE, DEFAULT_MAX_RESPONSE_BYTES);
+        return client(host, port, protocol, DEFAULT_SEARCH_SPACE, DEFAULT_MAX_RESPONSE_BYTES, NO_FILTER);
     }
 
     /**
@@ -123,9 +128,16 @@
      * @param protocol the protocol
      * @param searchSpace the number of open connections that are tried before a new one is opened
      * @param maxResponseBytes the largest body of a response; a longer one closes its connection
+     * @param connectionFilter a filter of all requests and responses on each connection
      * @return the client
      */
-    public static HttpClient client(String host, int port, Protocol protocol, int searchSpace, int maxResponseBytes) {
+    public static HttpClient client(
+            String host,
+            int port,
+            Protocol protocol,
+            int searchSpace,
+            int maxResponseBytes,
+            StreamingHttpConnectionFilterFactory connectionFilter) {
         SingleAddressHttpClientBuilder<HostAndPort, InetSocketAddress> builder =
                 HttpClients.forResolvedAddress(HostAndPort.of(host, port));
         if (protocol == Protocol.HTTP_1_1) {
@@ -136,6 +148,7 @@
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .socketOption(StandardSocketOptions.TCP_NODELAY, true)
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .appendConnectionFilter(connectionFilter)
                 .appendClientFilter(new PayloadSizeLimitingHttpRequesterFilter(maxResponseBytes))
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
                 .loadBalancerFactory(DefaultHttpLoadBalancerFactory.Builder.from(
--- a/src/test/java/org/siskindyke/RawHttpServer.java
+++ b/src/test/java/org/siskindyke/RawHttpServer.java
@@ -16,7 +16,7 @@
 
 /** A server on loopback that writes whatever bytes a test wants to the connection of each request. */
 public final class RawHttpServer implements AutoCloseable {
-    private static final Pattern ID = Pattern.compile("(?i)(?:x-siskindyke-request-)?id: *(\\S+)");
+    private static final Pattern ID = Pattern.compile("(?i)(?:x-siskindyke-request-|siskindyke-call-)?id: *(\\S+)");
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
 
     private final ServerSocket listener;
--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -1,9 +1,13 @@
 package org.siskindyke.runtime.call;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 import net.jqwik.api.Example;
+import org.siskindyke.RawHttpServer;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.SchedulingAttributes;
 import org.siskindyke.kernel.call.Verdict;
@@ -20,6 +24,10 @@
 
 class BackendClientTest {
     private static final ServiceName SERVICE = ServiceName.of("records");
+    private static final BackendClient.Grant GRANT =
+            new BackendClient.Grant(MemberId.of(InstanceName.of("i"), 1), 0, Long.MAX_VALUE);
+    private static final int OK = 200;
+    private static final int CALLS = 20;
     private static final long TIMEOUT_MILLIS = 10_000;
     /** The limit of a body in chunks of one byte, each with five bytes of framing, and socket buffers. */
     private static final long MAX_SENT_BYTES = 32L * 1024 * 1024;
@@ -43,43 +51,124 @@
         assertCut(EndlessServer.Kind.HEAD);
     }
 
+    /** Guards against a connection whose requests and responses stay off by one after a late copy of a response. */
+    @Example
+    void aResponseThatNamesAnotherCallEndsItsConnection() throws Exception {
+        assertAnswersEverySecondCall(() -> new Stutter(id -> response(OK, echo(id))));
+        assertAnswersEverySecondCall(() -> new OneBehind(id -> response(OK, echo(id))));
+    }
+
+    private static void assertAnswersEverySecondCall(Supplier<RawHttpServer.Script> scripts) throws Exception {
+        try (RawHttpServer server = new RawHttpServer(scripts);
+                BackendClient client = client(server.address())) {
+            for (int i = 0; i < CALLS; i += 2) {
+                assertEquals(OK, statusOf(send(client, "c" + i)), "call " + i);
+                assertEquals(Refusal.ANSWER_LOST, send(client, "c" + (i + 1)).refusal(), "call " + (i + 1));
+            }
+        }
+    }
+
+    /** Guards against answers that are dropped although their server never names calls, as it may. */
+    @Example
+    void responsesOfAServerThatNeverNamesCallsAreAcceptedOnOneConnection() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        try (RawHttpServer server = new RawHttpServer(() -> {
+                    connections.incrementAndGet();
+                    return id -> response(OK, "");
+                });
+                BackendClient client = client(server.address())) {
+            for (int i = 0; i < CALLS; i++) {
+                assertEquals(OK, statusOf(send(client, "c" + i)), "call " + i);
+            }
+            assertEquals(1, connections.get());
+        }
+    }
+
+    /** Writes each response once more, late, in front of the next one on its connection. */
+    private static final class Stutter implements RawHttpServer.Script {
+        private final RawHttpServer.Script script;
+        private String previous = "";
+
+        private Stutter(RawHttpServer.Script script) {
+            this.script = script;
+        }
+
+        @Override
+        public String respond(String id) {
+            String copy = previous;
+            previous = script.respond(id);
+            return copy + previous;
+        }
+    }
+
+    /** Writes the first response twice, and from then on each response only after the next request. */
+    private static final class OneBehind implements RawHttpServer.Script {
+        private final RawHttpServer.Script script;
+        private String previous;
+
+        private OneBehind(RawHttpServer.Script script) {
+            this.script = script;
+        }
+
+        @Override
+        public String respond(String id) {
+            String response = script.respond(id);
+            String written = previous == null ? response : previous;
+            previous = response;
+            return written;
+        }
+    }
+
+    private static String echo(String id) {
+        return "siskindyke-call-id: " + id + "\r\n";
+    }
+
+    private static String response(int status, String fields) {
+        return "HTTP/1.1 " + status + " Status\r\n" + fields + "content-length: 2\r\n\r\nok";
+    }
+
+    /** Sends a call with a body. */
+    private static Reply send(BackendClient client, String id) throws Exception {
+        return send(client, call(id, "PUT", new byte[] {'b'}));
+    }
+
+    private static Reply send(BackendClient client, Call call) throws Exception {
+        return client.send(call, GRANT, TIMEOUT_MILLIS).toFuture().get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the status of a reply; 0 where it is no answer. */
+    private static int statusOf(Reply reply) {
+        return reply.isAnswer() ? reply.status() : 0;
+    }
+
     private static void assertCut(EndlessServer.Kind kind) throws Exception {
         try (EndlessServer server = new EndlessServer(kind);
-                BackendClient client = client(server)) {
-            BackendClient.Grant grant =
-                    new BackendClient.Grant(MemberId.of(InstanceName.of("i"), 1), 0, Long.MAX_VALUE);
-            Reply reply = client.send(call(), grant, TIMEOUT_MILLIS)
-                    .toFuture()
-                    .get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                BackendClient client = client(server.address())) {
+            Reply reply = send(client, call("c1", "GET", new byte[0]));
             assertEquals(Verdict.MAY_HAVE_RUN, reply.verdict(), kind::name);
             assertEquals(Refusal.ANSWER_LOST, reply.refusal(), kind::name);
             assertTrue(server.sentBytes() <= MAX_SENT_BYTES, () -> kind + ": " + server.sentBytes() + " bytes");
         }
     }
 
-    private static BackendClient client(EndlessServer server) {
+    private static BackendClient client(InetSocketAddress address) {
         return new BackendClient(
                 new TargetAnnouncement(
-                        SERVICE,
-                        TargetName.of("t"),
-                        server.address().getHostString(),
-                        server.address().getPort(),
-                        true,
-                        true),
+                        SERVICE, TargetName.of("t"), address.getHostString(), address.getPort(), true, true),
                 1);
     }
 
-    private static Call call() {
+    private static Call call(String id, String method, byte[] body) {
         return new Call(
-                "c1",
+                id,
                 ClientAccount.UNKNOWN,
                 SERVICE,
                 null,
                 null,
-                "GET",
+                method,
                 "/a",
                 List.of(),
-                new byte[0],
+                body,
                 TIMEOUT_MILLIS,
                 true,
                 SchedulingAttributes.DEFAULT);
