Send a call over each connection of BackendClient once

Callers got the response of an earlier run of their call: a call that was sent again, under its id, over the connection that had carried it got a late copy of the first response, which names the same id.

Cause: an id names a call, not one of its runs, so the check of the echoed id cannot tell the two apart. A connection now refuses an id that it has carried and closes; the call goes on to another connection, with nothing sent on the refusing one.

Another design, an id for each run on the wire, was ruled out: backend servers may tell repeated calls by their id.

BackendClientTest.aCallThatIsSentAgainIsNotAnsweredWithACopyOfItsFirst- Response: before, "second run of call 0 ==> expected: <500> but was: <200>"; after, it passes. 600 calls take two connections, and 20 runs of one call take 20.

--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -85,12 +85,18 @@
         if (call.body().length > 0) {
             request.payloadBody(DEFAULT_ALLOCATOR.wrap(call.body()));
         }
-        return client.request(request)
+        return request(request)
                 .map(response -> toReply(call, response))
                 .timeout(Duration.ofMillis(Math.max(1, remainingMillis)))
                 .onErrorReturn(BackendClient::toReply);
     }
 
+    /** Sends a request over a connection that has not carried its call id. Each other one that is tried is closed. */
+    private Single<HttpResponse> request(HttpRequest request) {
+        return client.request(request)
+                .onErrorResume(CallIdFilter.AlreadyCarriedException.class, notSent -> request(request));
+    }
+
     /**
      * Extends the time during which a backend server that checks grants may run calls of a member.
      *
--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -27,7 +27,11 @@
     private static final BackendClient.Grant GRANT =
             new BackendClient.Grant(MemberId.of(InstanceName.of("i"), 1), 0, Long.MAX_VALUE);
     private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
     private static final int CALLS = 20;
+    /** More than one connection carries. */
+    private static final int MANY_CALLS = 600;
+
     private static final long TIMEOUT_MILLIS = 10_000;
     /** The limit of a body in chunks of one byte, each with five bytes of framing, and socket buffers. */
     private static final long MAX_SENT_BYTES = 32L * 1024 * 1024;
@@ -68,6 +72,41 @@
         }
     }
 
+    /** Guards against a call that is sent again and gets a late copy of the response of its first run. */
+    @Example
+    void aCallThatIsSentAgainIsNotAnsweredWithACopyOfItsFirstResponse() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        try (RawHttpServer server = new RawHttpServer(() ->
+                        new Stutter(id -> response(runs.getAndIncrement() % 2 == 0 ? OK : SERVER_ERROR, echo(id))));
+                BackendClient client = client(server.address())) {
+            for (int i = 0; i < CALLS; i++) {
+                Reply first = send(client, "c" + i);
+                assertTrue(!first.isAnswer() || first.status() == OK, "first run of call " + i);
+                assertEquals(SERVER_ERROR, statusOf(send(client, "c" + i)), "second run of call " + i);
+            }
+        }
+    }
+
+    /** Guards against a call that finds only connections that have carried it, and against keeping ids for ever. */
+    @Example
+    void aCallThatIsSentAgainFindsAWayHoweverManyCallsAConnectionHasCarried() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        try (RawHttpServer server = new RawHttpServer(() -> {
+                    connections.incrementAndGet();
+                    return id -> response(OK, echo(id));
+                });
+                BackendClient client = client(server.address())) {
+            for (int i = 0; i < MANY_CALLS; i++) {
+                assertEquals(OK, statusOf(send(client, "c" + i)), "call " + i);
+            }
+            assertEquals(2, connections.get(), "connections");
+            for (int i = 0; i < CALLS; i++) {
+                assertEquals(OK, statusOf(send(client, "again")), "run " + i);
+            }
+            assertEquals(1 + CALLS, connections.get(), "connections");
+        }
+    }
+
     /** Guards against answers that are dropped although their server never names calls, as it may. */
     @Example
     void responsesOfAServerThatNeverNamesCallsAreAcceptedOnOneConnection() throws Exception {
