End a connection after a response that names no call

Callers got a response to another call: a backend server that echoes call ids, but not in every response (an error page of its framework, say), wrote one without an id late or twice, and the next call on the connection took it.

Cause: a response without an id is accepted from every server, since a server need not echo ids. A server that has echoed one is now known to do so; its responses without an id still reach their calls, but end their connections.

BackendClientTest.aCopyOfAResponseWithoutIdIsNotTakenForThatOfALaterCall: before, "expected: <200> but was: <500>"; after, it passes.

--- a/src/main/java/org/siskindyke/runtime/call/CallIdFilter.java
+++ b/src/main/java/org/siskindyke/runtime/call/CallIdFilter.java
@@ -21,6 +21,9 @@
     /** Calls that a connection carries, at most, since it remembers their ids. */
     private static final int MAX_CALLS = 512;
 
+    /** Whether the backend server has ever named a call in a response. */
+    private volatile boolean echoesIds;
+
     @Override
     public StreamingHttpConnectionFilter create(FilterableStreamingHttpConnection connection) {
         return new CheckedConnection(connection);
@@ -40,7 +43,7 @@
         return echoedId != null && !callId.contentEquals(echoedId);
     }
 
-    private static final class CheckedConnection extends StreamingHttpConnectionFilter {
+    private final class CheckedConnection extends StreamingHttpConnectionFilter {
         private final Set<String> carriedIds = ConcurrentHashMap.newKeySet();
 
         private CheckedConnection(FilterableStreamingHttpConnection connection) {
@@ -68,8 +71,11 @@
         }
 
         private void check(String callId, StreamingHttpResponse response) {
-            // After a response to another call, that to this one may still arrive, ahead of those to later calls.
-            if (namesOther(response.headers().get(Headers.CALL_ID), callId) || carriedIds.size() >= MAX_CALLS) {
+            CharSequence echoedId = response.headers().get(Headers.CALL_ID);
+            echoesIds |= echoedId != null;
+            // After it, the response to this call or a copy of it may still arrive, ahead of those to later calls.
+            boolean isUncertain = namesOther(echoedId, callId) || echoedId == null && echoesIds;
+            if (isUncertain || carriedIds.size() >= MAX_CALLS) {
                 closeAsyncGracefully().subscribe();
             }
         }
--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -87,6 +87,21 @@
         }
     }
 
+    /** Guards against late copies of responses without an id, from a server that names the call in others. */
+    @Example
+    void aCopyOfAResponseWithoutIdIsNotTakenForThatOfALaterCall() throws Exception {
+        try (RawHttpServer server = new RawHttpServer(() -> new OneBehind(
+                        id -> id.startsWith("unnamed") ? response(SERVER_ERROR, "") : response(OK, echo(id))));
+                BackendClient client = client(server.address())) {
+            assertEquals(OK, statusOf(send(client, "named")));
+            assertEquals(Refusal.ANSWER_LOST, send(client, "lost").refusal());
+            for (int i = 0; i < CALLS; i++) {
+                assertEquals(SERVER_ERROR, statusOf(send(client, "unnamed" + i)), "call " + i);
+            }
+            assertEquals(OK, statusOf(send(client, "last")));
+        }
+    }
+
     /** Guards against a call that finds only connections that have carried it, and against keeping ids for ever. */
     @Example
     void aCallThatIsSentAgainFindsAWayHoweverManyCallsAConnectionHasCarried() throws Exception {
