Renew grants over connections of their own

Callers got 204, the response to a renewal of a grant, as the answer to their call: a backend server that checks grants wrote that response twice, the second time in front of the response to the call that came next on the connection. A renewal has no call id, so the copy of its response names no call and is accepted unless the server has echoed an id before.

Renewals now have connections of their own, so a late copy reaches at most the next renewal, which takes any response as a sign of life. Ruled out: an id on renewals, since a server that echoes call ids need not echo that one.

--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -27,6 +27,8 @@
 
     private final TargetAnnouncement target;
     private final HttpClient client;
+    /** A late copy of a response to a renewal names no call; on connections of its own it reaches none. */
+    private final HttpClient renewalClient;
 
     /**
      * Creates a client.
@@ -44,6 +46,7 @@
                 connections,
                 MAX_RESPONSE_BYTES,
                 new CallIdFilter());
+        this.renewalClient = Http.client(target.host(), target.port(), Http.Protocol.HTTP_1_1);
     }
 
     /**
@@ -105,15 +108,16 @@
      *     within a short timeout
      */
     public Completable renewGrant(Grant grant) {
-        HttpRequest request = client.put("/siskindyke/grant");
+        HttpRequest request = renewalClient.put("/siskindyke/grant");
         request.headers().set(Headers.MEMBER, grant.member().value());
         request.headers().set(Headers.GRANT_END, Long.toString(grant.endMillis()));
-        return client.request(request).timeout(GRANT_RENEWAL_TIMEOUT).toCompletable();
+        return renewalClient.request(request).timeout(GRANT_RENEWAL_TIMEOUT).toCompletable();
     }
 
     @Override
     public void close() {
         client.closeAsyncGracefully().subscribe();
+        renewalClient.closeAsyncGracefully().subscribe();
     }
 
     private static HttpRequestMethod.Properties properties(String method) {
--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -27,6 +27,7 @@
     private static final BackendClient.Grant GRANT =
             new BackendClient.Grant(MemberId.of(InstanceName.of("i"), 1), 0, Long.MAX_VALUE);
     private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
     private static final int SERVER_ERROR = 500;
     private static final int CALLS = 20;
     /** More than one connection carries. */
@@ -102,6 +103,20 @@
         }
     }
 
+    /** Guards against calls that get late copies of responses to renewals of grants, which name no call. */
+    @Example
+    void aCopyOfAResponseToARenewalIsNotTakenForThatOfACall() throws Exception {
+        try (RawHttpServer server = new RawHttpServer(() ->
+                        new OneBehind(id -> id.equals("none") ? response(NO_CONTENT, "") : response(OK, echo(id))));
+                BackendClient client = client(server.address())) {
+            for (int i = 0; i < CALLS; i++) {
+                client.renewGrant(GRANT).toFuture().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                Reply reply = send(client, "c" + i);
+                assertTrue(!reply.isAnswer() || reply.status() == OK, "call " + i + " got the response to a renewal");
+            }
+        }
+    }
+
     /** Guards against a call that finds only connections that have carried it, and against keeping ids for ever. */
     @Example
     void aCallThatIsSentAgainFindsAWayHoweverManyCallsAConnectionHasCarried() throws Exception {
@@ -178,7 +193,8 @@
     }
 
     private static String response(int status, String fields) {
-        return "HTTP/1.1 " + status + " Status\r\n" + fields + "content-length: 2\r\n\r\nok";
+        String length = status == NO_CONTENT ? "" : "content-length: 2\r\n";
+        return "HTTP/1.1 " + status + " Status\r\n" + fields + length + "\r\n" + (length.isEmpty() ? "" : "ok");
     }
 
     /** Sends a call with a body. */
