Count the runs of a request id at the backend server

A request that a running request made counted as not nested, so it got less time to wait for a slot or a grant and was withdrawn too early when its router stopped: its parent's id had come through two routers, ran twice at a time, and one of the runs had ended.

Cause: BackendDispatcher kept the ids of running requests in a set, and the first run to end removed the mark of the other. It now counts runs. The only users are the check for nested requests and the log line calls-cut-by-stop, which names each id once as before.

RunsOfOneIdTest: before, the line of the failed request "twice.1" has "nested":false; after, "nested":true.

--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
@@ -65,7 +65,9 @@
     private final PacedAdmission admission;
     private final AdmissionQueue queue;
     private final List<DispatchedCall> waitingForGrant = new ArrayList<>();
-    private final Set<String> runningRequestIds = new HashSet<>();
+    /** Number of runs by request id; a request that comes through two routers may run twice at a time. */
+    private final Map<String, Integer> runsByRequestId = new HashMap<>();
+
     private volatile LocalTargetInfo target;
     private HttpClientPool pool;
     /** Whether the backend server takes new calls. */
@@ -210,7 +212,7 @@
 
     /** Returns whether the backend server is running a request. */
     boolean isRunning(String requestId) {
-        return runningRequestIds.contains(requestId);
+        return runsByRequestId.containsKey(requestId);
     }
 
     /** Returns the number of responses that belonged to no awaited request. May be called on any thread. */
@@ -220,7 +222,7 @@
 
     /** Returns the ids of the requests that the backend server runs. */
     public List<String> running() {
-        return List.copyOf(runningRequestIds);
+        return List.copyOf(runsByRequestId.keySet());
     }
 
     /** Returns the number of slots in use. */
@@ -402,7 +404,7 @@
 
         private void onAdmitted() {
             holdsSlot = true;
-            runningRequestIds.add(call.id());
+            runsByRequestId.merge(call.id(), 1, Integer::sum);
             long nowMillis = clock.nowMillis();
             if (call.slice() != null && !isGranted()) {
                 // The grant was dropped or ended while the call waited for the slot.
@@ -508,7 +510,7 @@
         private void releaseSlot() {
             if (holdsSlot) {
                 holdsSlot = false;
-                runningRequestIds.remove(call.id());
+                runsByRequestId.computeIfPresent(call.id(), (id, runs) -> runs == 1 ? null : runs - 1);
                 timer.cancel();
                 admission.releaseSlot();
                 leaveSuspectLane();
