Send 100 after the responses to earlier requests

A caller that pipelines a request with "Expect: 100-continue" behind another one got the 100 in front of the response to that other request, so it belonged to the wrong one and the caller went on waiting for its own. HTTP/1.1 responses are told apart by their order alone.

Cause: HttpServerConnection wrote the 100 as soon as it had read the header section, past the queue of unanswered requests. It now writes it once that queue is empty.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -71,6 +71,9 @@
     /** When the header section of the partly read request was complete. */
     private long headReadMillis;
 
+    /** Whether the caller waits to be asked for the body of the partly read request. */
+    private boolean continueDue;
+
     private long idleSinceMillis;
     private boolean ignoreInput;
     private boolean closeAfterLastResponse;
@@ -169,7 +172,7 @@
                 return;
             }
             if (message instanceof HttpRequest request) {
-                onHead(context, request);
+                onHead(request);
             }
             if (message instanceof HttpContent content && head != null) {
                 onContent(content);
@@ -179,7 +182,7 @@
         }
     }
 
-    private void onHead(ChannelHandlerContext context, HttpRequest request) {
+    private void onHead(HttpRequest request) {
         if (request.decoderResult().isFailure()) {
             reject(statusOf(request.decoderResult()));
             return;
@@ -192,11 +195,20 @@
         head = request;
         // The argument is the number of parts above which the buffer merges them; it does not limit the body.
         body = Unpooled.compositeBuffer(MAX_UNANSWERED * MAX_UNANSWERED);
-        if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        continueDue = HttpUtil.is100ContinueExpected(request);
+        if (continueDue && exchanges.isEmpty()) {
+            writeContinue();
+            channel.flush();
         }
     }
 
+    /** Asks for the body of the partly read request; called once all requests before it have responses. */
+    private void writeContinue() {
+        continueDue = false;
+        channel.write(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE), channel.voidPromise());
+    }
+
     private static int statusOf(DecoderResult result) {
         if (result.cause() instanceof TooLongHttpLineException) {
             return URI_TOO_LONG;
@@ -263,6 +275,7 @@
 
     private void discardPartialRequest() {
         head = null;
+        continueDue = false;
         if (body != null) {
             body.release();
             body = null;
@@ -280,6 +293,9 @@
             wrote = true;
         }
         if (wrote) {
+            if (continueDue && exchanges.isEmpty()) {
+                writeContinue();
+            }
             channel.flush();
             idleSinceMillis = clock.nowMillis();
             if (exchanges.size() < MAX_UNANSWERED && !channel.config().isAutoRead()) {
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -9,7 +9,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +33,9 @@
  */
 class HttpListenerTest {
     private static final int WAIT_SECONDS = 10;
+    private static final int SEEDS = 50;
+    private static final int MAX_PIPELINED = 8;
+    private static final int FIRST_STATUS = 400;
     /** Rounds of the event loop after which it has read the bytes that lie in the socket. */
     private static final int LOOP_ROUNDS = 4;
 
@@ -179,6 +184,65 @@
         }
     }
 
+    /** Guards against responses that reach a caller in place of those to other requests on its connection. */
+    @Example
+    void eachPipelinedRequestGetsItsOwnResponseWhateverTheOrderOfTheResponses() throws Exception {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            int requests = 2 + random.nextInt(MAX_PIPELINED - 1);
+            int answered = 1 + random.nextInt(requests);
+            try (Socket socket = connect()) {
+                StringBuilder sent = new StringBuilder();
+                for (int i = 0; i < requests; i++) {
+                    String close = i == answered - 1 ? "Connection: close\r\n" : "";
+                    sent.append("GET / HTTP/1.1\r\nHost: h\r\nId: one-for-all\r\n" + close + "\r\n");
+                }
+                send(socket, sent.toString());
+                List<Runnable> responses = new ArrayList<>();
+                List<String> expected = new ArrayList<>();
+                for (int i = 0; i < answered; i++) {
+                    HttpExchange.Responder responder = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+                    HttpExchange.Response response = HttpExchange.Response.empty(FIRST_STATUS + i);
+                    responses.add(() -> {
+                        responder.respond(response);
+                        responder.respond(HttpExchange.Response.empty(FIRST_STATUS + MAX_PIPELINED));
+                    });
+                    expected.add(Integer.toString(FIRST_STATUS + i));
+                }
+                Collections.shuffle(responses, random);
+                responses.forEach(traffic::execute);
+                assertEquals(expected, statuses(socket), "seed " + seed);
+            }
+        }
+        assertEquals(0, started.size());
+    }
+
+    /** Guards against an interim response that a caller takes for one to an earlier request. */
+    @Example
+    void anInterimResponseIsSentAfterTheResponsesToEarlierRequests() throws Exception {
+        try (Socket socket = connect()) {
+            send(
+                    socket,
+                    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPOST /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                            + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+            HttpExchange.Responder first = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            runOnLoop(() -> first.respond(HttpExchange.Response.empty(201)));
+            send(socket, "body");
+            HttpExchange.Responder second = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            traffic.execute(() -> second.respond(HttpExchange.Response.empty(202)));
+            assertEquals(List.of("201", "100", "202"), statuses(socket));
+        }
+    }
+
+    /** Returns the statuses of all responses, interim ones too, up to the end of the connection. */
+    private static List<String> statuses(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                .lines()
+                .filter(line -> line.startsWith("HTTP/1.1"))
+                .map(line -> line.substring(9, 12))
+                .toList();
+    }
+
     @Example
     void requestsOfAmbiguousLengthAreRejectedAndNothingBehindThemRuns() throws Exception {
         List<String> bad = List.of(
