--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -27,18 +27,26 @@
 
     private final TargetAnnouncement target;
     private final HttpClient client;
+    /** A late copy of a response to a renewal names no call; on connections of its own it reaches none. */
+    private final HttpClient renewalClient;
 
     /**
      * Creates a client.
      *
      * @param target the backend server
      * @param connections number of open connections that are tried before a new one is opened; not a limit on their
-     *     number, see {@link Http#client(String, int, Http.Protocol, int, int)}
+     *     number, see {@link Http#client(String, int, Http.Protocol, int, int, StreamingHttpConnectionFilterFactory)}
      */
     public BackendClient(TargetAnnouncement target, int connections) {
         this.target = target;
-        this.client =
-                Http.client(target.host(), target.port(), Http.Protocol.HTTP_1_1, connections, MAX_RESPONSE_BYTES);
+        this.client = Http.client(
+                target.host(),
+                target.port(),
+                Http.Protocol.HTTP_1_1,
+                connections,
+                MAX_RESPONSE_BYTES,
+                new CallIdFilter());
+        this.renewalClient = Http.client(target.host(), target.port(), Http.Protocol.HTTP_1_1);
     }
 
     /**
@@ -80,12 +88,18 @@
         if (call.body().length > 0) {
             request.payloadBody(DEFAULT_ALLOCATOR.wrap(call.body()));
         }
-        return client.request(request)
+        return request(request)
                 .map(response -> toReply(call, response))
                 .timeout(Duration.ofMillis(Math.max(1, remainingMillis)))
                 .onErrorReturn(BackendClient::toReply);
     }
 
+    /** Sends a request over a connection that has not carried its call id. Each other one that is tried is closed. */
+    private Single<HttpResponse> request(HttpRequest request) {
+        return client.request(request)
+                .onErrorResume(CallIdFilter.AlreadyCarriedException.class, notSent -> request(request));
+    }
+
     /**
      * Extends the time during which a backend server that checks grants may run calls of a member.
      *
@@ -94,15 +108,16 @@
      *     within a short timeout
      */
     public Completable renewGrant(Grant grant) {
-        HttpRequest request = client.put("/siskindyke/grant");
+        HttpRequest request = renewalClient.put("/siskindyke/grant");
         request.headers().set(Headers.MEMBER, grant.member().value());
         request.headers().set(Headers.GRANT_END, Long.toString(grant.endMillis()));
-        return client.request(request).timeout(GRANT_RENEWAL_TIMEOUT).toCompletable();
+        return renewalClient.request(request).timeout(GRANT_RENEWAL_TIMEOUT).toCompletable();
     }
 
     @Override
     public void close() {
         client.closeAsyncGracefully().subscribe();
+        renewalClient.closeAsyncGracefully().subscribe();
     }
 
     private static HttpRequestMethod.Properties properties(String method) {
@@ -114,9 +129,8 @@
     }
 
     private static Reply toReply(Call call, HttpResponse response) {
-        CharSequence echoed = response.headers().get(Headers.CALL_ID);
-        // A response that echoes another id belongs to another call; this call may have run.
-        if (echoed != null && !echoed.toString().equals(call.id())) {
+        // This call may have run, although the response belongs to another.
+        if (CallIdFilter.namesOther(response.headers().get(Headers.CALL_ID), call.id())) {
             return Reply.mayHaveRun(Refusal.ANSWER_LOST);
         }
         CharSequence notRun = response.headers().get(Headers.NOT_RUN);
