--- a/src/test/java/org/siskindyke/RawHttpServer.java
+++ b/src/test/java/org/siskindyke/RawHttpServer.java
@@ -32,6 +32,20 @@
         List<String> respond(Request request);
     }
 
+    /** A script that needs the id of a request only, and writes its bytes at once. */
+    public interface TextScript {
+        /** Returns the bytes to write after a request with the given id was read, as above. */
+        String respond(String requestId);
+    }
+
+    /** Starts a server as the constructor does, with scripts of the simpler form. */
+    public static RawHttpServer ofTexts(Supplier<TextScript> scripts) throws IOException {
+        return new RawHttpServer(() -> {
+            TextScript script = scripts.get();
+            return request -> List.of(script.respond(request.id()));
+        });
+    }
+
     /** Starts a server that takes a new script for each connection. */
     public RawHttpServer(Supplier<Script> scripts) throws IOException {
         this.scripts = scripts;
--- a/src/test/java/org/siskindyke/platform/RunsOfOneIdTest.java
+++ b/src/test/java/org/siskindyke/platform/RunsOfOneIdTest.java
@@ -58,7 +58,7 @@
     @Example
     void requestsOfARunAreNestedThoughAnotherRunOfItsIdHasEnded() throws Exception {
         ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
-        try (RawHttpServer server = new RawHttpServer(() -> this::respond)) {
+        try (RawHttpServer server = RawHttpServer.ofTexts(() -> this::respond)) {
             runs.put(0, new CountDownLatch(1));
             runs.put(1, new CountDownLatch(1));
             cluster.configure(CONFIGURATION);
--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -63,8 +63,8 @@
         assertAnswersEverySecondCall(() -> new OneBehind(id -> response(OK, echo(id))));
     }
 
-    private static void assertAnswersEverySecondCall(Supplier<RawHttpServer.Script> scripts) throws Exception {
-        try (RawHttpServer server = new RawHttpServer(scripts);
+    private static void assertAnswersEverySecondCall(Supplier<RawHttpServer.TextScript> scripts) throws Exception {
+        try (RawHttpServer server = RawHttpServer.ofTexts(scripts);
                 BackendClient client = client(server.address())) {
             for (int i = 0; i < CALLS; i += 2) {
                 assertEquals(OK, statusOf(send(client, "c" + i)), "call " + i);
@@ -77,7 +77,7 @@
     @Example
     void aCallThatIsSentAgainIsNotAnsweredWithACopyOfItsFirstResponse() throws Exception {
         AtomicInteger runs = new AtomicInteger();
-        try (RawHttpServer server = new RawHttpServer(() ->
+        try (RawHttpServer server = RawHttpServer.ofTexts(() ->
                         new Stutter(id -> response(runs.getAndIncrement() % 2 == 0 ? OK : SERVER_ERROR, echo(id))));
                 BackendClient client = client(server.address())) {
             for (int i = 0; i < CALLS; i++) {
@@ -91,7 +91,7 @@
     /** Guards against late copies of responses without an id, from a server that names the call in others. */
     @Example
     void aCopyOfAResponseWithoutIdIsNotTakenForThatOfALaterCall() throws Exception {
-        try (RawHttpServer server = new RawHttpServer(() -> new OneBehind(
+        try (RawHttpServer server = RawHttpServer.ofTexts(() -> new OneBehind(
                         id -> id.startsWith("unnamed") ? response(SERVER_ERROR, "") : response(OK, echo(id))));
                 BackendClient client = client(server.address())) {
             assertEquals(OK, statusOf(send(client, "named")));
@@ -106,7 +106,7 @@
     /** Guards against calls that get late copies of responses to renewals of grants, which name no call. */
     @Example
     void aCopyOfAResponseToARenewalIsNotTakenForThatOfACall() throws Exception {
-        try (RawHttpServer server = new RawHttpServer(() ->
+        try (RawHttpServer server = RawHttpServer.ofTexts(() ->
                         new OneBehind(id -> id.equals("none") ? response(NO_CONTENT, "") : response(OK, echo(id))));
                 BackendClient client = client(server.address())) {
             for (int i = 0; i < CALLS; i++) {
@@ -121,7 +121,7 @@
     @Example
     void aCallThatIsSentAgainFindsAWayHoweverManyCallsAConnectionHasCarried() throws Exception {
         AtomicInteger connections = new AtomicInteger();
-        try (RawHttpServer server = new RawHttpServer(() -> {
+        try (RawHttpServer server = RawHttpServer.ofTexts(() -> {
                     connections.incrementAndGet();
                     return id -> response(OK, echo(id));
                 });
@@ -141,7 +141,7 @@
     @Example
     void responsesOfAServerThatNeverNamesCallsAreAcceptedOnOneConnection() throws Exception {
         AtomicInteger connections = new AtomicInteger();
-        try (RawHttpServer server = new RawHttpServer(() -> {
+        try (RawHttpServer server = RawHttpServer.ofTexts(() -> {
                     connections.incrementAndGet();
                     return id -> response(OK, "");
                 });
@@ -154,11 +154,11 @@
     }
 
     /** Writes each response once more, late, in front of the next one on its connection. */
-    private static final class Stutter implements RawHttpServer.Script {
-        private final RawHttpServer.Script script;
+    private static final class Stutter implements RawHttpServer.TextScript {
+        private final RawHttpServer.TextScript script;
         private String previous = "";
 
-        private Stutter(RawHttpServer.Script script) {
+        private Stutter(RawHttpServer.TextScript script) {
             this.script = script;
         }
 
@@ -171,11 +171,11 @@
     }
 
     /** Writes the first response twice, and from then on each response only after the next request. */
-    private static final class OneBehind implements RawHttpServer.Script {
-        private final RawHttpServer.Script script;
+    private static final class OneBehind implements RawHttpServer.TextScript {
+        private final RawHttpServer.TextScript script;
         private String previous;
 
-        private OneBehind(RawHttpServer.Script script) {
+        private OneBehind(RawHttpServer.TextScript script) {
             this.script = script;
         }
 
