--- a/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
+++ b/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
@@ -88,6 +88,26 @@
         assertFalse(grants.isCurrent(heartbeat(2, 1, List.of())));
     }
 
+    /** Guards against order numbers that are compared with those of an earlier incarnation under the same id. */
+    @Example
+    void orderNumbersOfAnIncarnationAreNotComparedWithThoseOfTheOneBefore() {
+        List<String> released = new ArrayList<>();
+        GrantReply first = grants.onHeartbeat(heartbeat(1, 50, List.of()), slices(3, 0, 1), LATE_LEASE_END_MILLIS, 0);
+        grants.revoke(List.of(0), 1, () -> released.add("before the restart"));
+        grants.onHeartbeat(heartbeat(1, 51, activeRanges(first)), slices(3, 0, 1), LATE_LEASE_END_MILLIS, 2);
+        assertEquals(List.of(), released);
+
+        assertTrue(grants.isCurrent(heartbeat(2, 1, List.of())));
+        GrantReply second = grants.onHeartbeat(heartbeat(2, 1, List.of()), slices(3, 0, 1), LATE_LEASE_END_MILLIS, 3);
+        assertEquals(List.of("before the restart"), released);
+        grants.revoke(List.of(1), 4, () -> released.add("after the restart"));
+        grants.onHeartbeat(heartbeat(2, 2, activeRanges(second)), slices(3, 0, 1), LATE_LEASE_END_MILLIS, 5);
+        assertFalse(grants.isCurrent(heartbeat(1, 52, List.of())));
+        assertEquals(List.of("before the restart"), released);
+        grants.onHeartbeat(heartbeat(2, 3, List.of()), slices(3, 0, 1), LATE_LEASE_END_MILLIS, 6);
+        assertEquals(List.of("before the restart", "after the restart"), released);
+    }
+
     @Example
     void aRestartedRouterKeepsTheTokenGrantedBeforeItsRestart() {
         GrantReply before = grants.onHeartbeat(heartbeat(1, 1, List.of()), slices(3, 0, 1), LATE_LEASE_END_MILLIS, 0);
