Let only one of two moves of a slice after a restore commit

Cause: both wrote a listing of the slice in rows that the other's transaction had no condition on. ASSIGN of lost slices replaces the row of the slices without an owner and requires the rows that list them; TAKEOVER requires the predecessor's rows as the earlier era had them, which still hold, and its own row.

Change: the first move of a slice in an era replaces that row, too, from a view that is complete up to it (EraMoves). Predecessors are taken over from, and slices without an owner assigned, only once the rows of all serving members are known, as was asked of other declarations.

--- a/src/main/java/org/siskindyke/kernel/control/AssignmentPlanner.java
+++ b/src/main/java/org/siskindyke/kernel/control/AssignmentPlanner.java
@@ -98,7 +98,7 @@
             createSlices(document, unassigned);
             return;
         }
-        if (!unassigned.slices().isEmpty()) {
+        if (!unassigned.slices().isEmpty() && EraMoves.mayMoveOthers(context.view(), List.of(service))) {
             assign(service, unassigned, members);
         }
     }
--- a/src/main/java/org/siskindyke/kernel/control/DeadMemberDetector.java
+++ b/src/main/java/org/siskindyke/kernel/control/DeadMemberDetector.java
@@ -121,7 +121,7 @@
         boolean due = found.isPresent()
                 && !id.equals(context.self())
                 && settled.test(nowMillis)
-                && knowsAllListings()
+                && TakeoverPlan.mayDeclareDead(context.view(), found.get())
                 && nowMillis >= retryAtMillis.getOrDefault(id, Long.MIN_VALUE);
         if (!due || !declaring.add(id)) {
             return;
@@ -133,14 +133,6 @@
         writer.submit(transaction, nowMillis, outcome -> onDeclared(dead, plan, reason, outcome));
     }
 
-    /**
-     * Returns whether a slice that two rows list would be known as such. Before the table is restored for the first
-     * time there is none, and the conditions on the rows decide who moves a slice.
-     */
-    private boolean knowsAllListings() {
-        return context.era() == 0 || context.view().isRecorded();
-    }
-
     private void onDeclared(MemberRow dead, TakeoverPlan plan, String reason, CommitOutcome outcome) {
         declaring.remove(dead.id());
         retryAtMillis.put(dead.id(), context.nowMillis() + RETRY_MILLIS);
--- a/src/main/java/org/siskindyke/kernel/control/LostSlices.java
+++ b/src/main/java/org/siskindyke/kernel/control/LostSlices.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
@@ -46,7 +47,8 @@
     /**
      * Adds the slices of a service that no row has listed in their latest generation for as long as a lease lasts, so
      * that no backend server is granted them any more. Does nothing while a member may have rows that this one does not
-     * know.
+     * know. Where the slices were moved in the present era, the conditions on the rows that list them decide between
+     * this and other moves; {@link EraMoves} does where they were not.
      */
     void plan(ServiceDocument document, SliceOwnershipRow unassigned) {
         ServiceName service = document.service();
@@ -58,12 +60,19 @@
             return;
         }
         long sinceMillis = missingSinceMillis.computeIfAbsent(service, s -> nowMillis);
-        if (nowMillis >= sinceMillis + context.settings().lease().expiryTimeoutMillis() && adding.add(service)) {
+        boolean due = nowMillis >= sinceMillis + context.settings().lease().expiryTimeoutMillis();
+        if (due && isComplete(service) && adding.add(service)) {
             missingSinceMillis.remove(service);
-            add(document, unassigned, missing, rows);
+            add(document, unassigned, missing);
         }
     }
 
+    /** Returns whether this member knows no listing of a service that is later than the changes it has all of. */
+    private boolean isComplete(ServiceName service) {
+        long version = context.view().replica().version();
+        return rowsOf(service).allMatch(row -> row.revision() <= version);
+    }
+
     /** Returns the rows of serving members; one that is dead serves nobody, whatever its row lists. */
     private List<Row> servingRowsOf(ServiceName service) {
         return rowsOf(service)
@@ -104,10 +113,20 @@
                 .toList();
     }
 
-    private void add(ServiceDocument document, SliceOwnershipRow unassigned, List<Integer> missing, List<Row> rows) {
+    private void add(ServiceDocument document, SliceOwnershipRow unassigned, List<Integer> missing) {
         ServiceName service = document.service();
+        List<Row> listing = rowsThatList(service, Set.copyOf(missing))
+                .filter(row -> !row.path().isUnassigned())
+                .toList();
+        List<Row> conditions = listing.subList(0, Math.min(MAX_CONDITIONS, listing.size()));
+        Set<Integer> left = listing.stream()
+                .skip(conditions.size())
+                .flatMap(row -> decoded(service, row.path()).slices().stream())
+                .map(OwnedSlice::index)
+                .collect(Collectors.toSet());
         long settleMillis = TakeoverPlan.settleMillis(document);
         List<OwnedSlice> slices = missing.stream()
+                .filter(index -> !left.contains(index))
                 .map(index -> new OwnedSlice(index, generation(new SliceRef(service, index)), 0))
                 .map(slice -> slice.reassigned(settleMillis, context.era()))
                 .toList();
@@ -116,12 +135,7 @@
                         unassigned.path(),
                         context.view().revision(unassigned.path()),
                         RowCodec.encode(unassigned.plus(slices)));
-        Set<Integer> indexes = new HashSet<>(missing);
-        Stream.concat(rowsThatList(service, indexes), rows.stream())
-                .filter(row -> !row.path().equals(unassigned.path()))
-                .distinct()
-                .limit(MAX_CONDITIONS)
-                .forEach(row -> transaction.require(row.path(), row.revision()));
+        conditions.forEach(row -> transaction.require(row.path(), row.revision()));
         writer.submit(transaction.build(), context.nowMillis(), outcome -> {
             adding.remove(service);
             sync.refresh();
--- a/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
@@ -194,8 +194,9 @@
     private void join(MemberId grantor) {
         Optional<MemberRow> known = predecessorFinder.find(context.view());
         wantedTargets = targetsAtJoin(wantedTargets, known);
-        Optional<MemberRow> endedPredecessor =
-                known.filter(member -> context.view().isRecordedInPresentEra(member.id()));
+        Optional<MemberRow> endedPredecessor = known.filter(
+                        member -> context.view().isRecordedInPresentEra(member.id()))
+                .filter(member -> TakeoverPlan.mayDeclareDead(context.view(), member));
         MemberRow joining = new MemberRow(
                 row.id(),
                 row.instance(),
@@ -239,6 +240,9 @@
             noPredecessorAsOfChanges = changes;
             return;
         }
+        if (!TakeoverPlan.mayDeclareDead(context.view(), predecessor.get())) {
+            return;
+        }
         nextWriteMillis = nowMillis + RETRY_WRITE_MILLIS;
         TakeoverPlan plan = TakeoverPlan.declareDead(context.view(), predecessor.get(), row.id(), row);
         writing = true;
--- a/src/main/java/org/siskindyke/kernel/control/ReleaseController.java
+++ b/src/main/java/org/siskindyke/kernel/control/ReleaseController.java
@@ -95,7 +95,9 @@
         ServiceName service = release.service();
         SliceOwnershipRow mine = context.view().ownershipRow(service, context.self());
         List<OwnedSlice> moving = ownedSlices(release);
-        if (moving.size() != slices.size() || !newOwnerAccepts(release)) {
+        boolean isFirst = EraMoves.isFirst(context.view(), moving);
+        boolean known = !isFirst || EraMoves.isComplete(context.view(), service);
+        if (moving.size() != slices.size() || !newOwnerAccepts(release) || !known) {
             finish(release, slices, false);
             return;
         }
@@ -110,6 +112,9 @@
         if (release.newOwner() != null) {
             transaction.require(
                     RowPath.member(release.newOwner()), context.view().members().revision(release.newOwner()));
+            if (isFirst) {
+                EraMoves.rewriteUnassigned(context.view(), service, transaction);
+            }
         }
         long era = context.era();
         writer.submit(transaction.build(), context.nowMillis(), outcome -> {
--- a/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
+++ b/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
@@ -71,6 +71,11 @@
         return slices;
     }
 
+    /** Returns whether a view knows enough of the slices of a member to declare it dead. */
+    static boolean mayDeclareDead(ClusterView view, MemberRow member) {
+        return EraMoves.mayMoveOthers(view, servicesOf(member));
+    }
+
     private static List<ServiceName> servicesOf(MemberRow member) {
         return member.targets().stream()
                 .map(TargetAnnouncement::service)
@@ -87,7 +92,8 @@
         }
         transaction.put(row.path(), RowCodec.encode(new SliceOwnershipRow(service, dead.id(), List.of())));
         long settleMillis = settleMillis(service, dead);
-        List<OwnedSlice> reassigned = view.ownedSlices(service, dead.id()).stream()
+        List<OwnedSlice> before = view.ownedSlices(service, dead.id());
+        List<OwnedSlice> reassigned = before.stream()
                 .map(s -> s.reassigned(Math.max(s.settleMillis(), settleMillis), view.era()))
                 .toList();
         slices += reassigned.size();
@@ -96,8 +102,11 @@
                 : chooseNewOwners(view, service, dead.id(), Optional.of(dead));
         if (newOwners.isEmpty()) {
             addTo(RowPath.unassigned(service), service, null, reassigned);
-        } else {
-            share(service, reassigned, newOwners, joining);
+            return;
+        }
+        share(service, reassigned, newOwners, joining);
+        if (EraMoves.isFirst(view, before)) {
+            EraMoves.rewriteUnassigned(view, service, transaction);
         }
     }
 
--- a/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
@@ -23,6 +23,11 @@
         this(index, generation, settleMillis, null);
     }
 
+    /** Returns whether the slice got its generation by a change of owner in an era of the table or a later one. */
+    public boolean isMovedIn(long era) {
+        return generation > era << GENERATION_BITS;
+    }
+
     /**
      * Returns the slice for its next owner, without handover data.
      *
--- a/src/test/java/org/siskindyke/kernel/control/FakeMember.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -51,6 +51,12 @@
     private boolean paused;
     private boolean lost;
     private boolean left;
+    /** Whether the process was killed and the next one of this instance has not started yet. */
+    private boolean killed;
+    /** Start of the first controller whose process was not killed; callbacks of earlier ones are dropped. */
+    private int firstLiveStart;
+    /** Until when the backend server keeps the grants of a killed process, in the time of the simulation. */
+    private final Map<SliceRef, Long> keptGrantsUntilMillis = new HashMap<>();
     /** Number of controllers created so far; ticks, replies and idle reports for an earlier one are dropped. */
     private int startCount;
 
@@ -67,7 +73,7 @@
         MemberId self = MemberId.of(InstanceName.of(instance), world.nextIncarnation());
         startCount++;
         pausedSlices.clear();
-        table = new FakeTable(world, this);
+        table = new FakeTable(world, this, startCount);
         ControlContext context = new ControlContext(
                 self,
                 SETTINGS,
@@ -98,9 +104,20 @@
                 policy,
                 world.parts.holder(),
                 world.parts.grantor(LeaseSettings.DEFAULT));
+        if (world.membersFindPredecessors) {
+            controller.setPredecessorFinder(view -> findPredecessor(view, self));
+        }
         tickLater(startCount);
     }
 
+    /** Returns an earlier process of this instance, which has ended since an instance runs one at a time. */
+    private Optional<MemberRow> findPredecessor(ClusterView view, MemberId self) {
+        return view.members().serving().stream()
+                .filter(member -> member.instance().value().equals(instance)
+                        && !member.id().equals(self))
+                .findFirst();
+    }
+
     private void tickLater(int startNumber) {
         world.schedule(FakeWorld.TICK_MILLIS, () -> {
             if (startNumber == startCount && !isGone()) {
@@ -127,7 +144,7 @@
     }
 
     boolean isGone() {
-        return lost || left;
+        return lost || left || killed;
     }
 
     void pause() {
@@ -146,6 +163,33 @@
         deferred.clear();
     }
 
+    /** Ends the process at once; its backend server keeps the grants until the lease ends. */
+    void kill() {
+        for (int i = 0; i < world.slices; i++) {
+            SliceRef slice = new SliceRef(FakeWorld.SERVICE, i);
+            if (canServe(slice)) {
+                keptGrantsUntilMillis.put(slice, trueLeaseEndMillis());
+            }
+        }
+        killed = true;
+        paused = false;
+        deferred.clear();
+        firstLiveStart = startCount + 1;
+    }
+
+    /** Starts the next process of an instance whose process was killed. */
+    void restart() {
+        killed = false;
+        start();
+    }
+
+    /** Returns whether the backend server of this member may run calls of a slice. */
+    boolean mayRun(SliceRef slice) {
+        boolean renewsGrants = !isGone() && controller.lease().isValid(clockMillis());
+        boolean keepsGrant = !renewsGrants && world.nowMillis() < keptGrantsUntilMillis.getOrDefault(slice, 0L);
+        return keepsGrant || !paused && canServe(slice);
+    }
+
     void leave() {
         run(() -> {
             controller.leave();
@@ -196,6 +240,15 @@
         }
     }
 
+    /** Runs an action of the process with a start number, unless that process was killed. */
+    void run(int startNumber, Runnable action) {
+        run(() -> {
+            if (startNumber >= firstLiveStart) {
+                action.run();
+            }
+        });
+    }
+
     // Messages
 
     private void send(MemberRow to, Consumer<FakeMember> delivery) {
@@ -290,6 +343,7 @@
         long idleMillis = world.nowMillis();
         for (SliceRef slice : slices) {
             idleMillis = Math.max(idleMillis, busyUntilMillis.getOrDefault(slice, 0L));
+            idleMillis = Math.max(idleMillis, keptGrantsUntilMillis.getOrDefault(slice, 0L));
         }
         int startNumber = startCount;
         world.schedule(idleMillis - world.nowMillis(), () -> run(() -> ifCurrent(startNumber, whenIdle)));
@@ -304,7 +358,13 @@
 
     @Override
     public void onDeclaredDead(MemberId declaredBy) {
-        world.schedule(REJOIN_MILLIS, () -> run(this::start));
+        int startNumber = startCount;
+        world.schedule(REJOIN_MILLIS, () -> run(() -> ifCurrent(startNumber, this::start)));
+    }
+
+    @Override
+    public void onPlacement(PlacementDecision decision) {
+        world.recordPlacement(controller.row().id(), decision);
     }
 
     @Override
--- a/src/test/java/org/siskindyke/kernel/control/FakeTable.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeTable.java
@@ -17,17 +17,20 @@
 /** One member's access to the shared table, with delays, outages, lost requests and lost answers. */
 final class FakeTable implements TableService {
     private static final long TIMEOUT_MILLIS = 800;
+    private static final long MAX_LATE_MILLIS = 3_000;
 
     private final FakeWorld world;
     private final FakeMember member;
+    private final int startNumber;
     private int polls;
     private int otherCalls;
     /** The era that the last answer named, which operations are meant for. */
     private long knownEra;
 
-    FakeTable(FakeWorld world, FakeMember member) {
+    FakeTable(FakeWorld world, FakeMember member, int startNumber) {
         this.world = world;
         this.member = member;
+        this.startNumber = startNumber;
     }
 
     @Override
@@ -65,7 +68,8 @@
             return CompletableFuture.failedStage(new SiskindykeException(
                     ErrorCode.TABLE_UNAVAILABLE, "refused a transaction of " + entries + " entries"));
         }
-        return call(() -> world.table.commit(transaction));
+        boolean late = world.happens(world.tableFaults.lateWritePercent);
+        return call(() -> world.table.commit(transaction), late ? world.delayUpTo(MAX_LATE_MILLIS) : 0);
     }
 
     @Override
@@ -75,10 +79,14 @@
 
     /** Executes an operation some time later; without effect if a new era has begun by then. */
     private <T> CompletionStage<T> call(Supplier<CompletionStage<T>> operation) {
+        return call(operation, 0);
+    }
+
+    private <T> CompletionStage<T> call(Supplier<CompletionStage<T>> operation, long lateMillis) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         FakeWorld.FakeTableFaults faults = world.tableFaults;
         long era = knownEra;
-        world.schedule(world.delayUpTo(faults.maxDelayMillis), () -> {
+        world.schedule(lateMillis + world.delayUpTo(faults.maxDelayMillis), () -> {
             if (faults.down || world.happens(faults.loseRequestPercent)) {
                 return;
             }
@@ -90,22 +98,26 @@
         });
         world.schedule(
                 TIMEOUT_MILLIS,
-                () -> member.run(() -> answer.completeExceptionally(
-                        new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "no answer"))));
+                () -> member.run(
+                        startNumber,
+                        () -> answer.completeExceptionally(
+                                new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "no answer"))));
         return answer;
     }
 
     private <T> void deliver(CompletableFuture<T> answer, T value) {
         FakeWorld.FakeTableFaults faults = world.tableFaults;
         if (!faults.down && !world.happens(faults.loseAnswerPercent)) {
-            world.schedule(world.delayUpTo(faults.maxDelayMillis), () -> member.run(() -> answer.complete(value)));
+            world.schedule(
+                    world.delayUpTo(faults.maxDelayMillis),
+                    () -> member.run(startNumber, () -> answer.complete(value)));
         }
     }
 
     private <T> void refuse(CompletableFuture<T> answer, long era) {
         world.schedule(
                 world.delayUpTo(world.tableFaults.maxDelayMillis),
-                () -> member.run(() -> {
+                () -> member.run(startNumber, () -> {
                     knownEra = Math.max(knownEra, era);
                     answer.completeExceptionally(
                             new SiskindykeException(ErrorCode.TABLE_UNAVAILABLE, "table is of era " + era));
--- a/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
@@ -42,6 +42,10 @@
     final LeaseParts parts;
     final int slices;
     final boolean checksGrants;
+    /** Whether a member knows that earlier members of its instance have ended. */
+    boolean membersFindPredecessors;
+
+    private final List<String> placements = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final List<RuntimeException> internalErrors = new ArrayList<>();
     private long nowMillis;
@@ -85,6 +89,9 @@
         boolean down;
         int loseRequestPercent;
         int loseAnswerPercent;
+        /** Share of the writes that take effect long after their answer is no longer waited for. */
+        int lateWritePercent;
+
         long maxDelayMillis = 10;
     }
 
@@ -176,7 +183,9 @@
             event.action().run();
             if (!internalErrors.isEmpty()) {
                 throw new AssertionError(
-                        "a member reported an internal error at " + nowMillis + " ms", internalErrors.get(0));
+                        "a member reported an internal error, "
+                                + internalErrors.get(0).getMessage() + ", " + describe(),
+                        internalErrors.get(0));
             }
         }
         nowMillis = endMillis;
@@ -199,6 +208,22 @@
         return -1;
     }
 
+    void recordPlacement(MemberId by, PlacementDecision decision) {
+        placements.add(nowMillis + " ms " + by + ": " + decision);
+    }
+
+    /** Fails if the backend servers of two members may run calls of one slice. */
+    void checkOneOwner() {
+        for (int i = 0; i < slices; i++) {
+            SliceRef slice = new SliceRef(SERVICE, i);
+            List<FakeMember> owners =
+                    members.stream().filter(member -> member.mayRun(slice)).toList();
+            if (owners.size() > 1) {
+                throw new AssertionError(slice + " may run at " + owners + ", " + describe());
+            }
+        }
+    }
+
     int unservedSlices() {
         int unserved = 0;
         for (int i = 0; i < slices; i++) {
@@ -234,6 +259,8 @@
                 .filter(r -> !r.value().contains("[]"))
                 .forEach(r ->
                         text.append(System.lineSeparator()).append("  row ").append(r));
+        placements.forEach(
+                p -> text.append(System.lineSeparator()).append("  placement ").append(p));
         return text.toString();
     }
 }
