Record the slices of a member that joins again after a restore

What callers would see: one key run at two backend servers after a second restore.

Cause: a join committed with the slices of the predecessor, the table was restored before the answer arrived, and the member had read the rows meanwhile. Its transaction counts as a conflict, so it joined anew in the next era, without the row of its slices, which it went on serving. Others took it for recorded with all its rows, and gave the slices to others from the predecessor's row of an earlier era. Ruled out: the rule of EraMoves, since the generations differ.

Change: a join writes the member's own ownership rows of earlier eras again. It then takes over from a predecessor afterwards, as from one of an earlier era.

--- a/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
@@ -191,11 +191,19 @@
         return announced.isEmpty() ? predecessor.map(MemberRow::targets).orElse(announced) : announced;
     }
 
+    /**
+     * Joins the table, and takes over from a predecessor in the same transaction where the view knows enough. A member
+     * that has joined in an earlier era, but did not get the answer, may have read which slices it got by that; it
+     * records them again.
+     */
     private void join(MemberId grantor) {
         Optional<MemberRow> known = predecessorFinder.find(context.view());
         wantedTargets = targetsAtJoin(wantedTargets, known);
-        Optional<MemberRow> endedPredecessor = known.filter(
-                        member -> context.view().isRecordedInPresentEra(member.id()))
+        List<Row> ownFromEarlierEra = EraRecovery.rowsOf(context.view(), row.id(), context.era()).stream()
+                .filter(earlier -> earlier.path().isIn(RowPath.SLICE_OWNERSHIPS))
+                .toList();
+        Optional<MemberRow> endedPredecessor = known.filter(member -> ownFromEarlierEra.isEmpty())
+                .filter(member -> context.view().isRecordedInPresentEra(member.id()))
                 .filter(member -> TakeoverPlan.mayDeclareDead(context.view(), member));
         MemberRow joining = new MemberRow(
                 row.id(),
@@ -211,6 +219,7 @@
                 wantedDepartures);
         Transaction.Builder transaction =
                 Transaction.builder().replace(RowPath.member(row.id()), 0, RowCodec.encode(joining));
+        transaction.addAll(EraRecovery.writeAgain(ownFromEarlierEra));
         Optional<TakeoverPlan> takeover =
                 endedPredecessor.map(member -> TakeoverPlan.declareDead(context.view(), member, row.id(), joining));
         takeover.ifPresent(plan -> transaction.addAll(plan.transaction().build()));
--- a/src/test/java/org/siskindyke/kernel/control/OwnershipAfterRestoresTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/OwnershipAfterRestoresTest.java
@@ -38,6 +38,12 @@
                 .forEach(seed -> new RestoreHistory(seed).run());
     }
 
+    /** Guards against a member that joins again without its slices, since a restore kept the answer to its join. */
+    @Example
+    void aMemberThatJoinsAgainAfterARestoreRecordsTheSlicesThatItKnowsToOwn() {
+        new RestoreHistory(-8255287024366507497L).run();
+    }
+
     /**
      * Runs histories and prints how long slices were not served; -Dsoak.seed sets the seed from which their seeds are
      * drawn, -Dsoak.runs their number.
