Write a member's rows again only after it has read the new era

What callers would see: one key run at two backend servers after two restores.

Cause: a member wrote its rows again as soon as it heard of a restore. Between that write and its commit it learned by gossip, in the earlier era, of a slice that it had been given before the restore. It served the slice, but its row of the present era did not list it, and replaced the one that did. Another member, which knew the slice in the row of a process of the copy only, took it over from there. Ruled out: the rule of EraMoves, since only one of the two moves was made in the present era.

--- a/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberRegistration.java
@@ -454,6 +454,10 @@
             adoptStoredRow(stored);
             return;
         }
+        if (!context.hasReadPresentEra()) {
+            // Until then, rows of earlier eras may arrive that list slices which the rows written would lack.
+            return;
+        }
         if (!lease.isValid(nowMillis) && !settled.test(nowMillis)) {
             // This member may have been declared dead, which others then write again.
             return;
--- a/src/test/java/org/siskindyke/kernel/control/OwnershipAfterRestoresTest.java
+++ b/src/test/java/org/siskindyke/kernel/control/OwnershipAfterRestoresTest.java
@@ -44,6 +44,12 @@
         new RestoreHistory(-8255287024366507497L).run();
     }
 
+    /** Guards against a member that writes its rows again and then learns of a slice that these do not list. */
+    @Example
+    void aMemberServesNoSliceThatItLearnsOfAfterItHasWrittenItsRowsAgain() {
+        new RestoreHistory(8904819893465365930L).run();
+    }
+
     /**
      * Runs histories and prints how long slices were not served; -Dsoak.seed sets the seed from which their seeds are
      * drawn, -Dsoak.runs their number.
