Reply to a heartbeat before the join once there is a grant

Callers saw keyed requests, and requests whose runs call a divided service, fail or be refused for about a heartbeat interval longer than the router beside the owner needs to start again.

Ruled out: grants that lapse while the router is away as the cause of most responses 500.

Change: until a router has granted anything since its start, the reply to a heartbeat of a divided service waits until its member has joined and has a lease, for at most 0.8 of the interval and 800 ms, since a reply counts for a second. The grant counts from when the heartbeat was received, so it ends within the lease as before.

--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -342,7 +342,12 @@
                 targets.acknowledge(
                         heartbeat,
                         member,
-                        () -> traffic.execute(() -> onReply.accept(reply)),
+                        () -> targets.reply(
+                                heartbeat,
+                                reply,
+                                () -> member,
+                                () -> configuration.settings(heartbeat.service()),
+                                granted -> traffic.execute(() -> onReply.accept(granted))),
                         error -> traffic.execute(() -> onRefused.accept(error)));
             } catch (SiskindykeException e) {
                 traffic.execute(() -> onRefused.accept(e));
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.siskindyke.kernel.balance.LeavingTargets;
 import org.siskindyke.kernel.control.MemberController;
@@ -54,12 +55,15 @@
     private final EventLog log;
     private final TargetGrants grants;
     private final TargetDepartures departures;
+    private final DeferredReply deferredReply;
     private Duration drain;
     private TargetHeartbeat lastHeartbeat;
     private InetSocketAddress address;
     private boolean divided;
     private boolean leaving;
     private boolean lost;
+    /** Whether a heartbeat was replied to with a grant since this router started. */
+    private boolean hasGranted;
     /** When a backend server of a divided service that leaves stops taking new calls. */
     private long servesUntilMillis;
     /** Whether the dispatcher was last told that the backend server takes new calls. */
@@ -88,6 +92,7 @@
         this.startMillis = clock.nowMillis();
         this.grants = grants;
         this.departures = new TargetDepartures(settings, clock, log);
+        this.deferredReply = new DeferredReply(clock, settings.heartbeat());
     }
 
     /** Sets the drain time, within which a leaving backend server stops getting new calls. */
@@ -168,6 +173,7 @@
                     previousStartMillis);
         }
         GrantReply reply = grants.onHeartbeat(heartbeat, ownedSlices(member), leaseEndMillis(member), nowMillis);
+        hasGranted |= divided && reply.renews();
         member.setTargets(announcements());
         if (newlyLeaving) {
             beginDrain(nowMillis);
@@ -196,6 +202,50 @@
         }
     }
 
+    /**
+     * Replies to a heartbeat that may be acknowledged. If it was not granted anything because this router has only just
+     * started and its member has not joined or has no lease yet, first waits for that.
+     *
+     * @param heartbeat a heartbeat that {@link #onHeartbeat} has processed
+     * @param reply what {@link #onHeartbeat} has returned
+     * @param currentMember returns this router's member
+     * @param serviceSettings returns the settings of the backend server's service; empty if no configuration names it
+     * @param onReply receives the reply
+     */
+    void reply(
+            TargetHeartbeat heartbeat,
+            GrantReply reply,
+            Supplier<MemberController> currentMember,
+            Supplier<Optional<ServiceSettings>> serviceSettings,
+            Consumer<GrantReply> onReply) {
+        boolean undivided =
+                serviceSettings.get().filter(service -> !service.divided()).isPresent();
+        if (reply.renews() || undivided || heartbeat != lastHeartbeat || leaving || hasGranted) {
+            onReply.accept(reply);
+            return;
+        }
+        long receivedMillis = lastHeartbeatMillis;
+        deferredReply.await(
+                () -> renew(heartbeat, receivedMillis, currentMember.get(), serviceSettings.get()), onReply);
+    }
+
+    /** Returns the grant for a heartbeat that was received before; none if another has been received since. */
+    private GrantReply renew(
+            TargetHeartbeat heartbeat,
+            long receivedMillis,
+            MemberController member,
+            Optional<ServiceSettings> serviceSettings) {
+        boolean isDivided = serviceSettings.map(ServiceSettings::divided).orElse(false);
+        if (heartbeat != lastHeartbeat || leaving || !isDivided || leaseEndMillis(member) <= clock.nowMillis()) {
+            return GrantReply.NO_RENEWAL;
+        }
+        divided = true;
+        GrantReply reply = grants.onHeartbeat(heartbeat, ownedSlices(member), leaseEndMillis(member), receivedMillis);
+        hasGranted = reply.renews();
+        updateDispatcher(heartbeat, serviceSettings);
+        return reply;
+    }
+
     private static TargetDeparture departureOf(TargetHeartbeat heartbeat) {
         return new TargetDeparture(heartbeat.target(), heartbeat.startMillis());
     }
@@ -345,6 +395,7 @@
     void tick(MemberController member) {
         long nowMillis = clock.nowMillis();
         grants.tick(nowMillis);
+        deferredReply.tick();
         if (departures.tick(member)) {
             onDeparturesRead(member);
         }
