Check in soaks that an answer is that of its run of the request

Change: backend stand-ins number the runs of a request and sign each with a signature of its own; the body names it too. Callers send one of five requests that may be repeated again under the same id, beside the attempt before, after its answer or after they left, half of these at the same router. A new invariant asks that a success or a signed failure is what a server answered to a run of this request which began after this attempt was sent, with the same status. Checks that looked up a request by its id look up the attempt where answers are concerned; they are as strict as before for requests that are sent once.

Ruled out: the run's start time instead of a signature, as two runs may begin within one millisecond.

--- a/src/main/java/org/siskindyke/soak/SoakCallers.java
+++ b/src/main/java/org/siskindyke/soak/SoakCallers.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -47,6 +48,13 @@
     private static final int MAX_PATIENCE_MILLIS = 250;
     private static final int UNLIMITED_PATIENCE = -1;
 
+    /** One of this many requests that may be repeated is sent again, under the same id. */
+    private static final int REQUESTS_PER_REPEATED = 5;
+
+    private static final int MAX_REPEATS = 3;
+    /** Delays after the attempt before; the longest leaves time for late copies of its response. */
+    private static final List<Integer> MAX_REPEAT_DELAYS_MILLIS = List.of(1, 100, 3_000);
+
     private static final int OK = 200;
 
     private final Consumer<SoakEvent> journal;
@@ -56,6 +64,19 @@
     private volatile int version = 1;
     private volatile int crashingRequest;
 
+    /** A request, which may be sent several times. */
+    private record Call(String route, String path, String id, int key, String body) {}
+
+    /**
+     * One more attempt of a request.
+     *
+     * @param router the router to send it to
+     * @param atOnce whether it is sent beside the attempt before, rather than after its end
+     * @param delayMillis how much later it is sent
+     * @param patienceMillis as of the first attempt
+     */
+    private record Repeat(String router, boolean atOnce, int delayMillis, int patienceMillis) {}
+
     /**
      * Starts sending requests.
      *
@@ -107,7 +128,8 @@
         long count = nextId.incrementAndGet();
         String router = routers.get((int) (count % routers.size()));
         String id = CRASH_ID + number + "-" + count;
-        send(client, router, UNSAFE, UNSAFE + "crash/" + number + "/5", id, -1, "crash", UNLIMITED_PATIENCE);
+        Call call = new Call(UNSAFE, UNSAFE + "crash/" + number + "/5", id, -1, "crash");
+        send(client, router, call, 0, UNLIMITED_PATIENCE);
     }
 
     private void sendRequest(HttpClient client, String router, Random random) {
@@ -115,33 +137,64 @@
         String route = choice < 6 ? SAFE : choice < 9 ? UNSAFE : MARK + version + "/";
         int key = route.equals(SAFE) ? random.nextInt(KEYS) : -1;
         String id = "c" + nextId.incrementAndGet();
-        boolean leaves = random.nextInt(REQUESTS_PER_ABANDONED) == 0;
-        int patienceMillis = leaves ? random.nextInt(MAX_PATIENCE_MILLIS) : UNLIMITED_PATIENCE;
+        int patienceMillis = drawPatience(random, REQUESTS_PER_ABANDONED);
         boolean isLong = random.nextInt(REQUESTS_PER_LONG_ONE) == 0;
         int workMillis = random.nextInt(isLong ? MAX_LONG_WORK_MILLIS : MAX_WORK_MILLIS);
-        send(client, router, route, route + workMillis, id, key, id, patienceMillis);
+        Call call = new Call(route, route + workMillis, id, key, id);
+        boolean repeated = !route.equals(UNSAFE) && random.nextInt(REQUESTS_PER_REPEATED) == 0;
+        List<Repeat> repeats = repeated ? drawRepeats(router, random) : List.of();
+        sendAttempts(client, new Repeat(router, false, 0, patienceMillis), call, 0, repeats);
+    }
+
+    private static int drawPatience(Random random, int requestsPerAbandoned) {
+        boolean leaves = random.nextInt(requestsPerAbandoned) == 0;
+        return leaves ? random.nextInt(MAX_PATIENCE_MILLIS) : UNLIMITED_PATIENCE;
+    }
+
+    /** Draws further attempts of a request, half of them at the router of the first one. */
+    private List<Repeat> drawRepeats(String router, Random random) {
+        List<Repeat> repeats = new ArrayList<>();
+        for (int left = 1 + random.nextInt(MAX_REPEATS); left > 0; left--) {
+            String next = random.nextBoolean() ? router : routers.get(random.nextInt(routers.size()));
+            int maxDelayMillis = MAX_REPEAT_DELAYS_MILLIS.get(random.nextInt(MAX_REPEAT_DELAYS_MILLIS.size()));
+            boolean atOnce = random.nextInt(MAX_REPEATS) == 0;
+            repeats.add(new Repeat(
+                    next, atOnce, atOnce ? 0 : random.nextInt(maxDelayMillis), drawPatience(random, MAX_REPEATS)));
+        }
+        return repeats;
     }
 
-    /** Sends a request, and closes its connection once the caller's patience, if limited, has ended. */
-    private void send(
-            HttpClient client,
-            String router,
-            String route,
-            String path,
-            String id,
-            int key,
-            String body,
-            int patienceMillis) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + router + path))
+    /** Sends an attempt of a request and then, beside it or after its end, the further ones. */
+    private void sendAttempts(HttpClient client, Repeat attempt, Call call, int number, List<Repeat> further) {
+        CompletableFuture<Void> ended = send(client, attempt.router(), call, number, attempt.patienceMillis());
+        if (further.isEmpty()) {
+            return;
+        }
+        Repeat next = further.get(0);
+        Runnable sendNext = () -> sendAttempts(client, next, call, number + 1, further.subList(1, further.size()));
+        if (next.atOnce()) {
+            sendNext.run();
+        } else {
+            ended.thenRun(() -> timer.schedule(sendNext, next.delayMillis(), TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /**
+     * Sends a request, and closes its connection once the caller's patience, if limited, has ended. The result is
+     * complete once the request is answered, has failed or was left.
+     */
+    private CompletableFuture<Void> send(HttpClient client, String router, Call call, int attempt, int patienceMillis) {
+        String id = call.id();
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + router + call.path()))
                 .header("Host", "soak.example")
                 .header("X-Siskindyke-Request-Id", id)
                 .header("X-Siskindyke-Timeout-Ms", Long.toString(REQUEST_TIMEOUT.toMillis()))
                 .timeout(CLIENT_TIMEOUT)
-                .POST(HttpRequest.BodyPublishers.ofString(body));
-        if (key >= 0) {
-            request.header("X-Siskindyke-Shard-Key", Integer.toString(key));
+                .POST(HttpRequest.BodyPublishers.ofString(call.body()));
+        if (call.key() >= 0) {
+            request.header("X-Siskindyke-Shard-Key", Integer.toString(call.key()));
         }
-        journal.accept(SoakEvent.asked(SoakJournal.nowMillis(), router, id, key, route));
+        journal.accept(SoakEvent.asked(SoakJournal.nowMillis(), router, id, attempt, call.key(), call.route()));
         CompletableFuture<HttpResponse<String>> sent =
                 client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
         AtomicBoolean left = new AtomicBoolean();
@@ -154,28 +207,38 @@
                     patienceMillis,
                     TimeUnit.MILLISECONDS);
         }
-        sent.whenComplete((response, failure) -> journal.accept(
-                failure != null && left.get()
-                        ? SoakEvent.left(SoakJournal.nowMillis(), router, id)
-                        : SoakEvent.answered(
-                                SoakJournal.nowMillis(),
-                                router,
-                                id,
-                                failure == null ? response.statusCode() : 0,
-                                failure == null ? describeMismatch(response, id) : null)));
+        return sent.handle((response, failure) -> {
+            journal.accept(
+                    failure != null && left.get()
+                            ? SoakEvent.left(SoakJournal.nowMillis(), router, id, attempt)
+                            : SoakEvent.answered(
+                                    SoakJournal.nowMillis(),
+                                    router,
+                                    id,
+                                    attempt,
+                                    failure == null ? signature(response) : null,
+                                    failure == null ? response.statusCode() : 0,
+                                    failure == null ? describeMismatch(response, id) : null));
+            return null;
+        });
+    }
+
+    /** Returns the signature of a response, or null. */
+    private static String signature(HttpResponse<String> response) {
+        return response.headers().firstValue("X-Siskindyke-Response-Signature").orElse(null);
     }
 
     private static String describeMismatch(HttpResponse<String> response, String id) {
         if (response.statusCode() != OK) {
             return null;
         }
-        String signature =
-                response.headers().firstValue("X-Siskindyke-Response-Signature").orElse("none");
+        String signature = String.valueOf(signature(response));
         String responseId =
                 response.headers().firstValue("X-Siskindyke-Request-Id").orElse("none");
-        boolean matches = signature.equals("s." + id)
+        boolean matches = signature.startsWith("s." + id + ".")
                 && responseId.equals(id)
-                && response.body().startsWith("answer of ");
+                && response.body().startsWith("answer of ")
+                && response.body().endsWith(" " + signature);
         return matches ? null : "signature " + signature + ", id " + responseId + ", body " + response.body();
     }
 }
--- a/src/main/java/org/siskindyke/soak/SoakEvent.java
+++ b/src/main/java/org/siskindyke/soak/SoakEvent.java
@@ -13,9 +13,11 @@
  * @param what kind of the event
  * @param who the backend server, router address or other part of the soak that the event concerns
  * @param requestId id of the request, or null
+ * @param attempt number of the caller's attempt of the request, from 0
+ * @param run signature of the run that the event concerns or an answer names, or null
  * @param key key of the request; -1 for none
  * @param token fencing token with which the request ran; -1 for none
- * @param status HTTP status of an answer; 0 if the connection failed
+ * @param status HTTP status of an answer; 0 if the connection failed or the response lacks its signature
  * @param detail further information, such as the route or how an answer differs from the expected one; or null
  * @param rows key ranges granted to a backend server, or null
  * @param untilMillis end of the grant of these key ranges
@@ -26,6 +28,8 @@
         What what,
         String who,
         String requestId,
+        int attempt,
+        String run,
         int key,
         long token,
         int status,
@@ -39,6 +43,8 @@
     public enum What {
         /** A backend server started to run a request. */
         RUN,
+        /** A backend server answers a run. */
+        RESPONDED,
         /** A backend server received a grant of key ranges. */
         HOLDS,
         /** A backend server received the acknowledgement that it is leaving. */
@@ -63,31 +69,37 @@
         MENDED
     }
 
-    static SoakEvent run(long atMillis, String who, String requestId, int key, long token) {
-        return new SoakEvent(atMillis, What.RUN, who, requestId, key, token, 0, null, null, 0);
+    static SoakEvent run(long atMillis, String who, String requestId, String run, int key, long token) {
+        return new SoakEvent(atMillis, What.RUN, who, requestId, 0, run, key, token, 0, null, null, 0);
+    }
+
+    static SoakEvent responded(long atMillis, String who, String requestId, String run, int status) {
+        return new SoakEvent(atMillis, What.RESPONDED, who, requestId, 0, run, -1, -1, status, null, null, 0);
     }
 
     static SoakEvent holds(long atMillis, String who, List<GrantedRange> rows, long untilMillis) {
-        return new SoakEvent(atMillis, What.HOLDS, who, null, -1, -1, 0, null, rows, untilMillis);
+        return new SoakEvent(atMillis, What.HOLDS, who, null, 0, null, -1, -1, 0, null, rows, untilMillis);
     }
 
-    static SoakEvent asked(long atMillis, String who, String requestId, int key, String route) {
-        return new SoakEvent(atMillis, What.ASKED, who, requestId, key, -1, 0, route, null, 0);
+    static SoakEvent asked(long atMillis, String who, String requestId, int attempt, int key, String route) {
+        return new SoakEvent(atMillis, What.ASKED, who, requestId, attempt, null, key, -1, 0, route, null, 0);
     }
 
-    static SoakEvent answered(long atMillis, String who, String requestId, int status, String wrong) {
-        return new SoakEvent(atMillis, What.ANSWERED, who, requestId, -1, -1, status, wrong, null, 0);
+    /** Returns an answer; {@code run} is the signature that it bears, {@code wrong} how it is not whole or right. */
+    static SoakEvent answered(
+            long atMillis, String who, String requestId, int attempt, String run, int status, String wrong) {
+        return new SoakEvent(atMillis, What.ANSWERED, who, requestId, attempt, run, -1, -1, status, wrong, null, 0);
     }
 
-    static SoakEvent left(long atMillis, String who, String requestId) {
-        return new SoakEvent(atMillis, What.LEFT, who, requestId, -1, -1, 0, null, null, 0);
+    static SoakEvent left(long atMillis, String who, String requestId, int attempt) {
+        return new SoakEvent(atMillis, What.LEFT, who, requestId, attempt, null, -1, -1, 0, null, null, 0);
     }
 
     static SoakEvent crashed(long atMillis, String who, String requestId) {
-        return new SoakEvent(atMillis, What.FAULT, who, requestId, -1, -1, 0, TARGET_DOWN, null, 0);
+        return new SoakEvent(atMillis, What.FAULT, who, requestId, 0, null, -1, -1, 0, TARGET_DOWN, null, 0);
     }
 
     static SoakEvent of(long atMillis, What what, String who, String detail) {
-        return new SoakEvent(atMillis, what, who, null, -1, -1, 0, detail, null, 0);
+        return new SoakEvent(atMillis, what, who, null, 0, null, -1, -1, 0, detail, null, 0);
     }
 }
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -40,6 +40,7 @@
             1.5 * SoakTopology.LIMIT_PER_SECOND * LIMIT_WINDOW_MILLIS / 1_000 + 5;
 
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+    private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int BAD_GATEWAY = 502;
 
@@ -52,6 +53,7 @@
                 invariant("at most once", (events, plan) -> atMostOnce(events)),
                 invariant("a refused request has not run", (events, plan) -> refusedRequestsNotRun(events)),
                 invariant("answers are right and whole", (events, plan) -> correctAnswers(events)),
+                invariant("answers are those of their runs", (events, plan) -> answersOfTheirRuns(events)),
                 invariant("planned work cuts no request", SoakInvariants::noInterruptedRequests),
                 invariant("a stopping router takes no calls", (events, plan) -> stoppingRoutersTakeNoCalls(events)),
                 invariant("a leaving server drains in time", (events, plan) -> drainsInTime(events)),
@@ -156,16 +158,40 @@
         return runs;
     }
 
+    /** Returns the first attempts of all requests by id. */
     private static Map<String, SoakEvent> requestsById(List<SoakEvent> events) {
         Map<String, SoakEvent> requests = new HashMap<>();
         for (SoakEvent event : events) {
             if (event.what() == What.ASKED) {
-                requests.put(event.requestId(), event);
+                requests.putIfAbsent(event.requestId(), event);
             }
         }
         return requests;
     }
 
+    /** A caller's attempt of a request. */
+    private record Attempt(String requestId, int number) {
+        private static Attempt of(SoakEvent event) {
+            return new Attempt(event.requestId(), event.attempt());
+        }
+    }
+
+    private static Map<Attempt, SoakEvent> requestsByAttempt(List<SoakEvent> events) {
+        Map<Attempt, SoakEvent> requests = new HashMap<>();
+        for (SoakEvent event : events) {
+            if (event.what() == What.ASKED) {
+                requests.put(Attempt.of(event), event);
+            }
+        }
+        return requests;
+    }
+
+    private static Map<String, SoakEvent> byRun(List<SoakEvent> events, What what) {
+        Map<String, SoakEvent> found = new HashMap<>();
+        events.stream().filter(event -> event.what() == what).forEach(event -> found.put(event.run(), event));
+        return found;
+    }
+
     private static boolean isUnsafe(SoakEvent request) {
         return request != null && SoakCallers.UNSAFE.equals(request.detail());
     }
@@ -204,6 +230,36 @@
                 .toList();
     }
 
+    /**
+     * Checks that a success, or a failure with a signature, is what a backend server answered to a run of the request
+     * that began after the caller sent this attempt.
+     */
+    private static List<String> answersOfTheirRuns(List<SoakEvent> events) {
+        Map<String, SoakEvent> runs = byRun(events, What.RUN);
+        Map<String, SoakEvent> responses = byRun(events, What.RESPONDED);
+        Map<Attempt, SoakEvent> attempts = requestsByAttempt(events);
+        List<String> violations = new ArrayList<>();
+        for (SoakEvent event : events) {
+            if (event.what() != What.ANSWERED || event.run() == null && event.status() != OK) {
+                continue;
+            }
+            SoakEvent response = responses.get(event.run());
+            SoakEvent run = runs.get(event.run());
+            SoakEvent asked = attempts.get(Attempt.of(event));
+            String answer = event.requestId() + " at " + event.who() + " was answered " + event.status() + " at "
+                    + event.atMillis() + " by " + event.run();
+            if (response == null || run == null || !event.requestId().equals(response.requestId())) {
+                violations.add(answer + ", which is no run of it");
+            } else if (event.status() != response.status()) {
+                violations.add(answer + ", which was answered " + response.status());
+            } else if (run.atMillis() < asked.atMillis()) {
+                violations.add(answer + ", which began at " + run.atMillis() + ", before the caller sent it at "
+                        + asked.atMillis());
+            }
+        }
+        return violations;
+    }
+
     /**
      * Checks soaks with planned work only; the connection of a request that no backend server has run may fail. A
      * router that loses the answer to a request which ran at another one responds with 502.
@@ -213,13 +269,36 @@
         Map<String, Integer> runs = runsByRequest(events);
         for (SoakEvent event : events) {
             boolean failed = event.what() == What.ANSWERED && (event.status() == 0 || event.status() == BAD_GATEWAY);
-            if (plan.plannedOnly() && failed && runs.containsKey(event.requestId())) {
+            if (plan.plannedOnly() && failed && runs.containsKey(event.requestId()) && mayHaveRun(events, event)) {
                 violations.add(event.requestId() + " at " + event.who() + " was interrupted at " + event.atMillis());
             }
         }
         return violations;
     }
 
+    /**
+     * Returns whether a failed attempt may have run, given that its request has: not where all runs that began after
+     * it was sent are those that answers to other attempts name, or may be those of an attempt whose caller left.
+     */
+    private static boolean mayHaveRun(List<SoakEvent> events, SoakEvent failed) {
+        List<SoakEvent> ofRequest = events.stream()
+                .filter(event -> failed.requestId().equals(event.requestId()))
+                .toList();
+        Map<Attempt, SoakEvent> attempts = requestsByAttempt(ofRequest);
+        if (attempts.size() == 1) {
+            return true;
+        }
+        long sentMillis = attempts.get(Attempt.of(failed)).atMillis();
+        Map<String, SoakEvent> answers = byRun(ofRequest, What.ANSWERED);
+        long unanswered = ofRequest.stream()
+                .filter(event -> event.what() == What.RUN && event.atMillis() >= sentMillis)
+                .filter(event -> !answers.containsKey(event.run()))
+                .count();
+        long left =
+                ofRequest.stream().filter(event -> event.what() == What.LEFT).count();
+        return unanswered > left;
+    }
+
     /** A stopping router is ended at the end of its grace period, so requests that come late must not begin to run. */
     private static List<String> stoppingRoutersTakeNoCalls(List<SoakEvent> events) {
         Map<String, SoakEvent> requests = requestsById(events);
@@ -261,14 +340,14 @@
 
     private static List<String> configurationApplied(List<SoakEvent> events) {
         List<String> violations = new ArrayList<>();
-        Map<String, SoakEvent> requests = requestsById(events);
+        Map<Attempt, SoakEvent> requests = requestsByAttempt(events);
         SoakEvent latest = null;
         for (SoakEvent event : events) {
             if (event.what() == What.CONFIGURED) {
                 latest = event;
                 continue;
             }
-            SoakEvent request = event.what() == What.ANSWERED ? requests.get(event.requestId()) : null;
+            SoakEvent request = event.what() == What.ANSWERED ? requests.get(Attempt.of(event)) : null;
             // A route of an earlier configuration may be gone as soon as a later one is written.
             if (request == null || latest == null || event.status() != NOT_FOUND || !hasRoute(latest, request)) {
                 continue;
@@ -332,14 +411,22 @@
     private static List<String> abandonedRequestsNotRun(List<SoakEvent> events) {
         List<String> late = new ArrayList<>();
         Map<String, Long> leftMillis = new HashMap<>();
+        Map<String, Integer> openAttempts = new HashMap<>();
         Map<String, Integer> activeFaults = new HashMap<>();
         long disturbedMillis = Long.MIN_VALUE / 2;
         for (SoakEvent event : events) {
             if (isOfRouterFault(event)) {
                 activeFaults.merge(event.who() + event.detail(), event.what() == What.FAULT ? 1 : -1, Integer::sum);
                 disturbedMillis = event.atMillis();
+            } else if (event.what() == What.ASKED) {
+                openAttempts.merge(event.requestId(), 1, Integer::sum);
+                leftMillis.remove(event.requestId());
+            } else if (event.what() == What.ANSWERED) {
+                openAttempts.merge(event.requestId(), -1, Integer::sum);
             } else if (event.what() == What.LEFT) {
-                leftMillis.put(event.requestId(), event.atMillis());
+                if (openAttempts.merge(event.requestId(), -1, Integer::sum) <= 0) {
+                    leftMillis.put(event.requestId(), event.atMillis());
+                }
             } else if (event.what() == What.RUN && leftMillis.containsKey(event.requestId())) {
                 long sinceMillis = event.atMillis() - leftMillis.get(event.requestId());
                 boolean calm = event.atMillis() - disturbedMillis > UNDISTURBED_MILLIS
--- a/src/main/java/org/siskindyke/soak/SoakStandinMain.java
+++ b/src/main/java/org/siskindyke/soak/SoakStandinMain.java
@@ -124,8 +124,13 @@
                 SoakTopology.HEARTBEAT_MILLIS);
         HeartbeatBackendStandin.Listener listener = new HeartbeatBackendStandin.Listener() {
             @Override
-            public void onRun(String requestId, int key, long token) {
-                print(SoakEvent.run(SoakJournal.nowMillis(), name, requestId, key, token));
+            public void onRun(String requestId, int key, long token, String signature) {
+                print(SoakEvent.run(SoakJournal.nowMillis(), name, requestId, signature, key, token));
+            }
+
+            @Override
+            public void onResponse(String requestId, String signature, int status) {
+                print(SoakEvent.responded(SoakJournal.nowMillis(), name, requestId, signature, status));
             }
 
             @Override
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -4,8 +4,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -81,6 +83,7 @@
     private long grantEndMillis;
     private long sequence;
     private boolean keepsReleasedKeys;
+    private final Map<String, Integer> runsById = new HashMap<>();
     private final AtomicInteger running = new AtomicInteger();
     private volatile boolean strayResponses;
     private volatile boolean leaving;
@@ -124,8 +127,24 @@
         /** Ignores all events. */
         Listener NONE = new Listener() {};
 
-        /** Called when a request begins to run; the key is -1 where it has none, the token -1 where none is granted. */
-        default void onRun(String requestId, int key, long token) {}
+        /**
+         * Called when a request begins to run.
+         *
+         * @param requestId the id of the request
+         * @param key its key; -1 where it has none
+         * @param token the fencing token; -1 where none is granted
+         * @param signature the signature that the response to this run, and to no other, bears
+         */
+        default void onRun(String requestId, int key, long token, String signature) {}
+
+        /**
+         * Called before the response to a run is written.
+         *
+         * @param requestId the id of the request
+         * @param signature the signature of the run
+         * @param status the status of the response
+         */
+        default void onResponse(String requestId, String signature, int status) {}
 
         /** Called when an acknowledgement replaces the granted ranges; they end at a time of the monotonic clock. */
         default void onGranted(List<GrantedRange> ranges, long grantEndMillis) {}
@@ -443,7 +462,8 @@
         }
         executedRequestIds.add(String.valueOf(id));
         int keyNumber = key == null ? -1 : Integer.parseInt(key);
-        listener.onRun(String.valueOf(id), keyNumber, tokenOf(keyNumber));
+        String signature = signRun(String.valueOf(id));
+        listener.onRun(String.valueOf(id), keyNumber, tokenOf(keyNumber), signature);
         if (downMillis >= 0 && request.target().contains(CRASH)) {
             traffic.schedule(() -> crash(String.valueOf(id), request.remote()), delayMillis(request.target()));
             return Cancellable.NONE;
@@ -452,18 +472,25 @@
             callers.closeAmidResponse(request.remote(), ResponseStart.PART_OF_BODY.bytes());
             return Cancellable.NONE;
         }
-        headers.add(new Header(SIGNATURE, "s." + id));
-        byte[] body = ("answer of " + identity.name()).getBytes(StandardCharsets.UTF_8);
+        headers.add(new Header(SIGNATURE, signature));
+        byte[] body = ("answer of " + identity.name() + " " + signature).getBytes(StandardCharsets.UTF_8);
         running.incrementAndGet();
         return traffic.schedule(
                 () -> {
                     running.decrementAndGet();
+                    listener.onResponse(String.valueOf(id), signature, OK);
                     responder.respond(new HttpExchange.Response(OK, headers, body));
                     sendStrayResponse(request.remote());
                 },
                 delayMillis(request.target()));
     }
 
+    /** Returns the signature of the next run of a request, which differs from those of all other runs. */
+    private String signRun(String requestId) {
+        int run = runsById.merge(requestId, 1, Integer::sum);
+        return "s." + requestId + "." + identity.name() + "." + startMillis + "." + run;
+    }
+
     private void sendStrayResponse(InetSocketAddress caller) {
         HttpListener listening = callers;
         if (strayResponses) {
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -10,6 +10,7 @@
 
 class SoakInvariantsTest {
     private static final String ROUTER = "127.0.0.1:7000";
+    private static final String OF_THEIR_RUNS = "answers are those of their runs";
     private static final SoakPlan NO_FAULTS = new SoakPlan(List.of(), false, false);
     private static final long WRITTEN_MILLIS = 1_000;
     private static final long LATE_MILLIS = WRITTEN_MILLIS + 3_589;
@@ -37,11 +38,11 @@
     }
 
     private void asked(long atMillis, String path) {
-        events.add(SoakEvent.asked(atMillis, ROUTER, "c1", -1, path));
+        events.add(SoakEvent.asked(atMillis, ROUTER, "c1", 0, -1, path));
     }
 
     private void notFound(long atMillis) {
-        events.add(SoakEvent.answered(atMillis, ROUTER, "c1", 404, null));
+        events.add(SoakEvent.answered(atMillis, ROUTER, "c1", 0, null, 404, null));
     }
 
     @Example
@@ -66,8 +67,8 @@
     @Example
     void aRequestThatRanAndIsAnsweredWithoutItsResponseIsAViolationOfPlannedWork() {
         asked(0, "/s/1400");
-        events.add(SoakEvent.run(10, "t0-n0", "c1", 1, 1));
-        events.add(SoakEvent.answered(900, ROUTER, "c1", 502, null));
+        events.add(SoakEvent.run(10, "t0-n0", "c1", "r1", 1, 1));
+        events.add(SoakEvent.answered(900, ROUTER, "c1", 0, null, 502, null));
         String invariant = "planned work cuts no request";
         assertEquals(
                 1,
@@ -82,7 +83,7 @@
         events.add(SoakEvent.of(0, What.LIMITED, "t0-n0", Integer.toString(SoakTopology.LIMIT_PER_SECOND)));
         for (int i = 0; i < 18; i++) {
             assertEquals(List.of(), violations("a named limit is kept", events));
-            events.add(SoakEvent.run(3_000 + i * 200, "t0-n0", "c" + i, -1, -1));
+            events.add(SoakEvent.run(3_000 + i * 200, "t0-n0", "c" + i, "r" + i, -1, -1));
         }
         assertEquals(1, violations("a named limit is kept", events).size());
     }
@@ -90,10 +91,10 @@
     private List<SoakEvent> lateRuns(int count) {
         List<SoakEvent> late = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            late.add(SoakEvent.left(5_000, ROUTER, "c" + i));
+            late.add(SoakEvent.left(5_000, ROUTER, "c" + i, 0));
         }
         for (int i = 0; i < count; i++) {
-            late.add(SoakEvent.run(5_600, "t0-n0", "c" + i, -1, -1));
+            late.add(SoakEvent.run(5_600, "t0-n0", "c" + i, "r" + i, -1, -1));
         }
         return late;
     }
@@ -110,4 +111,114 @@
         events.addAll(lateRuns(4));
         assertEquals(List.of(), violations("callers that left get no work", events));
     }
+
+    private void run(long atMillis, String id, String run, int status) {
+        events.add(SoakEvent.run(atMillis, "t0-n0", id, run, -1, -1));
+        events.add(SoakEvent.responded(atMillis + 5, "t0-n0", id, run, status));
+    }
+
+    private void asked(long atMillis, int attempt) {
+        events.add(SoakEvent.asked(atMillis, ROUTER, "c1", attempt, -1, "/s/"));
+    }
+
+    private void answered(long atMillis, int attempt, String run, int status) {
+        events.add(SoakEvent.answered(atMillis, ROUTER, "c1", attempt, run, status, null));
+    }
+
+    @Example
+    void theAnswersOfTheirRunsAreRight() {
+        asked(0, 0);
+        run(10, "c1", "r1", 200);
+        answered(20, 0, "r1", 200);
+        asked(30, 1);
+        run(40, "c1", "r2", 500);
+        answered(50, 1, "r2", 500);
+        assertEquals(List.of(), violations(OF_THEIR_RUNS, events));
+    }
+
+    /** Guards against a check that takes the late copy of an earlier run's response for the answer to a later one. */
+    @Example
+    void theAnswerOfARunBeforeTheAttemptIsFound() {
+        asked(0, 0);
+        run(10, "c1", "r1", 200);
+        answered(20, 0, "r1", 200);
+        asked(30, 1);
+        run(40, "c1", "r2", 500);
+        answered(50, 1, "r1", 200);
+        assertEquals(1, violations(OF_THEIR_RUNS, events).size());
+    }
+
+    @Example
+    void anAnswerWithAnotherStatusThanItsRunIsFound() {
+        asked(0, 0);
+        run(10, "c1", "r1", 500);
+        answered(20, 0, "r1", 200);
+        assertEquals(1, violations(OF_THEIR_RUNS, events).size());
+    }
+
+    @Example
+    void aFailureWithTheSignatureOfASuccessIsFound() {
+        asked(0, 0);
+        run(10, "c1", "r1", 200);
+        answered(20, 0, "r1", 500);
+        assertEquals(1, violations(OF_THEIR_RUNS, events).size());
+    }
+
+    /** Guards against a check that passes the copy of a response which lacked its signature. */
+    @Example
+    void theSignedCopyOfAnUnsignedResponseIsFound() {
+        asked(0, 0);
+        run(10, "c1", "r1", 0);
+        answered(20, 0, "r1", 200);
+        assertEquals(1, violations(OF_THEIR_RUNS, events).size());
+    }
+
+    @Example
+    void theAnswerOfAnotherRequestIsFound() {
+        asked(0, 0);
+        run(10, "c2", "r1", 200);
+        answered(20, 0, "r1", 200);
+        assertEquals(1, violations(OF_THEIR_RUNS, events).size());
+    }
+
+    @Example
+    void aSuccessThatNamesNoRunIsFound() {
+        asked(0, 0);
+        answered(20, 0, null, 200);
+        assertEquals(1, violations(OF_THEIR_RUNS, events).size());
+    }
+
+    @Example
+    void aFailureOfTheRouterNamesNoRun() {
+        asked(0, 0);
+        run(10, "c1", "r1", 200);
+        answered(20, 0, null, 502);
+        assertEquals(List.of(), violations(OF_THEIR_RUNS, events));
+    }
+
+    /** Guards against a check that takes the run of an earlier attempt for that of a failed one. */
+    @Example
+    void aLaterAttemptThatFailsBeforeItRunsIsNotInterrupted() {
+        SoakPlan planned = new SoakPlan(List.of(), true, false);
+        asked(0, 0);
+        run(10, "c1", "r1", 200);
+        answered(20, 0, "r1", 200);
+        asked(30, 1);
+        answered(50, 1, null, 0);
+        assertEquals(List.of(), violations("planned work cuts no request", events, planned));
+        run(40, "c1", "r2", 200);
+        assertEquals(
+                1, violations("planned work cuts no request", events, planned).size());
+    }
+
+    @Example
+    void aRunForAnAttemptAfterTheCallerLeftIsNotLate() {
+        for (int i = 0; i < 4; i++) {
+            events.add(SoakEvent.asked(4_000, ROUTER, "c" + i, 0, -1, "/s/"));
+            events.add(SoakEvent.left(5_000, ROUTER, "c" + i, 0));
+            events.add(SoakEvent.asked(5_500, ROUTER, "c" + i, 1, -1, "/s/"));
+            events.add(SoakEvent.run(5_600, "t0-n0", "c" + i, "r" + i, -1, -1));
+        }
+        assertEquals(List.of(), violations("callers that left get no work", events));
+    }
 }
