Let backend servers of a soak write responses once more, late

Change: the backend stand-in stutters on command.

The invariant on answers also finds the copy of an unsigned response that is delivered after the request, sent once by its caller, has run again.

--- a/src/main/java/org/siskindyke/command/SoakCommand.java
+++ b/src/main/java/org/siskindyke/command/SoakCommand.java
@@ -38,6 +38,7 @@
                 .optional("instances", "6", "instances, each a router and a backend server")
                 .optional("seconds", "15", "period in which faults begin")
                 .toggle("hide-keys", "backend servers break the protocol on purpose, to verify that the checks find it")
+                .toggle("stutter", "backend servers write responses once more, late, beside other unplanned faults")
                 .optional("out", "out/soak", "directory for logs");
     }
 
@@ -51,7 +52,10 @@
         for (long seed = firstSeed; seed < firstSeed + runs; seed++) {
             File directory = new File(settings.text("out"), "seed-" + seed);
             Files.createDirectories(directory.toPath());
-            SoakRun.Verdict verdict = run(seed, instances, lengthMillis, settings.isOn("hide-keys"), directory);
+            SoakPlan drawn = SoakPlan.draw(seed, instances, lengthMillis);
+            SoakPlan stuttering = settings.isOn("stutter") ? drawn.withStutter(instances, lengthMillis) : drawn;
+            SoakPlan plan = settings.isOn("hide-keys") ? stuttering.withHiddenKeys() : stuttering;
+            SoakRun.Verdict verdict = new SoakRun(SoakTopology.of(instances), plan, directory).run();
             show(seed, verdict, out);
             violatingRuns += verdict.violations().isEmpty() ? 0 : 1;
         }
@@ -59,13 +63,6 @@
         return violatingRuns == 0 ? 0 : EXIT_INVARIANT_VIOLATED;
     }
 
-    private static SoakRun.Verdict run(long seed, int instances, long lengthMillis, boolean hidesKeys, File directory)
-            throws InterruptedException {
-        SoakPlan drawn = SoakPlan.draw(seed, instances, lengthMillis);
-        SoakPlan plan = hidesKeys ? drawn.withHiddenKeys() : drawn;
-        return new SoakRun(SoakTopology.of(instances), plan, directory).run();
-    }
-
     private static void show(long seed, SoakRun.Verdict verdict, PrintStream out) {
         out.printf(
                 "seed %d: %d faults, %d requests, %d served, %s%n",
--- a/src/main/java/org/siskindyke/soak/SoakEvent.java
+++ b/src/main/java/org/siskindyke/soak/SoakEvent.java
@@ -17,7 +17,7 @@
  * @param run signature of the run that the event concerns or an answer names, or null
  * @param key key of the request; -1 for none
  * @param token fencing token with which the request ran; -1 for none
- * @param status HTTP status of an answer; 0 if the connection failed or the response lacks its signature
+ * @param status HTTP status of an answer; 0 if the connection failed
  * @param detail further information, such as the route or how an answer differs from the expected one; or null
  * @param rows key ranges granted to a backend server, or null
  * @param untilMillis end of the grant of these key ranges
@@ -39,11 +39,14 @@
     /** Detail of a fault: the process of a backend server has ended, which ends its grants. */
     static final String TARGET_DOWN = "target down";
 
+    /** Detail of a response that lacks its signature. */
+    static final String UNSIGNED = "unsigned";
+
     /** Kind of an event. */
     public enum What {
         /** A backend server started to run a request. */
         RUN,
-        /** A backend server answers a run. */
+        /** A backend server answers a run; the detail says if the response lacks its signature. */
         RESPONDED,
         /** A backend server received a grant of key ranges. */
         HOLDS,
@@ -73,8 +76,9 @@
         return new SoakEvent(atMillis, What.RUN, who, requestId, 0, run, key, token, 0, null, null, 0);
     }
 
-    static SoakEvent responded(long atMillis, String who, String requestId, String run, int status) {
-        return new SoakEvent(atMillis, What.RESPONDED, who, requestId, 0, run, -1, -1, status, null, null, 0);
+    static SoakEvent responded(long atMillis, String who, String requestId, String run, int status, boolean signed) {
+        String detail = signed ? null : UNSIGNED;
+        return new SoakEvent(atMillis, What.RESPONDED, who, requestId, 0, run, -1, -1, status, detail, null, 0);
     }
 
     static SoakEvent holds(long atMillis, String who, List<GrantedRange> rows, long untilMillis) {
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -79,7 +79,9 @@
             (cluster, instanceIndex) -> cluster.killAllRouters(),
             (cluster, instanceIndex) -> cluster.startAllRouters()),
     /** The connections of other routers to one are reset several times in a row. */
-    RESET_PEERS(Component.PEERS, false, SoakInstance::resetPeers, instance -> {});
+    RESET_PEERS(Component.PEERS, false, SoakInstance::resetPeers, instance -> {}),
+    /** A backend server, and those that replace it, write each response once more, late. */
+    STUTTER(Component.RESPONSES, false, SoakInstance::stutter, SoakInstance::stopStuttering);
 
     /** Longer than the late heartbeats of a backend server that has deregistered are under way. */
     private static final long MIN_DEREGISTERED_MILLIS = 7_000;
@@ -120,6 +122,8 @@
         LINK,
         /** The connections from other routers to the router. */
         PEERS,
+        /** The responses of the backend server. */
+        RESPONSES,
         /** The store. */
         STORE,
         /** The configuration that the operator writes. */
--- a/src/main/java/org/siskindyke/soak/SoakInstance.java
+++ b/src/main/java/org/siskindyke/soak/SoakInstance.java
@@ -28,6 +28,7 @@
     private SoakProcess router;
     private SoakProcess target;
     private int replacements;
+    private boolean stutters;
 
     SoakInstance(
             SoakTopology.Instance instance,
@@ -139,6 +140,7 @@
             arguments.add(SoakStandinMain.HIDE_KEYS);
         }
         target = new SoakProcess(SoakStandinMain.class.getName(), arguments, Map.of(), log("target"), journal::addLine);
+        writeStutter();
     }
 
     private String targetName() {
@@ -187,6 +189,20 @@
         writeToTarget(SoakStandinMain.STRAY + false);
     }
 
+    void stutter() {
+        stutters = true;
+        writeStutter();
+    }
+
+    void stopStuttering() {
+        stutters = false;
+        writeStutter();
+    }
+
+    private void writeStutter() {
+        writeToTarget(SoakStandinMain.STUTTER + stutters);
+    }
+
     void sendOddHeartbeats() {
         writeToTarget(SoakStandinMain.ODD);
     }
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -232,7 +232,8 @@
 
     /**
      * Checks that a success, or a failure with a signature, is what a backend server answered to a run of the request
-     * that began after the caller sent this attempt.
+     * that began after the caller sent this attempt. A copy of a response that lacked its signature must not be the
+     * answer once the request has been sent again.
      */
     private static List<String> answersOfTheirRuns(List<SoakEvent> events) {
         Map<String, SoakEvent> runs = byRun(events, What.RUN);
@@ -255,11 +256,25 @@
             } else if (run.atMillis() < asked.atMillis()) {
                 violations.add(answer + ", which began at " + run.atMillis() + ", before the caller sent it at "
                         + asked.atMillis());
+            } else if (SoakEvent.UNSIGNED.equals(response.detail()) && ranAgain(events, response)) {
+                violations.add(answer + ", which was answered without its signature, so that the request ran again");
             }
         }
         return violations;
     }
 
+    /** Returns whether a request that its caller sent once has run again after the response to a run. */
+    private static boolean ranAgain(List<SoakEvent> events, SoakEvent response) {
+        List<SoakEvent> ofRequest = events.stream()
+                .filter(event -> response.requestId().equals(event.requestId()))
+                .toList();
+        return requestsByAttempt(ofRequest).size() == 1
+                && ofRequest.stream()
+                        .anyMatch(event -> event.what() == What.RUN
+                                && event.atMillis() >= response.atMillis()
+                                && !event.run().equals(response.run()));
+    }
+
     /**
      * Checks soaks with planned work only; the connection of a request that no backend server has run may fail. A
      * router that loses the answer to a request which ran at another one responds with 502.
--- a/src/main/java/org/siskindyke/soak/SoakPlan.java
+++ b/src/main/java/org/siskindyke/soak/SoakPlan.java
@@ -21,6 +21,8 @@
     private static final int PLANNED_SEED_INTERVAL = 4;
     /** The remainder of seeds that draw resets of connections between routers, too. */
     private static final int PEER_RESETS_SEED = 2;
+    /** The remainder of seeds with backend servers that stutter, too. */
+    private static final int STUTTER_SEED = 1;
 
     /**
      * A fault.
@@ -44,7 +46,7 @@
         boolean plannedOnly = Math.floorMod(seed, PLANNED_SEED_INTERVAL) == 0;
         List<SoakFault> kinds = List.of(SoakFault.values()).stream()
                 .filter(kind -> kind.isPlanned() || !plannedOnly)
-                .filter(kind -> kind != SoakFault.RESET_PEERS)
+                .filter(kind -> kind != SoakFault.RESET_PEERS && kind != SoakFault.STUTTER)
                 .toList();
         List<Step> steps = new ArrayList<>();
         long atMillis = FIRST_FAULT_MILLIS;
@@ -57,7 +59,10 @@
         if (Math.floorMod(seed, PLANNED_SEED_INTERVAL) == PEER_RESETS_SEED) {
             steps.addAll(drawPeerResets(new Random(~seed), instances, lengthMillis));
         }
-        return new SoakPlan(List.copyOf(steps), plannedOnly, false);
+        SoakPlan plan = new SoakPlan(List.copyOf(steps), plannedOnly, false);
+        return Math.floorMod(seed, PLANNED_SEED_INTERVAL) == STUTTER_SEED
+                ? plan.withStutter(instances, lengthMillis)
+                : plan;
     }
 
     /** Draws resets beside the other faults, so that these are the same with and without them. */
@@ -71,6 +76,18 @@
         return resets;
     }
 
+    /** Returns this plan, unless it has planned work only, with backend servers that stutter most of the time. */
+    public SoakPlan withStutter(int instances, long lengthMillis) {
+        if (plannedOnly || steps.stream().anyMatch(step -> step.fault() == SoakFault.STUTTER)) {
+            return this;
+        }
+        List<Step> all = new ArrayList<>(steps);
+        for (int i = 0; i < instances; i++) {
+            all.add(new Step(MIN_GAP_MILLIS, lengthMillis, SoakFault.STUTTER, i));
+        }
+        return new SoakPlan(List.copyOf(all), plannedOnly, hidesKeys);
+    }
+
     /** Returns this plan with backend servers that violate the heartbeat protocol on purpose. */
     public SoakPlan withHiddenKeys() {
         return new SoakPlan(steps, plannedOnly, true);
--- a/src/main/java/org/siskindyke/soak/SoakStandinMain.java
+++ b/src/main/java/org/siskindyke/soak/SoakStandinMain.java
@@ -34,6 +34,7 @@
     static final String FAULT = "fault ";
     static final String ODD = "odd";
     static final String STRAY = "stray ";
+    static final String STUTTER = "stutter ";
     /** Time after which a backend server is up again that has ended since it ran a certain request. */
     private static final long CRASH_RESTART_MILLIS = 1_500;
 
@@ -129,8 +130,8 @@
             }
 
             @Override
-            public void onResponse(String requestId, String signature, int status) {
-                print(SoakEvent.responded(SoakJournal.nowMillis(), name, requestId, signature, status));
+            public void onResponse(String requestId, String signature, int status, boolean signed) {
+                print(SoakEvent.responded(SoakJournal.nowMillis(), name, requestId, signature, status, signed));
             }
 
             @Override
@@ -155,6 +156,10 @@
         }
         target.crashOnRequest(CRASH_RESTART_MILLIS, responseStart(name));
         target.start();
+        return targetCommands(target, name);
+    }
+
+    private static Consumer<String> targetCommands(HeartbeatBackendStandin target, String name) {
         return line -> {
             if (line.equals(LEAVE)) {
                 target.leave();
@@ -164,6 +169,8 @@
                 target.sendOddHeartbeats();
             } else if (line.startsWith(STRAY)) {
                 target.writeStrayResponses(Boolean.parseBoolean(line.substring(STRAY.length())));
+            } else if (line.startsWith(STUTTER)) {
+                target.stutter(Boolean.parseBoolean(line.substring(STUTTER.length())));
             } else if (line.startsWith(LIMIT)) {
                 String perSecond = line.substring(LIMIT.length());
                 boolean limited = !perSecond.equals("0");
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -79,6 +79,19 @@
         assertEquals(Map.of(), verdict.violations());
     }
 
+    /** Guards against callers that get the late copy of an earlier run's response as the answer to a later run. */
+    @Example
+    void answersAreThoseOfTheirRunsThoughServersWriteResponsesOnceMore() throws IOException, InterruptedException {
+        List<SoakPlan.Step> steps = List.of(
+                new SoakPlan.Step(500, 7_000, SoakFault.STUTTER, 0),
+                new SoakPlan.Step(500, 7_000, SoakFault.STUTTER, 1),
+                new SoakPlan.Step(500, 7_000, SoakFault.STUTTER, 2),
+                new SoakPlan.Step(2_500, 500, SoakFault.RESET_PEERS, 0),
+                new SoakPlan.Step(4_000, 800, SoakFault.FREEZE_ROUTER, 1));
+        SoakRun.Verdict verdict = run(new SoakPlan(steps, false, false));
+        assertEquals(Map.of(), verdict.violations());
+    }
+
     @Example
     void serversThatKeepUsingReleasedKeysAreDetected() throws IOException, InterruptedException {
         List<SoakPlan.Step> steps = List.of(
