--- a/src/main/java/org/siskindyke/soak/SoakCallers.java
+++ b/src/main/java/org/siskindyke/soak/SoakCallers.java
@@ -29,7 +29,7 @@
 
     private static final long CRASH_INTERVAL_MILLIS = 300;
 
-    private static final long INTERVAL_MILLIS = 40;
+    private static final long INTERVAL_MILLIS = 45;
     private static final int CONNECTIONS = 6;
     private static final int KEYS = 65_536;
     private static final int MAX_WORK_MILLIS = 200;
@@ -49,9 +49,11 @@
     private static final int UNLIMITED_PATIENCE = -1;
 
     /** One of this many requests that may be repeated is sent again, under the same id. */
-    private static final int REQUESTS_PER_REPEATED = 5;
+    private static final int REQUESTS_PER_REPEATED = 6;
 
-    private static final int MAX_REPEATS = 3;
+    private static final int MAX_REPEATS = 2;
+    /** One of this many repeats is sent beside the attempt before, and one of this many is abandoned. */
+    private static final int REPEATS_PER_SPECIAL = 3;
     /** Delays after the attempt before; the longest leaves time for late copies of its response. */
     private static final List<Integer> MAX_REPEAT_DELAYS_MILLIS = List.of(1, 100, 3_000);
 
@@ -157,9 +159,12 @@
         for (int left = 1 + random.nextInt(MAX_REPEATS); left > 0; left--) {
             String next = random.nextBoolean() ? router : routers.get(random.nextInt(routers.size()));
             int maxDelayMillis = MAX_REPEAT_DELAYS_MILLIS.get(random.nextInt(MAX_REPEAT_DELAYS_MILLIS.size()));
-            boolean atOnce = random.nextInt(MAX_REPEATS) == 0;
+            boolean atOnce = random.nextInt(REPEATS_PER_SPECIAL) == 0;
             repeats.add(new Repeat(
-                    next, atOnce, atOnce ? 0 : random.nextInt(maxDelayMillis), drawPatience(random, MAX_REPEATS)));
+                    next,
+                    atOnce,
+                    atOnce ? 0 : random.nextInt(maxDelayMillis),
+                    drawPatience(random, REPEATS_PER_SPECIAL)));
         }
         return repeats;
     }
