Check in the load tool that an answer belongs to its call

The load tool compared an answer's path, key and body length with those of its call, so the response to another call of the same key passed.

Change: the backend stand-in's answer names its call, which must be the one that the router names. A repeated order may get the answer that was kept of an earlier attempt. Two runs of one call are still not told apart.

--- a/src/main/java/org/siskindyke/load/CallerClient.java
+++ b/src/main/java/org/siskindyke/load/CallerClient.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import io.servicetalk.concurrent.api.Single;
@@ -91,7 +92,11 @@
 
     static CallRecord record(OutgoingCall call, HttpResponse response, long dueNanos) {
         int status = response.status().code();
-        boolean correct = status == OK && isCorrect(call, response);
+        boolean correct = status == OK
+                && isCorrect(
+                        call,
+                        header(response, Headers.CALL_ID),
+                        response.payloadBody().toString(StandardCharsets.UTF_8));
         return new CallRecord(
                 header(response, Headers.CALL_ID),
                 call.service(),
@@ -125,11 +130,12 @@
                 call.probe());
     }
 
-    private static boolean isCorrect(OutgoingCall call, HttpResponse response) {
+    /** Returns whether a body is the answer of a backend stand-in to the call that the router names. */
+    static boolean isCorrect(OutgoingCall call, String namedCallId, String body) {
         try {
-            BackendStandin.Answer answer =
-                    Json.read(response.payloadBody().toString(StandardCharsets.UTF_8), BackendStandin.Answer.class);
+            BackendStandin.Answer answer = Json.read(body, BackendStandin.Answer.class);
             return call.path().equals(answer.path())
+                    && (mayGetKeptAnswer(call) || Objects.equals(answer.callId(), namedCallId))
                     && (call.key() == null || call.key().equals(answer.key()))
                     && answer.bodyLength() == call.body().length;
         } catch (SiskindykeException e) {
@@ -137,6 +143,11 @@
         }
     }
 
+    /** Returns whether a router may answer a call as it did an earlier attempt, whose answer names another call. */
+    private static boolean mayGetKeptAnswer(OutgoingCall call) {
+        return call.idempotencyKey() != null && call.attempt() > 1;
+    }
+
     private static String header(HttpResponse response, String name) {
         CharSequence value = response.headers().get(name);
         return value == null ? null : value.toString();
--- a/src/main/java/org/siskindyke/standin/BackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/BackendStandin.java
@@ -81,11 +81,12 @@
      * The body of an answer.
      *
      * @param target name of the backend server
+     * @param callId id of the call; null if it has none
      * @param path path and query of the request
      * @param key the key of the request; null for an undivided service
      * @param bodyLength length of the request's body in bytes
      */
-    public record Answer(String target, String path, String key, int bodyLength) {}
+    public record Answer(String target, String callId, String path, String key, int bodyLength) {}
 
     /** Sets the action to run on a drain request. */
     public void setOnDrain(Runnable action) {
@@ -175,15 +176,16 @@
             context.closeAsync().subscribe();
             return Single.never();
         }
+        String callId = header(request, Headers.CALL_ID);
         HttpResponse response = Json.respond(
                 factory,
                 HttpResponseStatus.OK,
                 new Answer(
                         name,
+                        callId,
                         request.requestTarget(),
                         header(request, Headers.KEY),
                         request.payloadBody().readableBytes()));
-        String callId = header(request, Headers.CALL_ID);
         if (callId != null) {
             response.headers().set(Headers.CALL_ID, activeFaults.wrongCallIds() ? callId + "x" : callId);
         }
