--- a/src/test/java/org/siskindyke/runtime/traffic/PooledHttpClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PooledHttpClientTest.java
@@ -33,7 +33,7 @@
     }
 
     /** While it withholds answers, writes them only ahead of the next one on their connection. */
-    private final class LateServer implements RawHttpServer.Script {
+    private final class LateServer implements RawHttpServer.TextScript {
         private String withheld = "";
 
         @Override
@@ -49,7 +49,7 @@
     /** Guards against an answer that comes after its call has timed out and is taken for that of a later call. */
     @Example
     void anAnswerAfterTheTimeoutOfItsCallReachesNoOtherCall() throws Exception {
-        try (RawHttpServer server = new RawHttpServer(LateServer::new)) {
+        try (RawHttpServer server = RawHttpServer.ofTexts(LateServer::new)) {
             PooledHttpClient client = new PooledHttpClient(traffic, SystemMonotonicClock.INSTANCE, server.address());
             for (int i = 0; i < CALLS; i++) {
                 withholds = true;
@@ -63,7 +63,7 @@
     /** Guards against the second of two equal answers that is taken for that of the next call. */
     @Example
     void anAnswerThatIsWrittenTwiceReachesNoOtherCall() throws Exception {
-        try (RawHttpServer server = new RawHttpServer(() -> id -> {
+        try (RawHttpServer server = RawHttpServer.ofTexts(() -> id -> {
             String response = response(Integer.toString(requests.incrementAndGet()));
             return response + response;
         })) {
