--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -2,6 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -33,6 +36,8 @@
     /** More than one connection carries. */
     private static final int MANY_CALLS = 600;
 
+    private static final int CALLERS = 4;
+
     private static final long TIMEOUT_MILLIS = 10_000;
     /** The limit of a body in chunks of one byte, each with five bytes of framing, and socket buffers. */
     private static final long MAX_SENT_BYTES = 32L * 1024 * 1024;
@@ -137,6 +142,31 @@
         }
     }
 
+    /** Guards against calls that are lost with a connection which ends after the calls that it may carry. */
+    @Example
+    void callsAtATimeAreAllAnsweredWhileConnectionsEnd() throws Exception {
+        List<String> unanswered = new CopyOnWriteArrayList<>();
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+        try (RawHttpServer server = new RawHttpServer(() -> id -> response(OK, echo(id)));
+                BackendClient client = client(server.address())) {
+            for (int caller = 0; caller < CALLERS; caller++) {
+                String prefix = "caller" + caller + "-";
+                callers.submit(() -> {
+                    for (int i = 0; i < MANY_CALLS; i++) {
+                        Reply reply = send(client, prefix + i);
+                        if (statusOf(reply) != OK) {
+                            unanswered.add(prefix + i + " " + reply.refusal());
+                        }
+                    }
+                    return null;
+                });
+            }
+            callers.shutdown();
+            assertTrue(callers.awaitTermination(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "calls take too long");
+        }
+        assertEquals(List.of(), unanswered);
+    }
+
     /** Guards against answers that are dropped although their server never names calls, as it may. */
     @Example
     void responsesOfAServerThatNeverNamesCallsAreAcceptedOnOneConnection() throws Exception {
