--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -147,7 +147,7 @@
     void callsAtATimeAreAllAnsweredWhileConnectionsEnd() throws Exception {
         List<String> unanswered = new CopyOnWriteArrayList<>();
         ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
-        try (RawHttpServer server = new RawHttpServer(() -> id -> response(OK, echo(id)));
+        try (RawHttpServer server = RawHttpServer.ofTexts(() -> id -> response(OK, echo(id)));
                 BackendClient client = client(server.address())) {
             for (int caller = 0; caller < CALLERS; caller++) {
                 String prefix = "caller" + caller + "-";
