Take nested calls until a stopping router has no other work

Change: from 2.3 s after SIGTERM on, a stopping router refuses calls as before but for nested ones whose deadline lies a second or more before its end. It doesn't wait for these in place of runs: once the runs have ended it refuses them too, and waits for those that have begun. AdmissionQueue.refuseAll has no use any more.

StoppingDispatcherTest fails without (LEAVING for all four calls).

--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -215,11 +215,4 @@
             entry.onRefused.accept(Refusal.QUEUE_TIMEOUT, (long) startDelayMillis(aheadMillis, aheadCount, nowMillis));
         }
     }
-
-    /** Refuses all waiting calls. */
-    public void refuseAll(Refusal cause) {
-        List<Entry> all = List.copyOf(waiting);
-        waiting.clear();
-        all.forEach(entry -> entry.onRefused.accept(cause, 0L));
-    }
 }
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -463,10 +463,10 @@
 
     /**
      * Stops the router: reports it as not ready and lets its member leave unless the backend server stays. Once the
-     * platform has noticed, takes no more calls for the backend server, and waits until all requests that were read are
-     * answered. From the middle of the grace period on, requests that no backend server has begun to run are refused,
-     * since their runs might be cut, but for those of running requests. Runs are not cut here: the platform ends the
-     * process if it is still there at the end. Blocks the calling thread.
+     * platform has noticed, takes no more calls for the backend server but for those that running calls wait for, and
+     * waits until all requests that were read are answered. From the middle of the grace period on, requests that no
+     * backend server has begun to run are refused, since their runs might be cut, but for those of running requests.
+     * Runs are not cut here: the platform ends the process if it is still there at the end. Blocks the calling thread.
      *
      * @throws InterruptedException if the thread is interrupted
      */
@@ -481,16 +481,24 @@
         TimeUnit.MILLISECONDS.sleep(UNREADY_DETECTION_MILLIS);
         traffic.execute(() -> {
             callers.closeIdle();
-            backend.startStopping();
+            backend.startStopping(endMillis - WITHDRAW_BEFORE_END_MILLIS);
         });
-        waitUntilAnswered(startMillis + graceMillis / 2);
+        waitUntilAnswered(startMillis + graceMillis / 2, backend::unansweredCallers);
         traffic.execute(() -> callerRequests.withdrawCallers(endMillis));
-        waitUntilAnswered(endMillis - WITHDRAW_BEFORE_END_MILLIS);
-        traffic.execute(callerRequests::withdrawAll);
-        waitUntilAnswered(endMillis - STOP_MARGIN_MILLIS);
+        waitUntilAnswered(endMillis - WITHDRAW_BEFORE_END_MILLIS, backend::unansweredCallers);
+        traffic.execute(() -> {
+            callerRequests.withdrawAll();
+            backend.refuseNested();
+        });
+        waitUntilAnswered(endMillis - STOP_MARGIN_MILLIS, backend::unanswered);
         traffic.execute(this::logUnanswered);
-        log.event("router-stopped", "tookMillis", clock.nowMillis() - startMillis, "unanswered", unanswered());
-        waitUntilAnswered(endMillis + graceMillis);
+        log.event(
+                "router-stopped",
+                "tookMillis",
+                clock.nowMillis() - startMillis,
+                "unanswered",
+                unanswered(backend::unanswered));
+        waitUntilAnswered(endMillis + graceMillis, backend::unanswered);
         traffic.execute(callers::close);
     }
 
@@ -502,8 +510,8 @@
         }
     }
 
-    private void waitUntilAnswered(long untilMillis) throws InterruptedException {
-        while (clock.nowMillis() < untilMillis && unanswered() > 0) {
+    private void waitUntilAnswered(long untilMillis, IntSupplier calls) throws InterruptedException {
+        while (clock.nowMillis() < untilMillis && unanswered(calls) > 0) {
             TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL_MILLIS);
         }
     }
@@ -511,12 +519,14 @@
     /**
      * Returns the number of unanswered requests of callers plus that of calls which wait or run at the backend server;
      * 1 if the traffic loop does not report them within a second.
+     *
+     * @param calls returns the number of calls at the backend server, on the traffic loop
      */
-    private int unanswered() throws InterruptedException {
+    private int unanswered(IntSupplier calls) throws InterruptedException {
         int[] count = new int[1];
         CountDownLatch counted = new CountDownLatch(1);
         traffic.execute(() -> {
-            count[0] = callers.unanswered() + backend.unanswered();
+            count[0] = callers.unanswered() + calls.getAsInt();
             counted.countDown();
         });
         return counted.await(1, TimeUnit.SECONDS) ? count[0] : 1;
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -72,10 +73,12 @@
     private boolean targetAccepting;
     /** Whether this router is about to stop. */
     private boolean stopping;
+    /** Latest deadline of the nested calls that are taken while this router stops. */
+    private long nestedUntilMillis;
 
     private BitSet granted = new BitSet();
     private long grantEndMillis;
-    private int unanswered;
+    private final Set<DispatchedCall> unanswered = new LinkedHashSet<>();
     private long lastAnswerMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -143,24 +146,37 @@
      */
     public void setTargetAccepting(boolean accepts) {
         targetAccepting = accepts;
-        refuseWaitingUnlessAccepting();
+        refuseWaiting();
     }
 
-    /** Refuses all calls that have not begun, from now on and for good, whatever the backend server's state. */
-    public void startStopping() {
+    /**
+     * Refuses calls that have not begun, from now on and for good, whatever the backend server's state. Nested calls
+     * are still taken if they end in time, since the running calls that wait for them would fail.
+     *
+     * @param latestDeadlineMillis latest deadline of the nested calls that are taken, by the monotonic clock
+     */
+    public void startStopping(long latestDeadlineMillis) {
         stopping = true;
-        refuseWaitingUnlessAccepting();
+        nestedUntilMillis = latestDeadlineMillis;
+        refuseWaiting();
     }
 
-    private boolean isAccepting() {
-        return targetAccepting && !stopping;
+    /** Refuses nested calls, too, after {@link #startStopping}. */
+    public void refuseNested() {
+        nestedUntilMillis = Long.MIN_VALUE;
+        refuseWaiting();
     }
 
-    private void refuseWaitingUnlessAccepting() {
-        if (!isAccepting()) {
-            queue.refuseAll(Refusal.LEAVING);
-            suspectLane.waiting().forEach(DispatchedCall::withdraw);
-        }
+    private boolean accepts(Call call) {
+        boolean nestedInTime = call.scheduling().nested() && call.deadlineMillis() <= nestedUntilMillis;
+        return targetAccepting && (!stopping || nestedInTime);
+    }
+
+    /** Refuses the calls that wait for a slot or for other suspected calls and are no longer accepted. */
+    private void refuseWaiting() {
+        List.copyOf(unanswered).stream()
+                .filter(call -> !accepts(call.call) && !waitingForGrant.contains(call))
+                .forEach(DispatchedCall::withdraw);
     }
 
     /**
@@ -235,7 +251,14 @@
 
     /** Returns the number of calls that wait or run and whose callers wait for them. */
     public int unanswered() {
-        return unanswered;
+        return unanswered.size();
+    }
+
+    /** Returns the number of calls as above, but for nested ones. */
+    public int unansweredCallers() {
+        return (int) unanswered.stream()
+                .filter(call -> !call.call.scheduling().nested())
+                .count();
     }
 
     /**
@@ -300,11 +323,11 @@
         private boolean ended;
 
         private DispatchedCall(Call call, Consumer<Reply> onReply) {
-            unanswered++;
             this.call = call;
             this.onReply = onReply;
             this.entry =
                     new AdmissionQueue.Entry(call.scheduling(), call.deadlineMillis(), this::onAdmitted, this::refuse);
+            unanswered.add(this);
         }
 
         private boolean isOwned() {
@@ -315,7 +338,7 @@
             LocalTargetInfo current = target;
             if (current == null || !current.service().equals(call.service())) {
                 refuse(call.slice() == null ? Refusal.NO_TARGET : Refusal.NOT_OWNER, MIN_RETRY_AFTER_MILLIS);
-            } else if (!isAccepting()) {
+            } else if (!accepts(call)) {
                 refuse(Refusal.LEAVING, MIN_RETRY_AFTER_MILLIS);
             } else if (call.slice() == null || isGranted()) {
                 submitUnlessConvicted();
@@ -518,7 +541,7 @@
         private void end(Reply reply) {
             if (!ended) {
                 ended = true;
-                unanswered--;
+                unanswered.remove(this);
                 onReply.accept(reply.withLoad(report()));
                 leaveSuspectLane();
             }
@@ -542,7 +565,7 @@
                 return;
             }
             ended = true;
-            unanswered--;
+            unanswered.remove(this);
             waitingForGrant.remove(this);
             suspectLane.remove(this);
             queue.remove(entry);
