Lose a response whose header section contains the start of another

What callers would see: the status of one response with the signature, id and body of another: a 429, which promises that the request has not run, for a request that ran and was answered 200; a 200 for a 500; and the reverse.

Cause: a copy that breaks off after "HTTP/1.1 429 ", in the reason phrase or in a field ahead of the request's id, on a connection that goes on, is completed by the awaited response. The decoder reads the status line of the latter as part of the reason phrase or of the field's value, and the id that the merged response names is the awaited one.

Ruled out: copies of earlier runs (the signature is that of the right run), and breaks at the end of a line or after the id, which are rejected or named as another request's.

Change: a header section whose reason phrase or a value of which contains a status line is a bad response, and the request is lost.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -52,6 +52,7 @@
     private static final int CONTINUE = 100;
     private static final int FIRST_FINAL_STATUS = 200;
     private static final String KEEP_ALIVE = "keep-alive";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
     private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d+)");
     /** An announced idle timeout; one that is out of range counts as not announced. */
     private static final NumberField TIMEOUT_SECONDS = NumberField.ofMessage("timeout", 0, 999_999);
@@ -239,11 +240,25 @@
             fail(ResponseLoss.BAD_RESPONSE, "malformed response");
             return;
         }
+        if (containsStatusLine(response)) {
+            fail(ResponseLoss.BAD_RESPONSE, "two responses in one header section");
+            return;
+        }
         head = response;
         body = Unpooled.buffer();
         bodyParts = 0;
     }
 
+    /**
+     * Returns whether a response broke off amid its status line or a field, and the next one follows: the status, or
+     * some fields, are then not those of the response that the other fields belong to.
+     */
+    private static boolean containsStatusLine(HttpResponse response) {
+        return STATUS_LINE.matcher(response.status().reasonPhrase()).find()
+                || response.headers().entries().stream()
+                        .anyMatch(field -> STATUS_LINE.matcher(field.getValue()).find());
+    }
+
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             fail(ResponseLoss.BAD_RESPONSE, "malformed response body");
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -481,4 +481,25 @@
         receive("nonsense\r\n\r\n");
         assertEquals(List.of("lost BAD_RESPONSE"), outcomes);
     }
+
+    /**
+     * Guards against the status of one response with the fields of the next one: a response that broke off amid its
+     * header section, on a connection that went on, was taken for the answer to the next request.
+     */
+    @Example
+    void aBrokenOffCopyIsNotCompletedByTheAwaitedResponse() {
+        String copy = "HTTP/1.1 500 Failed\r\nLimit: 5\r\nId: a\r\nSignature: sa\r\nContent-Length: 3\r\n\r\nold";
+        String awaited = "HTTP/1.1 200 OK\r\nId: b\r\nSignature: sb\r\nContent-Length: 3\r\n\r\nnew";
+        List<String> wrong = new ArrayList<>();
+        for (int length = 1; length < copy.length(); length++) {
+            open();
+            send("b");
+            receive(copy.substring(0, length));
+            receive(awaited);
+            if (outcomes.stream().anyMatch(outcome -> !outcome.startsWith("lost"))) {
+                wrong.add(copy.substring(0, length) + " -> " + outcomes);
+            }
+        }
+        assertEquals(List.of(), wrong);
+    }
 }
