Close a connection that brings a part of a response behind another

What callers would see: of requests without ids, such as those to the store, the response to an earlier one as their own; found by review.

Cause: bytes behind a response in the same read stay in the decoder, where the guard on bytes between requests does not see them. A part of a second copy was kept, the connection was offered for reuse, and what came next completed it.

Change: whether bytes are left when a response is complete is read from the decoder; if so, the connection ends as it does on bytes between requests.

Measured: aPartOfAResponseBehindAnotherClosesTheConnection failed from the first byte on (the connection stayed open) and passes for each length.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -70,6 +70,9 @@
     /** Whether the connection has carried a request to whose response alone the rule for {@code HEAD} applies. */
     private boolean carriedHead;
 
+    /** Whether more bytes were received with the part of a response that was decoded last. */
+    private boolean hasBytesBehind;
+
     private HttpResponse head;
     private ByteBuf body;
     private int bodyParts;
@@ -119,6 +122,12 @@
             super(config);
         }
 
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+            super.decode(context, in, out);
+            hasBytesBehind = in.isReadable();
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return exchange != null && exchange.isHead() || super.isContentAlwaysEmpty(message);
@@ -305,6 +314,8 @@
             }
             reusable &= !carried.isFull();
         }
+        // The decoder would complete them as the response to the next request.
+        reusable &= !hasBytesBehind;
         reusable &= dialect.isGenuine(status, headers);
         updateKeepAlive(response);
         Exchange ended = exchange;
@@ -352,6 +363,8 @@
         idleCallbackDue = false;
         if (isUsable()) {
             onIdle.run();
+        } else if (hasBytesBehind && !broken) {
+            failOnStrayBytes();
         } else {
             context.close();
         }
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -260,6 +260,22 @@
         assertFalse(channel.isOpen());
     }
 
+    /** Guards against a part of a copy that arrives with a response and is completed as that to the next request. */
+    @Example
+    void aPartOfAResponseBehindAnotherClosesTheConnection() {
+        String response = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nhi";
+        for (int length = 1; length <= response.length(); length++) {
+            open();
+            send("a");
+            receive(response + response.substring(0, length));
+            assertEquals(List.of("200 hi"), outcomes);
+            assertFalse(channel.isOpen(), length + " bytes");
+            assertEquals(1, events.size(), events::toString);
+            events.clear();
+        }
+        assertEquals(0, idle);
+    }
+
     @Example
     void anIdleTimeoutOutOfRangeCountsAsNotAnnounced() {
         send("a");
