Count the time to receive a body from when it was asked for

What callers would see: 408 right after the 100 that asks for the body, if the request before theirs on the connection took longer than the time for a body; found by review.

Cause: since the 100 waits for the responses to earlier requests, the time for the body went on running from its header section.

Measured: theTimeToReceiveABodyCountsFromWhenItWasAskedFor failed before (the body was rejected) and passes.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -158,7 +158,8 @@
         List.copyOf(connections).forEach(HttpServerConnection::abort);
     }
 
-    private void closeSlowConnections() {
+    /** Closes connections that have been idle for too long, and rejects requests whose bodies take too long. */
+    void closeSlowConnections() {
         long nowMillis = clock.nowMillis();
         List.copyOf(connections).forEach(c -> c.closeIfTooSlow(nowMillis));
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -74,8 +74,8 @@
     private HttpRequest head;
     private CompositeByteBuf body;
     private RequestMemory.Reservation bodyMemory;
-    /** When the header section of the partly read request was complete. */
-    private long headReadMillis;
+    /** When the header section of the partly read request was complete, or its body was asked for. */
+    private long bodyAwaitedSinceMillis;
 
     /** Whether the caller waits to be asked for the body of the partly read request. */
     private boolean continueDue;
@@ -90,7 +90,7 @@
         this.handler = handler;
         this.channel = channel;
         this.idleSinceMillis = clock.nowMillis();
-        this.headReadMillis = idleSinceMillis;
+        this.bodyAwaitedSinceMillis = idleSinceMillis;
     }
 
     /** A request that was read, and its response once there is one. */
@@ -163,7 +163,7 @@
         long allowedMillis = reading
                 ? listener.limits().headerTimeoutMillis() + listener.limits().idleTimeoutMillis()
                 : listener.limits().idleTimeoutMillis();
-        long sinceMillis = reading ? headReadMillis : idleSinceMillis;
+        long sinceMillis = reading ? bodyAwaitedSinceMillis : idleSinceMillis;
         if (nowMillis - sinceMillis > allowedMillis) {
             if (reading) {
                 reject(REQUEST_TIMEOUT);
@@ -195,7 +195,7 @@
             reject(statusOf(request.decoderResult()));
             return;
         }
-        headReadMillis = clock.nowMillis();
+        bodyAwaitedSinceMillis = clock.nowMillis();
         long announcedBytes = HttpUtil.getContentLength(request, 0L);
         if (announcedBytes > listener.limits().maxBodyBytes()) {
             reject(TOO_LARGE);
@@ -219,6 +219,7 @@
     /** Asks for the body of the partly read request; called once all requests before it have responses. */
     private void writeContinue() {
         continueDue = false;
+        bodyAwaitedSinceMillis = clock.nowMillis();
         channel.write(
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE), channel.voidPromise());
     }
