--- a/src/main/java/org/siskindyke/runtime/traffic/DispatchLog.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/DispatchLog.java
@@ -28,6 +28,7 @@
     private final EventRateLimiter suspects = new EventRateLimiter(MAX_SUSPECTS_PER_SECOND);
     private final EventRateLimiter limits = new EventRateLimiter(MAX_LIMITS_PER_SECOND);
     private final EventRateLimiter connectionEvents = new EventRateLimiter(MAX_CONNECTION_EVENTS_PER_SECOND);
+    private final EventRateLimiter passedOverEvents = new EventRateLimiter(MAX_CONNECTION_EVENTS_PER_SECOND);
     private final LongAdder responsesDropped = new LongAdder();
     private AnnouncedLimit lastLimit = AnnouncedLimit.NONE;
 
@@ -96,7 +97,7 @@
 
             @Override
             public void onConnectionsPassedOver(String requestId, int passedOver) {
-                if (connectionEvents.tryAcquire(clock.nowMillis())) {
+                if (passedOverEvents.tryAcquire(clock.nowMillis())) {
                     log.event(
                             "target-connections-passed-over",
                             "target",
--- a/src/test/java/org/siskindyke/platform/LateCopiesTest.java
+++ b/src/test/java/org/siskindyke/platform/LateCopiesTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
 import org.siskindyke.RawHttpServer;
 import org.siskindyke.runtime.InstanceSettings;
 
@@ -24,6 +25,7 @@
 class LateCopiesTest {
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
+    private static final int BAD_GATEWAY = 502;
     private static final int REQUESTS = 40;
     private static final long HEARTBEAT_MILLIS = 50;
     private static final long TIMEOUT_MILLIS = 15_000;
@@ -35,6 +37,7 @@
 
     private final ByteArrayOutputStream events = new ByteArrayOutputStream();
     private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
+    private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final AtomicInteger copies = new AtomicInteger();
 
@@ -68,28 +71,69 @@
         checkAnswersOfRuns(List.of(OK, SERVER_ERROR));
     }
 
+    /** Guards against a copy that breaks off in its status line and lends its status to the response behind it. */
+    @Example
+    void aCopyThatBreaksOffDoesNotLendItsStatusToTheNextResponse() throws Exception {
+        try (RawHttpServer server = new RawHttpServer(BrokenOffCopies::new)) {
+            InstanceSettings beside = startBeside(server);
+            for (int i = 0; i < REQUESTS; i++) {
+                int status = cluster.respondAs("once" + i, beside, "/p/0").statusCode();
+                assertTrue(status == BAD_GATEWAY || runs.get("once" + i) == status, "request " + i + ": " + status);
+            }
+            assertTrue(copies.get() > 0, "no copy has broken off");
+        }
+    }
+
+    /** Answers the first request on a connection with 200, and later ones with 500 behind a part of another 200. */
+    private final class BrokenOffCopies implements RawHttpServer.Script {
+        private boolean answered;
+
+        @Override
+        public List<String> respond(RawHttpServer.Request request) {
+            int status = answered ? SERVER_ERROR : OK;
+            runs.put(request.id(), status);
+            copies.addAndGet(answered ? 1 : 0);
+            String part = answered ? "HTTP/1.1 200 O" : "";
+            answered = true;
+            return List.of(
+                    part,
+                    "HTTP/1.1 " + status + " Status\r\nX-Siskindyke-Request-Id: " + request.id()
+                            + "\r\nX-Siskindyke-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok");
+        }
+    }
+
     /** Guards against the reverse: the late copy of a failure in place of a success. */
     @Example
     void aFailureOfAnEarlierRunIsNotTakenForTheSuccessOfALaterOne() throws Exception {
         checkAnswersOfRuns(List.of(SERVER_ERROR, OK));
     }
 
+    /** Starts a router beside a server, and the heartbeats of the server. */
+    private InstanceSettings startBeside(RawHttpServer server) throws InterruptedException, IOException {
+        cluster.configure(CONFIGURATION);
+        InstanceSettings beside = cluster.startRouter("plain", "a");
+        int[] sequence = new int[1];
+        heartbeats.scheduleWithFixedDelay(
+                () -> {
+                    sequence[0]++;
+                    cluster.trySendHeartbeat(beside, server.address(), sequence[0]);
+                },
+                0,
+                HEARTBEAT_MILLIS,
+                TimeUnit.MILLISECONDS);
+        await(beside);
+        return beside;
+    }
+
+    @AfterTry
+    void stopHeartbeats() {
+        heartbeats.shutdownNow();
+    }
+
     private void checkAnswersOfRuns(List<Integer> statuses) throws Exception {
-        ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
         try (RawHttpServer server = new RawHttpServer(() -> new Stutter(statuses))) {
-            cluster.configure(CONFIGURATION);
-            InstanceSettings beside = cluster.startRouter("plain", "a");
+            InstanceSettings beside = startBeside(server);
             InstanceSettings other = cluster.startRouter("plain", "b");
-            int[] sequence = new int[1];
-            heartbeats.scheduleWithFixedDelay(
-                    () -> {
-                        sequence[0]++;
-                        cluster.trySendHeartbeat(beside, server.address(), sequence[0]);
-                    },
-                    0,
-                    HEARTBEAT_MILLIS,
-                    TimeUnit.MILLISECONDS);
-            await(beside);
             await(other);
             for (int i = 0; i < REQUESTS; i++) {
                 for (int run = 0; run < statuses.size(); run++) {
@@ -103,8 +147,6 @@
                 }
             }
             assertTrue(copies.get() > 0, "no response was written once more");
-        } finally {
-            heartbeats.shutdownNow();
         }
     }
 
