--- a/src/main/java/org/siskindyke/soak/SoakStandinMain.java
+++ b/src/main/java/org/siskindyke/soak/SoakStandinMain.java
@@ -154,6 +154,7 @@
         if (argumentList.contains(HIDE_KEYS)) {
             target.keepReleasedKeys();
         }
+        target.nameRunsInBodies();
         target.crashOnRequest(CRASH_RESTART_MILLIS, responseStart(name));
         target.start();
         return targetCommands(target, name);
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -92,6 +92,7 @@
     private long grantEndMillis;
     private long sequence;
     private boolean keepsReleasedKeys;
+    private boolean namesRuns;
     private final Map<String, List<Integer>> statusesById = new HashMap<>();
     private final ResponseStutter stutter;
     private volatile boolean stutters;
@@ -196,6 +197,11 @@
         keepsReleasedKeys = true;
     }
 
+    /** Adds the signature of its run to the body of each answer. Must be called before {@link #start}. */
+    public void nameRunsInBodies() {
+        namesRuns = true;
+    }
+
     /** What a backend server sends of a response before it ends while it runs the request. */
     public enum ResponseStart {
         /** Nothing. */
@@ -504,7 +510,8 @@
             return Cancellable.NONE;
         }
         headers.add(new Header(SIGNATURE, signature));
-        byte[] body = ("answer of " + identity.name() + " " + signature).getBytes(StandardCharsets.UTF_8);
+        String answer = "answer of " + identity.name() + (namesRuns ? " " + signature : "");
+        byte[] body = answer.getBytes(StandardCharsets.UTF_8);
         running.incrementAndGet();
         return traffic.schedule(
                 () -> {
