Reply without a grant to a heartbeat that has waited for too long

What callers would see: requests refused by a backend server that does not hold their key.

Cause: a deferred reply was given a grant even where it was sent after its time, as on a busy processor. The backend server does not take it then, but the router counts on it.

Measured: aReplyThatIsLateHasNoGrant failed before (renews=true) and passes.

--- a/src/main/java/org/siskindyke/runtime/DeferredReply.java
+++ b/src/main/java/org/siskindyke/runtime/DeferredReply.java
@@ -55,8 +55,10 @@
         if (renewal == null) {
             return;
         }
-        GrantReply reply = renewal.get();
-        if (reply.renews() || clock.nowMillis() >= endMillis) {
+        boolean late = clock.nowMillis() >= endMillis;
+        // The backend server would not take a grant that comes late, so none must be counted on here.
+        GrantReply reply = late ? GrantReply.NO_RENEWAL : renewal.get();
+        if (late || reply.renews()) {
             end(reply);
         }
     }
--- a/src/test/java/org/siskindyke/runtime/DeferredReplyTest.java
+++ b/src/test/java/org/siskindyke/runtime/DeferredReplyTest.java
@@ -46,6 +46,16 @@
         assertEquals(List.of(GrantReply.NO_RENEWAL), replies);
     }
 
+    /** Guards against calls at a backend server that has not taken its grant, since the reply came too late. */
+    @Example
+    void aReplyThatIsLateHasNoGrant() {
+        deferred.await(() -> renewal, replies::add);
+        renewal = GRANT;
+        nowMillis = LATEST_MILLIS;
+        deferred.tick();
+        assertEquals(List.of(GrantReply.NO_RENEWAL), replies);
+    }
+
     /** Guards against a reply to an outdated heartbeat that lists slices. */
     @Example
     void aHeartbeatThatFollowsEndsTheWaitOfTheOneBefore() {
