Read regions, ranks and tolerances of a deployment from the settings

Cause: no part of the router knows a region, and nothing tells it that calls compete for too little room or what a cold server bears.

--- a/src/main/java/org/siskindyke/platform/SettingsReader.java
+++ b/src/main/java/org/siskindyke/platform/SettingsReader.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -14,8 +15,11 @@
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.InstanceName;
+import org.siskindyke.kernel.id.Region;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.input.NumberField;
+import org.siskindyke.kernel.place.Topology;
+import org.siskindyke.runtime.DeploymentSettings;
 import org.siskindyke.runtime.InstanceSettings;
 
 /** Reads the settings file that the platform renders from {@code deploy/node.json.template}; ignores unknown fields. */
@@ -31,6 +35,10 @@
 
     private static final String INBOUND_BIND = "/listen/inbound_bind";
     private static final String MAX_SKEW = "/bounds/max_skew_ms";
+    private static final String EVACUATION = "/bounds/evacuate_ms";
+    /** The platform's name for deployments in which calls compete for too little room. */
+    private static final String RANKED_ADMISSION_CONTRACT = "pressure";
+
     private static final Duration DEFAULT_MAX_SKEW = Duration.ofSeconds(5);
 
     private SettingsReader() {}
@@ -87,7 +95,43 @@
                         new InetSocketAddress(address(root, "/listen/inbound").getAddress(), METRICS_PORT)),
                 address(root, "/platform/address"),
                 millis(root, "/heartbeat_ms"),
-                bounds(root));
+                bounds(root),
+                deployment(root));
+    }
+
+    private static DeploymentSettings deployment(JsonNode root) {
+        DeploymentSettings defaults = DeploymentSettings.DEFAULT;
+        return new DeploymentSettings(
+                topology(root),
+                lists(root.path("contracts"), RANKED_ADMISSION_CONTRACT),
+                numberOr(root, "/bounds/cold_excess", defaults.coldExcessRatio()),
+                numberOr(root, "/bounds/cold_slack", defaults.coldExtraRequests()),
+                root.at(EVACUATION).isMissingNode() ? defaults.evacuation() : millis(root, EVACUATION));
+    }
+
+    private static Topology topology(JsonNode root) {
+        Map<FailureDomain, Region> regions = new HashMap<>();
+        root.path("zones").fields().forEachRemaining(zone -> {
+            if (zone.getValue().isTextual()) {
+                regions.put(
+                        FailureDomain.of(zone.getKey()),
+                        Region.of(zone.getValue().textValue()));
+            }
+        });
+        return new Topology(regions);
+    }
+
+    private static boolean lists(JsonNode list, String text) {
+        for (JsonNode entry : list) {
+            if (entry.asText().equals(text)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static double numberOr(JsonNode root, String pointer, double absent) {
+        return root.at(pointer).isMissingNode() ? absent : number(root, pointer);
     }
 
     private static InstanceSettings.Bounds bounds(JsonNode root) {
--- a/src/main/java/org/siskindyke/runtime/InstanceSettings.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceSettings.java
@@ -17,6 +17,7 @@
  * @param table address of the table service
  * @param heartbeat interval between the backend server's heartbeats
  * @param bounds limits that a reload of the settings replaces
+ * @param deployment what the settings say of the deployment
  */
 public record InstanceSettings(
         InstanceName instance,
@@ -25,7 +26,20 @@
         Addresses addresses,
         InetSocketAddress table,
         Duration heartbeat,
-        Bounds bounds) {
+        Bounds bounds,
+        DeploymentSettings deployment) {
+    /** Creates settings that say nothing of the deployment. */
+    public InstanceSettings(
+            InstanceName instance,
+            FailureDomain failureDomain,
+            ServiceName service,
+            Addresses addresses,
+            InetSocketAddress table,
+            Duration heartbeat,
+            Bounds bounds) {
+        this(instance, failureDomain, service, addresses, table, heartbeat, bounds, DeploymentSettings.DEFAULT);
+    }
+
     /**
      * The addresses that a router listens on, and the one at which other routers reach it.
      *
@@ -82,6 +96,6 @@
 
     /** Returns the settings with other bounds. */
     public InstanceSettings withBounds(Bounds changed) {
-        return new InstanceSettings(instance, failureDomain, service, addresses, table, heartbeat, changed);
+        return new InstanceSettings(instance, failureDomain, service, addresses, table, heartbeat, changed, deployment);
     }
 }
--- a/src/test/java/org/siskindyke/platform/PlatformDecodersTest.java
+++ b/src/test/java/org/siskindyke/platform/PlatformDecodersTest.java
@@ -20,13 +20,16 @@
 import org.siskindyke.kernel.grant.GrantReply;
 import org.siskindyke.kernel.grant.TargetGrants;
 import org.siskindyke.kernel.grant.TargetHeartbeat;
+import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.ownership.OwnedSlice;
+import org.siskindyke.kernel.place.Distance;
 import org.siskindyke.kernel.route.Route;
 import org.siskindyke.kernel.route.RouteKind;
 import org.siskindyke.kernel.route.RoutingConfiguration;
 import org.siskindyke.kernel.table.TableEra;
+import org.siskindyke.runtime.DeploymentSettings;
 import org.siskindyke.runtime.InstanceSettings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -64,6 +67,20 @@
         assertEquals(1, addresses.peers().getPort());
     }
 
+    /** Guards against a deployment with regions or ranks in its settings that is served as one without. */
+    @Example
+    void theDeploymentIsReadFromTheSettings() {
+        String deployment = SETTINGS.replace(
+                "\"new\":1,",
+                "\"zones\":{\"kalna\":\"east\",\"katwa\":\"west\"},\"contracts\":[\"base\",\"pressure\"],");
+        DeploymentSettings settings = SettingsReader.parse(deployment).deployment();
+        assertTrue(settings.rankedAdmission());
+        assertEquals(
+                Distance.OTHER_REGION,
+                settings.topology().distance(FailureDomain.of("kalna"), FailureDomain.of("katwa")));
+        assertEquals(DeploymentSettings.DEFAULT, SettingsReader.parse(SETTINGS).deployment());
+    }
+
     @Example
     void aMissingSettingIsNamed() {
         SiskindykeException error = assertThrows(
