--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -104,7 +104,10 @@
         boolean retryElsewhere = entry.attributes.movable() && late;
         // Under a limit that is used up, newer calls would overtake a late one until its deadline.
         boolean crowdedOut = pace.isLimited() && late && !waiting.isEmpty() && !entry.attributes.nested();
-        if (waiting.size() >= slots * MAX_WAITING_PER_SLOT || tooLate || retryElsewhere || crowdedOut) {
+        // A cold target is slow, so that a call which waits for its turn only delays those that could be in time.
+        boolean lateWhileCold = pace.warmUp().isCold() && late && waitMillis > 0 && !entry.attributes.nested();
+        boolean full = waiting.size() >= slots * MAX_WAITING_PER_SLOT;
+        if (full || tooLate || retryElsewhere || crowdedOut || lateWhileCold) {
             entry.onRefused.accept(Refusal.QUEUE_FULL, (long) Math.max(ownMillis, waitMillis));
         } else {
             waiting.add(entry);
--- a/src/main/java/org/siskindyke/kernel/call/ArrivalPace.java
+++ b/src/main/java/org/siskindyke/kernel/call/ArrivalPace.java
@@ -4,6 +4,8 @@
  * Spaces the calls to one target evenly, below the limit on calls per second that the target names in its responses.
  * There is no burst after a pause. Confined to one thread; all times are on the monotonic clock.
  *
+ * <p>A target that is cold is limited by its {@link WarmUpPace} as well; the stricter of the two applies.
+ *
  * <p>Before the first call has ended, and after a long silence of a limited target, it is not known whether there is a
  * limit; only a few calls may run then.
  */
@@ -19,6 +21,7 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    private final WarmUpPace warmUp = new WarmUpPace();
     private boolean known;
     private double callsPerSecond = Double.POSITIVE_INFINITY;
     /** When the next call may start. */
@@ -28,6 +31,11 @@
     /** When the first call since the last reset started; {@link Long#MAX_VALUE} for none. */
     private long firstStartMillis = Long.MAX_VALUE;
 
+    /** Returns the pace of the target while it is cold. */
+    public WarmUpPace warmUp() {
+        return warmUp;
+    }
+
     /** Forgets what is known, since another incarnation of the target has started. */
     public void reset() {
         known = false;
@@ -54,24 +62,33 @@
         known = true;
     }
 
-    /** Returns whether the target has named a limit that applies. */
+    /** Returns whether the target has named a limit that applies, or is cold. */
     public boolean isLimited() {
+        return hasNamedLimit() || warmUp.isCold();
+    }
+
+    private boolean hasNamedLimit() {
         return callsPerSecond < Double.POSITIVE_INFINITY;
     }
 
     /** Returns the time between two calls, in milliseconds; 0 without a limit. */
     public double intervalMillis() {
+        return Math.max(namedIntervalMillis(), warmUp.intervalMillis());
+    }
+
+    private double namedIntervalMillis() {
         return MILLIS_PER_SECOND / callsPerSecond;
     }
 
     /** Returns how long the next call has to wait for its turn, in milliseconds; 0 if it may start now. */
     public long delayMillis(long nowMillis) {
-        return isLimited() ? (long) Math.ceil(Math.max(0, nextMillis - nowMillis)) : 0;
+        double namedMillis = hasNamedLimit() ? Math.max(0, nextMillis - nowMillis) : 0;
+        return (long) Math.ceil(Math.max(namedMillis, warmUp.delayMillis(nowMillis)));
     }
 
     /** Returns whether a call may start now, beside those that run; forgets the limit of a silent target. */
     public boolean allows(int running, long nowMillis) {
-        if (isLimited() && nowMillis - lastResponseMillis > SILENCE_MILLIS) {
+        if (hasNamedLimit() && nowMillis - lastResponseMillis > SILENCE_MILLIS) {
             reset();
         }
         boolean waitsForResponse =
@@ -82,8 +99,9 @@
     /** Records that a call starts. */
     public void onStarted(long nowMillis) {
         firstStartMillis = Math.min(firstStartMillis, nowMillis);
-        if (isLimited()) {
-            nextMillis = Math.max(nextMillis, nowMillis) + intervalMillis();
+        warmUp.onStarted(nowMillis);
+        if (hasNamedLimit()) {
+            nextMillis = Math.max(nextMillis, nowMillis) + namedIntervalMillis();
         }
     }
 }
--- a/src/main/java/org/siskindyke/kernel/call/Refusal.java
+++ b/src/main/java/org/siskindyke/kernel/call/Refusal.java
@@ -48,6 +48,10 @@
     DUPLICATE_UNKNOWN(409),
     /** The router or its backend server no longer accepts calls. */
     LEAVING(503),
+    /** All failure domains with servers that could serve the call are evacuated. */
+    EVACUATED(503),
+    /** The route's allowed regions have no server of the service, or not the owner of the key. */
+    REGION_NOT_ALLOWED(503),
     /** An unexpected exception in the router. */
     INTERNAL_ERROR(500);
 
--- a/src/main/java/org/siskindyke/kernel/control/ClusterView.java
+++ b/src/main/java/org/siskindyke/kernel/control/ClusterView.java
@@ -1,6 +1,7 @@
 package org.siskindyke.kernel.control;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,8 @@
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.ownership.OwnershipMap;
 import org.siskindyke.kernel.ownership.SliceOwnershipRow;
+import org.siskindyke.kernel.place.EvacuationOrder;
+import org.siskindyke.kernel.place.EvacuationOrders;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -39,6 +42,7 @@
     private final OwnershipMap ownership = new OwnershipMap();
     private final DocumentCatalog documents = new DocumentCatalog();
     private final CrashSuspects suspects;
+    private final EvacuationOrders evacuations;
     private BiConsumer<RowPath, SiskindykeException> onIgnored = (path, cause) -> {};
     private final Map<RowPath, DecodedOwnership> decodedOwnerships = new HashMap<>();
     private long noticedEra;
@@ -47,12 +51,14 @@
 
     /** Creates an empty view without evidence against any request. */
     public ClusterView() {
-        this(new CrashSuspects());
+        this(new CrashSuspects(), new EvacuationOrders());
     }
 
-    /** Creates an empty view with the evidence that an earlier incarnation of this member has collected. */
-    public ClusterView(CrashSuspects suspects) {
+    /** Creates an empty view with the evidence and the orders that an earlier incarnation of this member knew. */
+    public ClusterView(CrashSuspects suspects, EvacuationOrders evacuations) {
         this.suspects = suspects;
+        this.evacuations = evacuations;
+        members.setEvacuated(evacuations.inForce().sinceMillis().keySet());
     }
 
     /**
@@ -88,6 +94,20 @@
         return suspects;
     }
 
+    /** Returns the known evacuation orders, which must be used on the control thread only. */
+    public EvacuationOrders evacuations() {
+        return evacuations;
+    }
+
+    /** Accepts evacuation orders; returns whether any was newer than the known ones. */
+    boolean acceptEvacuations(Collection<EvacuationOrder> offered, long nowMillis) {
+        boolean changed = evacuations.accept(offered, nowMillis);
+        if (changed) {
+            members.setEvacuated(evacuations.inForce().sinceMillis().keySet());
+        }
+        return changed;
+    }
+
     /** Returns the latest {@link TableEra} that is known from rows or otherwise, see {@link #noticeEra}. */
     public long era() {
         return Math.max(noticedEra, TableEra.of(replica.version()));
--- a/src/main/java/org/siskindyke/kernel/control/ControlListener.java
+++ b/src/main/java/org/siskindyke/kernel/control/ControlListener.java
@@ -4,6 +4,7 @@
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.membership.GrantDecision;
+import org.siskindyke.kernel.place.EvacuationOrders;
 import org.siskindyke.kernel.table.RowPath;
 
 /** Receives changes of a member's state, on the control thread. Only {@link #onInternalError} has no default. */
@@ -52,6 +53,9 @@
         return true;
     }
 
+    /** Called when newer evacuation orders were received. */
+    default void onEvacuations(EvacuationOrders orders) {}
+
     /** Called when this member learns that a request is refused, since backend servers ended while they ran it. */
     default void onConvicted(SuspectReport evidence) {}
 
--- a/src/main/java/org/siskindyke/kernel/control/HandoverController.java
+++ b/src/main/java/org/siskindyke/kernel/control/HandoverController.java
@@ -57,8 +57,9 @@
 
     private void handOver(ServiceName service) {
         List<OwnedSlice> owned = context.view().ownedSlices(service, context.self());
-        List<MemberRow> newOwners =
-                TakeoverPlan.chooseNewOwners(context.view(), service, context.self(), Optional.empty());
+        List<MemberRow> newOwners = isEvacuated()
+                ? TakeoverPlan.chooseNewOwnersAtRandom(context, service)
+                : TakeoverPlan.chooseNewOwners(context.view(), service, context.self(), Optional.empty());
         if (newOwners.isEmpty()) {
             release(service, owned, null);
             return;
@@ -75,6 +76,10 @@
         SliceShares.divideEvenly(counts, owned).forEach((newOwner, slices) -> release(service, slices, newOwner));
     }
 
+    private boolean isEvacuated() {
+        return context.view().members().isEvacuated(registration.row().failureDomain());
+    }
+
     private void release(ServiceName service, List<OwnedSlice> slices, MemberId newOwner) {
         List<Integer> indexes = slices.stream().map(OwnedSlice::index).toList();
         releases.start(new PeerMessenger.Release(service, indexes, newOwner, "owner accepts no new work"));
--- a/src/main/java/org/siskindyke/kernel/control/MemberController.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberController.java
@@ -18,6 +18,7 @@
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.membership.TargetDeparture;
+import org.siskindyke.kernel.place.EvacuationOrder;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -265,6 +266,11 @@
         sync.acceptConfiguration(configuration, null);
     }
 
+    /** Accepts evacuation orders that are newer than the known ones, and spreads them by gossip. */
+    public void onEvacuations(List<EvacuationOrder> orders) {
+        sync.acceptEvacuations(orders);
+    }
+
     /**
      * Records that a backend server beside this member has crashed.
      *
--- a/src/main/java/org/siskindyke/kernel/control/PeerMessenger.java
+++ b/src/main/java/org/siskindyke/kernel/control/PeerMessenger.java
@@ -10,6 +10,7 @@
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.membership.GrantDecision;
 import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.place.EvacuationOrder;
 import org.siskindyke.kernel.table.TableChanges;
 
 /**
@@ -48,6 +49,7 @@
      * @param suspects evidence against requests that the receiver may lack
      * @param tableAgeMillis how long ago the table last answered the sender, or another member as far as the sender has
      *     heard; {@link #UNKNOWN_AGE} where that is not known
+     * @param evacuations all evacuation orders that the sender knows; empty from earlier versions
      */
     record Gossip(
             MemberId member,
@@ -57,7 +59,8 @@
             ConfigurationText configuration,
             SuspectDigest suspectsDigest,
             List<SuspectReport> suspects,
-            long tableAgeMillis) {
+            long tableAgeMillis,
+            List<EvacuationOrder> evacuations) {
         /** Stands for an age that is not known; above all ages. */
         public static final long UNKNOWN_AGE = Long.MAX_VALUE;
     }
--- a/src/main/java/org/siskindyke/kernel/control/TableSync.java
+++ b/src/main/java/org/siskindyke/kernel/control/TableSync.java
@@ -10,6 +10,7 @@
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.place.EvacuationOrder;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowPath;
 import org.siskindyke.kernel.table.TableChanges;
@@ -52,6 +53,8 @@
     private static final long SPREAD_DELAY_MILLIS = 150;
     /** Members to which each member spreads a new configuration; three reach nearly all, gossip reaches the rest. */
     private static final int SPREAD_MEMBERS = 3;
+    /** Members to which each member spreads an evacuation order; six leave out one in 400 until the next gossip. */
+    private static final int EVACUATION_SPREAD_MEMBERS = 6;
     /** Of this many exchanges with a random member, one is with any, and not only with those that accept grantees. */
     private static final int GOSSIPS_PER_GOSSIP_AMONG_ALL = 16;
 
@@ -71,6 +74,8 @@
     /** When to spread the configuration; {@link Long#MAX_VALUE} if it was spread. */
     private long spreadAtMillis = Long.MAX_VALUE;
 
+    private int spreadMembers = SPREAD_MEMBERS;
+
     private boolean synced;
     /** The version up to which the first read of all rows, which may take several calls, has come. */
     private long firstReadUpTo;
@@ -135,7 +140,8 @@
         }
         if (nowMillis >= spreadAtMillis) {
             spreadAtMillis = Long.MAX_VALUE;
-            randomOthers(SPREAD_MEMBERS).forEach(this::gossipWith);
+            randomOthers(spreadMembers).forEach(this::gossipWith);
+            spreadMembers = SPREAD_MEMBERS;
         }
     }
 
@@ -196,7 +202,8 @@
                 withSuspects
                         ? context.view().suspects().reportsFor(theirs.suspectsDigest(), context.nowMillis())
                         : List.of(),
-                tableAgeMillis());
+                tableAgeMillis(),
+                evacuations());
     }
 
     /** Returns the rows that a peer lacks; none while this member lacks some itself, which the peer would not know. */
@@ -215,7 +222,16 @@
     void acceptConfiguration(ConfigurationText offered, MemberId from) {
         if (offered.revision() > configuration.revision() && context.listener().onConfiguration(offered, from)) {
             configuration = offered;
-            spreadAtMillis = context.nowMillis() + SPREAD_DELAY_MILLIS;
+            spreadAtMillis = Math.min(spreadAtMillis, context.nowMillis() + SPREAD_DELAY_MILLIS);
+        }
+    }
+
+    /** Accepts evacuation orders that are newer than the known ones, and spreads them at once. */
+    void acceptEvacuations(List<EvacuationOrder> offered) {
+        if (context.view().acceptEvacuations(offered, context.nowMillis())) {
+            spreadMembers = EVACUATION_SPREAD_MEMBERS;
+            spreadAtMillis = context.nowMillis();
+            context.listener().onEvacuations(context.view().evacuations());
         }
     }
 
@@ -238,7 +254,12 @@
                 null,
                 suspectsDigest(),
                 suspects,
-                tableAgeMillis());
+                tableAgeMillis(),
+                evacuations());
+    }
+
+    private List<EvacuationOrder> evacuations() {
+        return context.view().evacuations().all(context.nowMillis());
     }
 
     private SuspectDigest suspectsDigest() {
@@ -307,6 +328,7 @@
             notifyOf(context.view().apply(gossip.changes(), context.nowMillis()));
             completedByPeer |= gossip.changes().upToVersion() >= gossip.tableVersion();
         }
+        acceptEvacuations(gossip.evacuations());
         if (gossip.configuration() != null) {
             acceptConfiguration(gossip.configuration(), gossip.member());
         }
--- a/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
+++ b/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
@@ -1,10 +1,12 @@
 package org.siskindyke.kernel.control;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 
 import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
@@ -173,4 +175,18 @@
                 .thenComparing(MemberRow::id));
         return candidates.subList(0, Math.min(MAX_NEW_OWNERS, candidates.size()));
     }
+
+    /**
+     * Chooses new owners as above, for this member's own slices, but at random among those that own equally few: where
+     * all owners of a failure domain hand over at once, the same few members would get the slices of all.
+     */
+    static List<MemberRow> chooseNewOwnersAtRandom(ControlContext context, ServiceName service) {
+        ClusterView view = context.view();
+        List<MemberRow> candidates = new ArrayList<>(view.members().acceptingMembers(service));
+        candidates.removeIf(m -> m.id().equals(context.self()) || !view.isRecordedInPresentEra(m.id()));
+        Collections.shuffle(candidates, new Random(context.random().nextLong()));
+        candidates.sort(Comparator.comparingInt(
+                (MemberRow m) -> view.ownershipRow(service, m.id()).slices().size()));
+        return candidates.subList(0, Math.min(MAX_NEW_OWNERS, candidates.size()));
+    }
 }
--- a/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
+++ b/src/main/java/org/siskindyke/kernel/membership/MemberDirectory.java
@@ -16,6 +16,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -32,6 +33,7 @@
     private final Map<MemberId, Long> revisions = new ConcurrentHashMap<>();
     private final Map<ServiceName, List<MemberRow>> acceptingByService = new ConcurrentHashMap<>();
     private final Map<MemberId, Set<MemberId>> granteesByGrantor = new HashMap<>();
+    private volatile Set<FailureDomain> evacuated = Set.of();
     private GrantorRing ring;
     private long changeCount;
 
@@ -106,6 +108,30 @@
         return revisions.getOrDefault(id, 0L);
     }
 
+    /** Replaces the evacuated failure domains, whose backend servers accept no new work. */
+    public void setEvacuated(Set<FailureDomain> domains) {
+        evacuated = Set.copyOf(domains);
+        Set<ServiceName> services = new HashSet<>(acceptingByService.keySet());
+        for (ServiceName service : services) {
+            acceptingByService.put(
+                    service,
+                    serving.values().stream()
+                            .filter(member -> isAccepting(member, service))
+                            .toList());
+        }
+    }
+
+    /** Returns whether a failure domain is evacuated. */
+    public boolean isEvacuated(FailureDomain domain) {
+        return evacuated.contains(domain);
+    }
+
+    private boolean isAccepting(MemberRow member, ServiceName service) {
+        return member.state() == MemberState.ALIVE
+                && member.acceptsWorkOf(service)
+                && !evacuated.contains(member.failureDomain());
+    }
+
     /** Returns the members in state {@code ALIVE} with a backend server of the service that accepts new work. */
     public List<MemberRow> acceptingMembers(ServiceName service) {
         return acceptingByService.getOrDefault(service, List.of());
@@ -123,7 +149,7 @@
     private void replaceAccepting(ServiceName service, MemberRow before, MemberRow after) {
         List<MemberRow> accepting = new ArrayList<>(acceptingMembers(service));
         accepting.removeIf(m -> before != null && m.id().equals(before.id()));
-        if (after != null && after.state() == MemberState.ALIVE && after.acceptsWorkOf(service)) {
+        if (after != null && isAccepting(after, service)) {
             accepting.add(after);
         }
         acceptingByService.put(service, List.copyOf(accepting));
--- a/src/main/java/org/siskindyke/kernel/route/Route.java
+++ b/src/main/java/org/siskindyke/kernel/route/Route.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.siskindyke.kernel.place.AllowedRegions;
+
 /**
  * Assigns requests to services: those to one host whose path starts with a prefix.
  *
@@ -14,6 +16,7 @@
  * @param priority rank among the routes of a service; 0 is the highest
  * @param maxAttempts maximum number of attempts that may reach a backend server; refusals by routers do not count
  * @param shares the services with their weights
+ * @param allowedRegions the regions whose servers may get its requests
  */
 public record Route(
         String name,
@@ -24,7 +27,8 @@
         long objectiveMillis,
         int priority,
         int maxAttempts,
-        List<ServiceShare> shares) {
+        List<ServiceShare> shares,
+        AllowedRegions allowedRegions) {
     /** Copies the list. */
     public Route {
         shares = List.copyOf(shares);
--- a/src/main/java/org/siskindyke/kernel/route/ServiceSettings.java
+++ b/src/main/java/org/siskindyke/kernel/route/ServiceSettings.java
@@ -8,5 +8,7 @@
  * @param service the service
  * @param divided whether its keys are divided among its targets
  * @param maxConnectionsPerTarget maximum number of connections that each of its targets accepts
+ * @param coldCallsPerSecond requests per second that a cold target sustains; 0 where it takes as many as a warm one
  */
-public record ServiceSettings(ServiceName service, boolean divided, int maxConnectionsPerTarget) {}
+public record ServiceSettings(
+        ServiceName service, boolean divided, int maxConnectionsPerTarget, double coldCallsPerSecond) {}
--- a/src/main/java/org/siskindyke/platform/ConfigurationReader.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationReader.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -14,8 +16,10 @@
 import org.siskindyke.kernel.control.ConfigurationText;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
+import org.siskindyke.kernel.id.Region;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.input.NumberField;
+import org.siskindyke.kernel.place.AllowedRegions;
 import org.siskindyke.kernel.route.CallerLimits;
 import org.siskindyke.kernel.route.Route;
 import org.siskindyke.kernel.route.RouteKind;
@@ -38,6 +42,7 @@
     private static final NumberField ATTEMPTS = field("max_attempts", 0, 1_000_000);
     private static final NumberField WEIGHT = field("weight", 0, NumberField.MAX_EXACT);
     private static final NumberField CONNECTIONS = field("max_connections", 0, 1_000_000);
+    private static final NumberField COLD_RATE = field("cold_per_s", 0, 1_000_000);
     private static final NumberField BYTES = field("max_header_bytes or max_body_bytes", 0, Integer.MAX_VALUE);
 
     private final List<String> omitted = new ArrayList<>();
@@ -132,7 +137,23 @@
                 MILLIS.readOr(path.path("aim_ms"), timeoutMillis),
                 PRIORITY.readIntOr(path.path("priority"), LOWEST_PRIORITY),
                 Math.max(1, ATTEMPTS.readIntOr(path.path("max_attempts"), 1)),
-                shares(path));
+                shares(path),
+                allowedRegions(path));
+    }
+
+    /** Returns the allowed regions; a malformed list is an error, as the route must not be served everywhere then. */
+    private static AllowedRegions allowedRegions(JsonNode path) {
+        JsonNode list = path.path("allowed_regions");
+        if (list.isMissingNode() || list.isNull()) {
+            return AllowedRegions.ALL;
+        }
+        check(list.isArray(), "allowed_regions must be a list");
+        Set<Region> regions = new HashSet<>();
+        for (JsonNode region : list) {
+            check(region.isTextual(), "allowed_regions must contain names of regions");
+            regions.add(Region.of(region.textValue()));
+        }
+        return new AllowedRegions(regions);
     }
 
     private static List<ServiceShare> shares(JsonNode path) {
@@ -162,7 +183,8 @@
         return new ServiceSettings(
                 ServiceName.of(service.path("name").asText()),
                 service.path("sharded").asBoolean(false),
-                CONNECTIONS.readIntOr(service.path("max_connections"), DEFAULT_MAX_CONNECTIONS));
+                CONNECTIONS.readIntOr(service.path("max_connections"), DEFAULT_MAX_CONNECTIONS),
+                service.hasNonNull("cold_per_s") ? COLD_RATE.readDecimal(service.path("cold_per_s")) : 0);
     }
 
     private static CallerLimits limits(JsonNode root) {
--- a/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
+++ b/src/main/java/org/siskindyke/platform/ConfigurationWatcher.java
@@ -1,5 +1,8 @@
 package org.siskindyke.platform;
 
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -10,8 +13,8 @@
 import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
- * Watches the operators' configuration in the store. Each call starts after the previous one was answered or failed, so
- * that the state needs no lock.
+ * Watches the operators' configuration and their evacuation orders in the store. Each call starts after the previous
+ * one was answered or failed, so that the state needs no lock.
  *
  * <p>Reads may lag behind the version that they name. Where the store has dropped the history since the row that was
  * seen, a transaction without writes tells whether that row is still the newest, and returns the newest if not.
@@ -19,6 +22,10 @@
 final class ConfigurationWatcher {
     private static final String TABLE = "op";
     private static final String KEY = "config";
+    /** Rows of the first read; the table holds one configuration and an order for each of a few failure domains. */
+    private static final int READ_LIMIT_ROWS = 100;
+    /** Maximum evacuation orders that are read. */
+    private static final int MAX_ORDERS = 1_000;
     /** Maximum delay before the first retry after a call was answered; a lost connection is replaced at once. */
     private static final long FIRST_RETRY_DELAY_MILLIS = 300;
     /** Mean delay before further retries; each call is billed. */
@@ -47,6 +54,7 @@
     private final Consumer<ConfigurationText> onConfiguration;
     private final BooleanSupplier reader;
     private final BooleanSupplier needed;
+    private final EvacuationRows evacuations;
     private final EventLog log;
     private final WatchProgress progress = new WatchProgress();
     /** Version up to which all changes were seen. */
@@ -68,6 +76,7 @@
      * @param onConfiguration receives each configuration that was read
      * @param reader returns whether other routers rely on this one to notice changes soon
      * @param needed returns whether changes may not arrive otherwise; while they do, the store is not asked
+     * @param evacuations receives the rows of evacuation orders
      * @param log receives an event for each row that was read and when the store fails or answers again
      */
     ConfigurationWatcher(
@@ -76,32 +85,54 @@
             Consumer<ConfigurationText> onConfiguration,
             BooleanSupplier reader,
             BooleanSupplier needed,
+            EvacuationRows evacuations,
             EventLog log) {
         this.store = store;
         this.traffic = traffic;
         this.onConfiguration = onConfiguration;
         this.reader = reader;
         this.needed = needed;
+        this.evacuations = evacuations;
         this.log = log;
     }
 
-    /** Reads the configuration, then watches it for changes. */
+    /**
+     * Reads the configuration and the evacuation orders, whose keys follow in the order of keys, then watches them for
+     * changes from the version of the configuration on. A read that holds this version holds all earlier orders, too.
+     */
     void start() {
-        store.readRows(TABLE, KEY, KEY + '\u0001', 1).whenComplete((answer, failure) -> {
+        store.readRows(TABLE, KEY, EvacuationRows.KEYS_END, READ_LIMIT_ROWS).whenComplete((answer, failure) -> {
             if (isAnswered(failure, this::start) && isOfPresentEra(answer)) {
-                offerRows(answer);
+                if (store.rows(answer).size() >= READ_LIMIT_ROWS) {
+                    readOrders();
+                }
+                offerRows(answer, true);
+                evacuations.confirmMissing(store.rows(answer), era);
                 seenVersion = Math.max(seenVersion, revision);
                 watch();
             }
         });
     }
 
+    /** Reads the evacuation orders alone, since rows with keys before theirs have filled the answer. */
+    private void readOrders() {
+        store.readRows(TABLE, EvacuationRows.KEY_PREFIX, EvacuationRows.KEYS_END, MAX_ORDERS)
+                .whenComplete((answer, failure) -> {
+                    if (failure != null) {
+                        traffic.schedule(this::readOrders, RETRY_DELAY_MILLIS);
+                    } else {
+                        evacuations.offer(store.rows(answer), answer.era(), true);
+                    }
+                });
+    }
+
     private void watch() {
         if (!needed.getAsBoolean()) {
             traffic.schedule(this::watch, NOT_NEEDED_CHECK_MILLIS);
             return;
         }
         store.watch(TABLE, seenVersion, waitMillis()).whenComplete((answer, failure) -> {
+            boolean afterFailure = failing;
             if (!isAnswered(failure, this::watch) || !isOfPresentEra(answer)) {
                 return;
             }
@@ -110,7 +141,7 @@
                 confirm();
                 return;
             }
-            long newestRow = offerRows(answer);
+            long newestRow = offerRows(answer, afterFailure);
             seenVersion = progress.onAnswer(seenVersion, newestRow, answer.version());
             traffic.schedule(this::watch, newestRow > 0 ? COALESCE_MILLIS : UNCHANGED_DELAY_MILLIS);
         });
@@ -122,8 +153,29 @@
                 : WAIT_MILLIS;
     }
 
-    /** Finds out whether the row that was seen is still the newest. */
+    /** Finds out whether the rows that were seen are still the newest. */
     private void confirm() {
+        Map<String, Long> versions = new TreeMap<>(evacuations.expectedVersions(era));
+        if (versions.isEmpty()) {
+            confirmConfiguration();
+            return;
+        }
+        versions.put(KEY, revision);
+        store.check(TABLE, versions).whenComplete((answer, failure) -> {
+            if (!isAnswered(failure, this::start) || !isOfPresentEra(answer)) {
+                return;
+            }
+            if (answer.status() == StoreClient.OK) {
+                onConfirmed(answer);
+            } else {
+                // The answer need not contain the rows whose conditions held.
+                evacuations.confirmAll(era);
+                confirmConfiguration();
+            }
+        });
+    }
+
+    private void confirmConfiguration() {
         store.check(TABLE, KEY, revision).whenComplete((answer, failure) -> {
             if (isAnswered(failure, this::start) && isOfPresentEra(answer)) {
                 onConfirmed(answer);
@@ -134,7 +186,7 @@
     private void onConfirmed(StoreClient.Answer answer) {
         boolean unchanged = answer.status() == StoreClient.OK;
         log.event("configuration-confirmed", "revision", revision, "unchanged", unchanged);
-        if (unchanged || offerRows(answer) > 0) {
+        if (unchanged || offerRows(answer, true) > 0) {
             seenVersion = Math.max(seenVersion, answer.version());
             traffic.schedule(this::watch, COALESCE_MILLIS);
         } else {
@@ -178,10 +230,18 @@
         return ThreadLocalRandom.current().nextLong(millis);
     }
 
-    /** Passes on the configuration in an answer; returns the highest version of the rows in the answer, 0 for none. */
-    private long offerRows(StoreClient.Answer answer) {
+    /**
+     * Passes on the evacuation orders in an answer and then the configuration, with which requests begin to be served.
+     *
+     * @param answer the answer
+     * @param mayBeOld whether the rows may have been written long ago
+     * @return the highest version of the rows in the answer, 0 for none
+     */
+    private long offerRows(StoreClient.Answer answer, boolean mayBeOld) {
         long newest = 0;
-        for (StoreRow row : store.rows(answer)) {
+        List<StoreRow> rows = store.rows(answer);
+        evacuations.offer(rows, answer.era(), mayBeOld);
+        for (StoreRow row : rows) {
             logRead(row, answer);
             newest = Math.max(newest, row.version());
             if (row.key().equals(KEY) && !row.deleted()) {
--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -23,6 +23,7 @@
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.runtime.DeploymentSettings;
 import org.siskindyke.runtime.EventLog;
 import org.siskindyke.runtime.InstanceRouter;
 import org.siskindyke.runtime.InstanceSettings;
@@ -60,6 +61,7 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<Instance> instances = new ArrayList<>();
     private final Map<InstanceSettings, InstanceRouter> routers = new HashMap<>();
+    private DeploymentSettings deployment = DeploymentSettings.DEFAULT;
     private int instanceCount;
     private int requestCount;
 
@@ -81,6 +83,11 @@
         store.put("op", "config", text);
     }
 
+    /** Sets what the settings of the routers that are started from now on say of the deployment. */
+    void setDeployment(DeploymentSettings settings) {
+        deployment = settings;
+    }
+
     StoreStandin store() {
         return store;
     }
@@ -110,7 +117,8 @@
                         freeAddress(), peers, peers, freeAddress(), freeAddress(), freeAddress()),
                 storeAddress,
                 HEARTBEAT_INTERVAL,
-                BOUNDS);
+                BOUNDS,
+                deployment);
         routers.put(settings, PlatformRouter.start(settings, traffic, log));
         return settings;
     }
--- a/src/main/java/org/siskindyke/platform/PlatformRouter.java
+++ b/src/main/java/org/siskindyke/platform/PlatformRouter.java
@@ -24,8 +24,21 @@
         InstanceRouter router =
                 new InstanceRouter(settings, traffic, table, new PlatformDialect(), ConfigurationReader::read, log);
         router.start();
+        EvacuationRows evacuations = new EvacuationRows(
+                store,
+                traffic,
+                settings.deployment().topology().regionByDomain().keySet(),
+                router::evacuations,
+                router::offerEvacuations,
+                log);
         new ConfigurationWatcher(
-                        store, traffic, router::offerConfiguration, router::isReader, router::watchesConfiguration, log)
+                        store,
+                        traffic,
+                        router::offerConfiguration,
+                        router::isReader,
+                        router::watchesConfiguration,
+                        evacuations,
+                        log)
                 .start();
         traffic.scheduleWithFixedDelay(store::logCalls, STORE_LOG_INTERVAL_MILLIS);
         InstanceSettings.Addresses addresses = settings.addresses();
--- a/src/main/java/org/siskindyke/platform/StoreClient.java
+++ b/src/main/java/org/siskindyke/platform/StoreClient.java
@@ -7,6 +7,7 @@
 import java.util.Base64;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +17,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
@@ -40,7 +42,7 @@
     static final long UNKNOWN_ERA = -1;
 
     /** Version in a condition that a row does not exist. */
-    private static final long NO_ROW = 0;
+    static final long NO_ROW = 0;
 
     /** Header field with the number of times that the store has been restored from a copy, plus a start value. */
     private static final String ERA = "Store-Era";
@@ -206,8 +208,15 @@
      *     {@code TABLE_UNAVAILABLE} for any other status or no answer
      */
     CompletionStage<Answer> check(String table, String key, long version) {
+        return check(table, Map.of(key, version));
+    }
+
+    /** Checks as above whether several rows, by their keys, still have a version each; 0 stands for no row. */
+    CompletionStage<Answer> check(String table, Map<String, Long> versions) {
         ObjectNode transaction = MAPPER.createObjectNode();
-        putRowKey(transaction.putArray("precondition").addObject(), table, key).put("ver", version);
+        ArrayNode conditions = transaction.putArray("precondition");
+        versions.forEach(
+                (key, version) -> putRowKey(conditions.addObject(), table, key).put("ver", version));
         transaction.putArray("writes");
         transaction.putArray("remove");
         return transact(transaction);
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -35,6 +35,9 @@
 import org.siskindyke.kernel.membership.MemberAddress;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.place.Evacuation;
+import org.siskindyke.kernel.place.EvacuationOrder;
+import org.siskindyke.kernel.place.EvacuationOrders;
 import org.siskindyke.kernel.route.RouteTable;
 import org.siskindyke.kernel.route.RoutingConfiguration;
 import org.siskindyke.kernel.table.TableService;
@@ -120,6 +123,7 @@
     private final HttpListener callers;
     private final SuspensionDetector suspensionDetector;
     private volatile MemberController member;
+    private volatile List<EvacuationOrder> evacuations = List.of();
     private volatile boolean configured;
     private volatile boolean reader;
     private volatile boolean watchesConfiguration = true;
@@ -188,6 +192,8 @@
                         this::newBudget,
                         crashGuard,
                         () -> this.settings.bounds().drain(),
+                        settings.deployment().topology(),
+                        settings.deployment().evacuation(),
                         this::onRetryDecided,
                         this::onRequestEnded,
                         requestLog::onAbandoned));
@@ -244,17 +250,7 @@
         traffic.scheduleWithFixedDelay(backend::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(
                 () -> requestLog.flush(traffic.takeMaxDelayMillis()), TimeUnit.SECONDS.toMillis(5));
-        traffic.schedule(
-                () -> metrics.start(
-                        backend::slotsUsed,
-                        backend::waiting,
-                        backend::responsesDropped,
-                        log::dropped,
-                        this::convictedRequests,
-                        this::membersServing,
-                        configuration::version,
-                        table::era),
-                METRICS_START_DELAY_MILLIS);
+        traffic.schedule(this::startMetrics, METRICS_START_DELAY_MILLIS);
         log.event(
                 "router-started",
                 "failureDomain",
@@ -267,6 +263,22 @@
                 traffic.transport());
     }
 
+    private void startMetrics() {
+        metrics.start(
+                backend::slotsUsed,
+                backend::waiting,
+                backend::responsesDropped,
+                log::dropped,
+                this::convictedRequests,
+                this::membersServing,
+                configuration::version,
+                table::era);
+        metrics.gauge(
+                "siskindyke.evacuated.domains",
+                () -> evacuations.stream().filter(EvacuationOrder::evacuated).count());
+        metrics.gauge("siskindyke.target.cold", () -> backend.isCold() ? 1 : 0);
+    }
+
     private void onRequestEnded(CallOutcome outcome) {
         requestLog.onEnded(outcome);
         metrics.onEnded(outcome);
@@ -375,6 +387,7 @@
         for (ServiceDocument document : configuration.documents(applied)) {
             member.view().acceptDocument(document, applied.version(), clock.nowMillis());
         }
+        targets.onConfiguration(configuration::settings);
         RouteTable routes = new RouteTable(applied);
         traffic.execute(() -> {
             callerRequests.setRoutes(routes);
@@ -382,6 +395,25 @@
         });
     }
 
+    private void onEvacuations(EvacuationOrders orders) {
+        Evacuation inForce = orders.inForce();
+        evacuations = orders.all(clock.nowMillis());
+        log.event(
+                "evacuations-in-force", "failureDomains", inForce.sinceMillis().keySet());
+        targets.setEvacuation(inForce, member);
+        traffic.execute(() -> callerRequests.setEvacuation(inForce));
+    }
+
+    /** Returns the known evacuation orders, in force and removed; for any thread. */
+    public List<EvacuationOrder> evacuations() {
+        return evacuations;
+    }
+
+    /** Passes on evacuation orders read from the table; those newer than the known ones apply. For any thread. */
+    public void offerEvacuations(List<EvacuationOrder> offered) {
+        control.execute(() -> member.onEvacuations(offered));
+    }
+
     private ClusterView view() {
         return member.view();
     }
@@ -420,8 +452,14 @@
                 new Random(incarnationNumber),
                 table,
                 peers,
-                new MemberEventListener(self, log, this::forgetEndedMembers, this::rejoinSoon, configuration::apply),
-                member == null ? new ClusterView() : new ClusterView(view().suspects()));
+                new MemberEventListener(
+                        self,
+                        log,
+                        this::forgetEndedMembers,
+                        this::rejoinSoon,
+                        configuration::apply,
+                        this::onEvacuations),
+                member == null ? new ClusterView() : new ClusterView(view().suspects(), view().evacuations()));
         MemberRow template = new MemberRow(
                 self,
                 settings.instance(),
--- a/src/main/java/org/siskindyke/runtime/MemberEventListener.java
+++ b/src/main/java/org/siskindyke/runtime/MemberEventListener.java
@@ -1,6 +1,7 @@
 package org.siskindyke.runtime;
 
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 
 import org.siskindyke.kernel.control.ConfigurationText;
 import org.siskindyke.kernel.control.ControlListener;
@@ -8,6 +9,7 @@
 import org.siskindyke.kernel.crash.SuspectReport;
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.MemberId;
+import org.siskindyke.kernel.place.EvacuationOrders;
 import org.siskindyke.kernel.table.RowPath;
 
 /** Logs the events of a member and notifies its router of those it acts on. Confined to the control thread. */
@@ -17,6 +19,7 @@
     private final Runnable onJoined;
     private final Runnable onDeclaredDead;
     private final BiPredicate<ConfigurationText, MemberId> onConfiguration;
+    private final Consumer<EvacuationOrders> onEvacuations;
 
     /**
      * Creates a listener.
@@ -27,18 +30,21 @@
      * @param onDeclaredDead called when the member was declared dead
      * @param onConfiguration called with each newer configuration and the member that sent it; returns whether it
      *     can be applied
+     * @param onEvacuations called with the evacuation orders when they have changed
      */
     MemberEventListener(
             MemberId self,
             EventLog log,
             Runnable onJoined,
             Runnable onDeclaredDead,
-            BiPredicate<ConfigurationText, MemberId> onConfiguration) {
+            BiPredicate<ConfigurationText, MemberId> onConfiguration,
+            Consumer<EvacuationOrders> onEvacuations) {
         this.self = self;
         this.log = log;
         this.onJoined = onJoined;
         this.onDeclaredDead = onDeclaredDead;
         this.onConfiguration = onConfiguration;
+        this.onEvacuations = onEvacuations;
     }
 
     @Override
@@ -75,6 +81,11 @@
         return onConfiguration.test(received, from);
     }
 
+    @Override
+    public void onEvacuations(EvacuationOrders orders) {
+        onEvacuations.accept(orders);
+    }
+
     @Override
     public void onConvicted(SuspectReport evidence) {
         log.event("request-convicted", "fingerprint", evidence.request(), "crashes", evidence.crashes());
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -50,6 +50,11 @@
         Gauge.builder("siskindyke.log.events.dropped", eventsDropped).register(registry);
     }
 
+    /** Registers a gauge, after the start. */
+    void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry);
+    }
+
     /** Records the result and duration of a request that has ended. */
     void onEnded(CallOutcome outcome) {
         if (registry == null) {
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -245,7 +245,9 @@
         MemberId self = MemberId.of(settings.instance(), incarnationNumber);
         ClusterView view = incarnation == null
                 ? new ClusterView()
-                : new ClusterView(incarnation.controller().view().suspects());
+                : new ClusterView(
+                        incarnation.controller().view().suspects(),
+                        incarnation.controller().view().evacuations());
         MemberServingState servingState =
                 new MemberServingState(self, view, clock, control::schedule, targets::frozenUntilMillis);
         ControlContext context = new ControlContext(
--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -9,9 +9,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.siskindyke.kernel.balance.LeavingTargets;
+import org.siskindyke.kernel.call.WarmUpPace;
 import org.siskindyke.kernel.control.MemberController;
 import org.siskindyke.kernel.control.SliceTraffic;
 import org.siskindyke.kernel.crash.TargetIncarnation;
@@ -20,11 +22,13 @@
 import org.siskindyke.kernel.grant.GrantReply;
 import org.siskindyke.kernel.grant.TargetGrants;
 import org.siskindyke.kernel.grant.TargetHeartbeat;
+import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.membership.TargetDeparture;
 import org.siskindyke.kernel.ownership.OwnedSlice;
+import org.siskindyke.kernel.place.Evacuation;
 import org.siskindyke.kernel.route.ServiceSettings;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.kernel.time.WallClock;
@@ -46,6 +50,9 @@
     /** Time after which the reply to a heartbeat has reached the backend server on the same host. */
     private static final long ACKNOWLEDGEMENT_MILLIS = 5;
 
+    /** Time that a heartbeat sent before the end of an evacuation was known may be under way on the same host. */
+    private static final long HEARTBEAT_DELIVERY_MILLIS = 50;
+
     private final InstanceSettings settings;
     private final MonotonicClock clock;
     private final WallClock wallClock;
@@ -69,6 +76,18 @@
     /** Whether the dispatcher was last told that the backend server takes new calls. */
     private boolean accepting;
 
+    /** Whether the failure domain is evacuated. */
+    private boolean evacuated;
+    /** When slices that move out of the evacuated failure domain are no longer served. */
+    private long evacuatedServesUntilMillis;
+    /** Whether slices can move out of the evacuated failure domain. */
+    private boolean canMoveSlices;
+    /** Until when heartbeats do not count after the end of an evacuation; {@link Long#MIN_VALUE} if it is used. */
+    private long unusedUntilMillis = Long.MIN_VALUE;
+
+    /** When the backend server is warm, by its last heartbeat. */
+    private long coldUntilMillis = Long.MIN_VALUE;
+
     private long lastHeartbeatMillis;
     private final long startMillis;
 
@@ -118,10 +137,65 @@
                 lastHeartbeat.target(),
                 address.getHostString(),
                 address.getPort(),
-                !leaving && !lost,
+                !leaving && !lost && !isOutOfUse(),
                 true));
     }
 
+    /** Returns whether the failure domain is evacuated, or was and no heartbeat has come since. */
+    private boolean isOutOfUse() {
+        return evacuated || unusedUntilMillis != Long.MIN_VALUE;
+    }
+
+    /**
+     * Stops to use the backend server if its failure domain is evacuated. Once it no longer is, the backend server is
+     * used again after its next heartbeat, since it may be cold.
+     */
+    void setEvacuation(Evacuation inForce, MemberController member) {
+        boolean now = inForce.isEvacuated(settings.failureDomain());
+        evacuatedServesUntilMillis = inForce.servedUntilMillis(
+                        settings.failureDomain(),
+                        settings.deployment().evacuation().toMillis())
+                .orElse(0L);
+        if (now == evacuated) {
+            return;
+        }
+        evacuated = now;
+        unusedUntilMillis = now ? Long.MIN_VALUE : clock.nowMillis() + HEARTBEAT_DELIVERY_MILLIS;
+        log.event(now ? "evacuation-begun" : "evacuation-ended", "failureDomain", settings.failureDomain());
+        if (lastHeartbeat != null) {
+            member.setTargets(announcements());
+            updateCanMoveSlices(member);
+            updateAccepting(clock.nowMillis());
+        }
+    }
+
+    private void updateCanMoveSlices(MemberController member) {
+        canMoveSlices = evacuated
+                && !member.view()
+                        .members()
+                        .acceptingMembers(lastHeartbeat.service())
+                        .isEmpty();
+    }
+
+    /** Applies the limit of a cold backend server that a newer configuration names. */
+    void onConfiguration(Function<ServiceName, Optional<ServiceSettings>> serviceSettings) {
+        if (lastHeartbeat != null) {
+            WarmUpPace.Limit limit = warmUpLimit(serviceSettings.apply(lastHeartbeat.service()));
+            long untilMillis = coldUntilMillis;
+            traffic.execute(() -> backend.setWarmUp(limit, untilMillis));
+        }
+    }
+
+    private WarmUpPace.Limit warmUpLimit(Optional<ServiceSettings> serviceSettings) {
+        double callsPerSecond =
+                serviceSettings.map(ServiceSettings::coldCallsPerSecond).orElse(0.0);
+        return callsPerSecond <= 0
+                ? WarmUpPace.Limit.NONE
+                : new WarmUpPace.Limit(
+                        callsPerSecond * settings.deployment().coldExcessRatio(),
+                        settings.deployment().coldExtraRequests());
+    }
+
     /**
      * Processes a heartbeat: announces the backend server to other routers and decides which slices it is granted.
      *
@@ -160,6 +234,10 @@
         lost = false;
         lastHeartbeatMillis = nowMillis;
         lastHeartbeat = heartbeat;
+        coldUntilMillis = nowMillis + heartbeat.remainingWarmUpMillis();
+        if (nowMillis >= unusedUntilMillis) {
+            unusedUntilMillis = Long.MIN_VALUE;
+        }
         if (newIncarnation) {
             log.event(
                     "target-started",
@@ -297,8 +375,11 @@
         boolean isLeaving = leaving;
         boolean accepts = acceptsCalls(lastHeartbeatMillis);
         accepting = accepts;
+        WarmUpPace.Limit warmUp = warmUpLimit(serviceSettings);
+        long coldUntil = coldUntilMillis;
         traffic.execute(() -> {
             backend.setTarget(target);
+            backend.setWarmUp(warmUp, coldUntil);
             backend.retainGrants(granted);
             backend.setTargetAccepting(accepts);
             // By now the dispatcher has reported the calls that a previous incarnation left unanswered.
@@ -309,10 +390,13 @@
 
     /**
      * Returns whether the backend server takes new calls. One that leaves takes none, or, if its service is divided,
-     * those of a part of the drain time, in which its slices move. It takes none until it is known which have left.
+     * those of a part of the drain time, in which its slices move; likewise if its failure domain is evacuated. It
+     * takes none until it is known which have left.
      */
     private boolean acceptsCalls(long nowMillis) {
-        return departures.areKnown() && (!leaving || divided && nowMillis < servesUntilMillis);
+        boolean leavingAccepts = !leaving || divided && nowMillis < servesUntilMillis;
+        boolean evacuatedAccepts = !isOutOfUse() || divided && canMoveSlices && nowMillis < evacuatedServesUntilMillis;
+        return departures.areKnown() && leavingAccepts && evacuatedAccepts;
     }
 
     /** Passes on whether the backend server takes new calls, if that has changed. */
@@ -399,6 +483,9 @@
         if (departures.tick(member)) {
             onDeparturesRead(member);
         }
+        if (lastHeartbeat != null) {
+            updateCanMoveSlices(member);
+        }
         updateAccepting(nowMillis);
         if (lastHeartbeat == null) {
             markInheritedTargetsLost(member, nowMillis);
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -21,11 +21,13 @@
 import org.siskindyke.kernel.error.ErrorCode;
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.ClientAccount;
+import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.membership.GrantDecision;
+import org.siskindyke.kernel.place.EvacuationOrder;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowPath;
 import org.siskindyke.kernel.table.TableChanges;
@@ -43,6 +45,7 @@
 import org.siskindyke.wire.RenewResponse;
 import org.siskindyke.wire.WireCrash;
 import org.siskindyke.wire.WireDelta;
+import org.siskindyke.wire.WireEvacuation;
 import org.siskindyke.wire.WireHeader;
 import org.siskindyke.wire.WireLoad;
 import org.siskindyke.wire.WireRow;
@@ -103,6 +106,9 @@
         if (gossip.tableAgeMillis() != PeerMessenger.Gossip.UNKNOWN_AGE) {
             wire.setTableAgeMillis(gossip.tableAgeMillis());
         }
+        if (!gossip.evacuations().isEmpty()) {
+            wire.setEvacuations(evacuationsToWire(gossip.evacuations()));
+        }
         return wire;
     }
 
@@ -115,7 +121,8 @@
                 toConfigurationText(wire.getConfigurationRevision(), wire.getConfiguration()),
                 digestFromWire(wire.getSuspectsDigest()),
                 suspectsFromWire(wire.getSuspects()),
-                wire.isSetTableAgeMillis() ? wire.getTableAgeMillis() : PeerMessenger.Gossip.UNKNOWN_AGE);
+                wire.isSetTableAgeMillis() ? wire.getTableAgeMillis() : PeerMessenger.Gossip.UNKNOWN_AGE,
+                evacuationsFromWire(wire.getEvacuations()));
     }
 
     /** Converts the wire form of a digest; null, as sent by earlier versions and where nothing is known, is none. */
@@ -162,6 +169,27 @@
                         .toList());
     }
 
+    private static List<WireEvacuation> evacuationsToWire(List<EvacuationOrder> orders) {
+        return orders.stream()
+                .map(order -> new WireEvacuation(
+                        order.domain().value(), order.era(), order.version(), order.evacuated(), order.ageMillis()))
+                .toList();
+    }
+
+    /** Converts the wire form of evacuation orders; null, as sent by earlier versions, is none. */
+    private static List<EvacuationOrder> evacuationsFromWire(List<WireEvacuation> wire) {
+        return wire == null
+                ? List.of()
+                : wire.stream()
+                        .map(order -> new EvacuationOrder(
+                                FailureDomain.of(order.getDomain()),
+                                order.getEra(),
+                                order.getVersion(),
+                                order.isEvacuated(),
+                                order.getAgeMillis()))
+                        .toList();
+    }
+
     private static ConfigurationText toConfigurationText(long revision, String text) {
         return text == null ? null : new ConfigurationText(revision, text);
     }
@@ -183,6 +211,9 @@
         if (gossip.tableAgeMillis() != PeerMessenger.Gossip.UNKNOWN_AGE) {
             wire.setTableAgeMillis(gossip.tableAgeMillis());
         }
+        if (!gossip.evacuations().isEmpty()) {
+            wire.setEvacuations(evacuationsToWire(gossip.evacuations()));
+        }
         return wire;
     }
 
@@ -195,7 +226,8 @@
                 toConfigurationText(wire.getConfigurationRevision(), wire.getConfiguration()),
                 digestFromWire(wire.getSuspectsDigest()),
                 suspectsFromWire(wire.getSuspects()),
-                wire.isSetTableAgeMillis() ? wire.getTableAgeMillis() : PeerMessenger.Gossip.UNKNOWN_AGE);
+                wire.isSetTableAgeMillis() ? wire.getTableAgeMillis() : PeerMessenger.Gossip.UNKNOWN_AGE,
+                evacuationsFromWire(wire.getEvacuations()));
     }
 
     static ReleaseRequest toWire(PeerMessenger.Release release) {
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -16,6 +16,7 @@
 import org.siskindyke.kernel.call.AdmissionQueue;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
+import org.siskindyke.kernel.call.WarmUpPace;
 import org.siskindyke.kernel.crash.SuspectAssessment;
 import org.siskindyke.kernel.crash.SuspectLane;
 import org.siskindyke.kernel.crash.TargetIncarnation;
@@ -52,6 +53,9 @@
     /** Smallest delay before a retry that a refusal asks the caller for. */
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
+    /** Status of a response to a request that the backend server has not counted. */
+    private static final int MISDIRECTED_REQUEST = 421;
+
     private final TrafficLoop traffic;
     private final MonotonicClock clock;
     private final CallDialect dialect;
@@ -143,6 +147,21 @@
         }
     }
 
+    /**
+     * Sets what the backend server takes while it is cold, and until when it is.
+     *
+     * @param limit the limit on calls; {@link WarmUpPace.Limit#NONE} for none
+     * @param coldUntilMillis when the warm-up ends, by the monotonic clock
+     */
+    public void setWarmUp(WarmUpPace.Limit limit, long coldUntilMillis) {
+        admission.setWarmUp(limit, coldUntilMillis);
+    }
+
+    /** Returns whether the backend server is cold, so that its calls are spaced. */
+    public boolean isCold() {
+        return admission.isCold();
+    }
+
     /**
      * Says whether the backend server takes new calls. If not, they are refused, and so are those that wait for a slot.
      * Calls that wait for a grant are then refused when grants arrive or their wait ends.
@@ -466,6 +485,9 @@
                 observer.onLeavingAnnounced(new TargetIncarnation(target.name(), target.startMillis()));
             }
             admission.onResponse(limit, !notRun && genuine);
+            if (status == MISDIRECTED_REQUEST) {
+                admission.onNotCounted(sentMillis);
+            }
             if (!notRun) {
                 recordCrashSigns(endedByClose);
                 lastAnswerMillis = nowMillis;
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -19,6 +19,8 @@
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
+import org.siskindyke.kernel.place.Evacuation;
+import org.siskindyke.kernel.place.Topology;
 import org.siskindyke.kernel.route.Route;
 import org.siskindyke.kernel.route.RouteKind;
 import org.siskindyke.kernel.route.RouteTable;
@@ -62,7 +64,8 @@
         this.dialect = dialect;
         this.dispatcher = dispatcher;
         this.ownService = policies.ownService();
-        this.targets = new TargetSelector(view, policies.chooser(), policies.drain());
+        this.targets = new TargetSelector(
+                view, policies.chooser(), policies.drain(), policies.topology(), policies.evacuationTime());
         this.context = new RequestAttempts.Context(
                 traffic,
                 clock,
@@ -86,6 +89,8 @@
      *     the allowance
      * @param crashGuard tells which requests may crash backend servers
      * @param drain returns the time within which a leaving backend server stops getting calls
+     * @param topology the regions of the failure domains
+     * @param evacuationTime time within which an evacuation must be in force
      * @param retryListener receives each decision of a retry budget
      * @param listener receives the outcome of each request that was answered
      * @param abandonedListener receives each request whose caller's connection closed before; its status is 0
@@ -96,6 +101,8 @@
             Function<IntSupplier, SharedRetryBudget> budgets,
             CrashGuard crashGuard,
             Supplier<Duration> drain,
+            Topology topology,
+            Duration evacuationTime,
             Consumer<RetryDecision> retryListener,
             Consumer<CallOutcome> listener,
             Consumer<CallOutcome> abandonedListener) {}
@@ -105,6 +112,11 @@
         routes = table;
     }
 
+    /** Replaces the evacuation orders in force. */
+    public void setEvacuation(Evacuation inForce) {
+        targets.setEvacuation(inForce);
+    }
+
     /**
      * Refuses new requests and withdraws those that no target has begun, as they might not end before the router does.
      * Attempts of these requests that did not run are not retried. The requests of running requests, which would fail
--- a/src/main/java/org/siskindyke/runtime/traffic/PacedAdmission.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PacedAdmission.java
@@ -3,6 +3,7 @@
 import org.siskindyke.kernel.call.AdmissionQueue;
 import org.siskindyke.kernel.call.ArrivalPace;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
+import org.siskindyke.kernel.call.WarmUpPace;
 import org.siskindyke.kernel.time.MonotonicClock;
 
 /**
@@ -34,6 +35,26 @@
         pace.reset();
     }
 
+    /**
+     * Sets what the backend server takes while it is cold, and until when it is.
+     *
+     * @param limit the limit on calls
+     * @param coldUntilMillis when the warm-up ends, by the monotonic clock
+     */
+    void setWarmUp(WarmUpPace.Limit limit, long coldUntilMillis) {
+        pace.warmUp().set(limit, coldUntilMillis, clock.nowMillis());
+    }
+
+    /** Returns whether the backend server is cold, so that its calls are spaced. */
+    boolean isCold() {
+        return pace.warmUp().isCold();
+    }
+
+    /** Records that the backend server does not count a call that was sent at a time. */
+    void onNotCounted(long sentMillis) {
+        pace.warmUp().onNotCounted(sentMillis);
+    }
+
     /**
      * Applies what a response says about the limit on calls.
      *
@@ -78,6 +99,7 @@
 
     /** Refuses the calls that will miss their deadline, and starts those whose turn has come. */
     void tick() {
+        pace.warmUp().update(clock.nowMillis());
         queue.refusePredictedTimeouts(clock.nowMillis());
         admit();
         usableSlots = pace.isLimited() ? busySlotsWithinLimit() : Integer.MAX_VALUE;
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -32,6 +32,12 @@
     /** Retry-After of a refusal where there is no owner, no target or no configuration yet. */
     static final long NO_OWNER_RETRY_MILLIS = 700;
 
+    /**
+     * Retry-After of a refusal where all servers are barred by an operator's order or the route, until the operator
+     * changes that; it only bounds the rate at which callers ask again.
+     */
+    private static final long BARRED_RETRY_MILLIS = 2_000;
+
     static final int UNAVAILABLE = 503;
 
     /** Longest wait of a call for an owner of its slice or for a target; about the duration of a planned move. */
@@ -130,6 +136,11 @@
         if (ended) {
             return;
         }
+        Optional<Refusal> barrier = context.targets().barrier(route, service);
+        if (barrier.isPresent()) {
+            endBarred(barrier.get());
+            return;
+        }
         SuspectAssessment assessment = context.crashGuard().assess(call);
         if (assessment.isConvicted()) {
             refuse(Refusal.SUSPECTED_OF_CRASHES, statusOf(verdict), assessment.retryAfterMillis());
@@ -147,11 +158,21 @@
                 call.slice() == null ? Optional.empty() : context.targets().owner(call.slice(), clock.nowMillis());
         if (owner.isEmpty()) {
             waitForTarget(Refusal.NO_OWNER);
+        } else if (!context.targets().permits(route, owner.get())) {
+            endBarred(Refusal.REGION_NOT_ALLOWED);
         } else {
             send(owner.get(), false);
         }
     }
 
+    private void endBarred(Refusal cause) {
+        if (lastFailure == null) {
+            refuse(cause, statusOf(verdict), BARRED_RETRY_MILLIS);
+        } else {
+            conclude(lastFailure);
+        }
+    }
+
     @Override
     public void withdraw() {
         if (inFlightAttempt == Cancellable.NONE) {
@@ -181,7 +202,7 @@
     private void sendToAnyTarget() {
         long nowMillis = clock.nowMillis();
         long leftMillis = call.scheduling().objectiveMillis() - nowMillis;
-        Optional<TargetSelector.Choice> chosen = context.targets().choose(service, tried, leftMillis, nowMillis);
+        Optional<TargetSelector.Choice> chosen = context.targets().choose(route, service, tried, leftMillis, nowMillis);
         if (chosen.isEmpty()) {
             endWithoutTarget();
             return;
@@ -193,7 +214,9 @@
     /** Sends a request that may run at one target only; it is not sent there twice. */
     private void sendToTrialTarget() {
         MemberRow member = context.crashGuard().trialMember(call).orElse(null);
-        boolean usable = member != null && context.targets().isStaying(member, service, clock.nowMillis());
+        boolean usable = member != null
+                && context.targets().permits(route, member)
+                && context.targets().isStaying(member, service, clock.nowMillis());
         if (!usable || !tried.add(member.id())) {
             refuse(Refusal.SUSPECTED_OF_CRASHES, statusOf(verdict), CrashGuard.RETRY_MILLIS);
         } else {
@@ -285,7 +308,7 @@
     }
 
     private boolean hasUntried() {
-        return context.targets().hasUntriedMember(service, tried, clock.nowMillis());
+        return context.targets().hasUntriedMember(route, service, tried, clock.nowMillis());
     }
 
     /** Retries or gives up; an attempt that no target has received is not charged to the retry budget. */
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -11,6 +11,7 @@
 import org.siskindyke.kernel.balance.LeavingTargets;
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.balance.ReportedTargetLoad;
+import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -18,6 +19,9 @@
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.ownership.KeyRange;
 import org.siskindyke.kernel.ownership.SliceOwner;
+import org.siskindyke.kernel.place.Evacuation;
+import org.siskindyke.kernel.place.Topology;
+import org.siskindyke.kernel.route.Route;
 
 /**
  * Selects the members to which requests are sent, and keeps the load that this router has observed at each. Confined
@@ -27,8 +31,11 @@
     private final Supplier<ClusterView> clusterView;
     private final LocalityAwareSelector chooser;
     private final Supplier<Duration> drain;
+    private final Topology topology;
+    private final long evacuationMillis;
     private final Map<MemberId, ReportedTargetLoad> loadByMember = new HashMap<>();
     private final LeavingTargets leaving = new LeavingTargets();
+    private Evacuation evacuation = Evacuation.NONE;
 
     /**
      * Creates a selector.
@@ -36,11 +43,20 @@
      * @param clusterView returns the present view of the cluster
      * @param chooser chooses among the targets of an undivided service
      * @param drain returns the time within which a leaving backend server stops getting calls
+     * @param topology the regions of the failure domains
+     * @param evacuationTime time within which an evacuation must be in force
      */
-    TargetSelector(Supplier<ClusterView> clusterView, LocalityAwareSelector chooser, Supplier<Duration> drain) {
+    TargetSelector(
+            Supplier<ClusterView> clusterView,
+            LocalityAwareSelector chooser,
+            Supplier<Duration> drain,
+            Topology topology,
+            Duration evacuationTime) {
         this.clusterView = clusterView;
         this.chooser = chooser;
         this.drain = drain;
+        this.topology = topology;
+        this.evacuationMillis = evacuationTime.toMillis();
     }
 
     /**
@@ -51,6 +67,41 @@
      */
     record Choice(MemberRow member, boolean hasAlternatives) {}
 
+    /** Replaces the evacuation orders in force. */
+    void setEvacuation(Evacuation inForce) {
+        evacuation = inForce;
+    }
+
+    /** Returns whether a member is in a region whose servers may get a route's requests. */
+    boolean permits(Route route, MemberRow member) {
+        return route.allowedRegions().permits(member.failureDomain(), topology);
+    }
+
+    /**
+     * Returns why no server can get a route's requests now or soon, whatever becomes of single servers; empty if one
+     * can.
+     */
+    Optional<Refusal> barrier(Route route, ServiceName service) {
+        boolean restricted = route.allowedRegions().isRestricted();
+        if (evacuation.isEmpty() && !restricted) {
+            return Optional.empty();
+        }
+        if (clusterView.get().members().acceptingMembers(service).stream().anyMatch(m -> permits(route, m))) {
+            return Optional.empty();
+        }
+        List<MemberRow> hosts = clusterView.get().members().serving().stream()
+                .filter(m -> m.targetOf(service).isPresent())
+                .toList();
+        List<MemberRow> permitted =
+                hosts.stream().filter(m -> permits(route, m)).toList();
+        if (permitted.isEmpty()) {
+            return restricted ? Optional.of(Refusal.REGION_NOT_ALLOWED) : Optional.empty();
+        }
+        return permitted.stream().allMatch(m -> evacuation.isEvacuated(m.failureDomain()))
+                ? Optional.of(Refusal.EVACUATED)
+                : Optional.empty();
+    }
+
     /** Returns the slice of a key, or null where the service's number of slices is not known. */
     SliceRef slice(ServiceName service, int key) {
         int slices = clusterView.get().ownership().sliceCount(service);
@@ -70,8 +121,8 @@
     }
 
     /**
-     * Returns the owner of a slice; empty where there is none, it is not serving, or its target has been leaving for
-     * most of the drain time.
+     * Returns the owner of a slice; empty where there is none, it is not serving, its target has been leaving for most
+     * of the drain time, or its failure domain has been evacuated for a part of the time allowed for that.
      */
     Optional<MemberRow> owner(SliceRef slice, long nowMillis) {
         long servesWhileLeavingMillis = (long) (drain.get().toMillis() * LeavingTargets.SERVED_SHARE_OF_DRAIN);
@@ -81,20 +132,22 @@
                 .owner(slice)
                 .map(SliceOwner::member)
                 .flatMap(member -> clusterView.get().members().serving(member))
+                .filter(member -> evacuation.servesSlices(member.failureDomain(), evacuationMillis, nowMillis))
                 .filter(member -> !isLeaving(member, slice.service(), servesWhileLeavingMillis, nowMillis));
     }
 
     /**
      * Chooses a member that accepts requests for an undivided service.
      *
+     * @param route the route of the request
      * @param service the service
      * @param tried members that the request has been sent to
      * @param leftMillis the time left until the request's objective, in milliseconds
      * @param nowMillis the present time
      * @return the choice; empty where no member accepts requests for the service or all that do have been tried
      */
-    Optional<Choice> choose(ServiceName service, Set<MemberId> tried, long leftMillis, long nowMillis) {
-        List<MemberRow> candidates = acceptingMembers(service, nowMillis);
+    Optional<Choice> choose(Route route, ServiceName service, Set<MemberId> tried, long leftMillis, long nowMillis) {
+        List<MemberRow> candidates = candidates(route, service, nowMillis);
         return chooser.choose(candidates, tried, this::observedLoad, leftMillis, nowMillis)
                 .map(chosen -> new Choice(
                         chosen,
@@ -102,8 +155,8 @@
     }
 
     /** Returns whether a member that accepts requests for the service has not been tried yet. */
-    boolean hasUntriedMember(ServiceName service, Set<MemberId> tried, long nowMillis) {
-        return acceptingMembers(service, nowMillis).stream().anyMatch(m -> !tried.contains(m.id()));
+    boolean hasUntriedMember(Route route, ServiceName service, Set<MemberId> tried, long nowMillis) {
+        return candidates(route, service, nowMillis).stream().anyMatch(m -> !tried.contains(m.id()));
     }
 
     /** Returns whether a member's target has not said that it leaves. */
@@ -111,6 +164,13 @@
         return !isLeaving(member, service, 0, nowMillis);
     }
 
+    private List<MemberRow> candidates(Route route, ServiceName service, long nowMillis) {
+        List<MemberRow> accepting = acceptingMembers(service, nowMillis);
+        return route.allowedRegions().isRestricted()
+                ? accepting.stream().filter(member -> permits(route, member)).toList()
+                : accepting;
+    }
+
     private List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
         List<MemberRow> accepting = clusterView.get().members().acceptingMembers(service);
         if (leaving.isEmpty()) {
--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -100,6 +100,7 @@
     private volatile boolean strayResponses;
     private volatile boolean leaving;
     private volatile boolean stopped;
+    private volatile long coldUntilMillis = Long.MIN_VALUE / 2;
 
     /**
      * Identity and settings of a backend server.
@@ -282,6 +283,11 @@
         });
     }
 
+    /** Lets the server report for a time, in milliseconds, that it is cold. May be called on any thread. */
+    public void beCold(long millis) {
+        coldUntilMillis = clock.nowMillis() + millis;
+    }
+
     /** Injects a fault: resets all connections of callers, while the server goes on. */
     public void resetConnections() {
         traffic.execute(() -> callers.resetConnections());
@@ -435,7 +441,8 @@
                 "address",
                 identity.address().getHostString() + ":" + identity.address().getPort());
         node.put("zone", identity.failureDomain()).put("version", "v1").put("slots", SLOTS);
-        node.put("state", leaving ? "draining" : "ready").put("cold_left_ms", 0);
+        node.put("state", leaving ? "draining" : "ready")
+                .put("cold_left_ms", Math.max(0, coldUntilMillis - clock.nowMillis()));
         node.put("seq_num", ++sequence).put("born", startMillis);
         ArrayNode holds = node.putArray("holds");
         grantedRanges.forEach(r -> holds.addArray().add(r.first()).add(r.last()).add(r.token()));
--- a/src/main/java/org/siskindyke/standin/StoreStandin.java
+++ b/src/main/java/org/siskindyke/standin/StoreStandin.java
@@ -297,6 +297,16 @@
         });
     }
 
+    /** Removes a row as an operator does, regardless of the fault; returns before the row is removed. */
+    public void remove(String table, String key) {
+        traffic.execute(() -> {
+            version++;
+            operatorValues.remove(List.of(table, key));
+            write(table, key, "", true);
+            answerWatches();
+        });
+    }
+
     private HttpExchange.Response withEra(HttpExchange.Response response) {
         List<Header> headers = new ArrayList<>(response.headers());
         headers.add(new Header(ERA, Long.toString(era)));
--- a/src/main/java/org/siskindyke/wire/ForwardRequest.java
+++ b/src/main/java/org/siskindyke/wire/ForwardRequest.java
@@ -1976,14 +1976,14 @@
           case 7: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<WireHeader>(_list48.size);
-                @org.apache.thrift.annotation.Nullable WireHeader _elem49;
-                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<WireHeader>(_list64.size);
+                @org.apache.thrift.annotation.Nullable WireHeader _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem49 = new WireHeader();
-                  _elem49.read(iprot);
-                  struct.headers.add(_elem49);
+                  _elem65 = new WireHeader();
+                  _elem65.read(iprot);
+                  struct.headers.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -2142,9 +2142,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.headers.size()));
-          for (WireHeader _iter51 : struct.headers)
+          for (WireHeader _iter67 : struct.headers)
           {
-            _iter51.write(oprot);
+            _iter67.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2300,9 +2300,9 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (WireHeader _iter52 : struct.headers)
+          for (WireHeader _iter68 : struct.headers)
           {
-            _iter52.write(oprot);
+            _iter68.write(oprot);
           }
         }
       }
@@ -2377,14 +2377,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.headers = new java.util.ArrayList<WireHeader>(_list53.size);
-          @org.apache.thrift.annotation.Nullable WireHeader _elem54;
-          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.headers = new java.util.ArrayList<WireHeader>(_list69.size);
+          @org.apache.thrift.annotation.Nullable WireHeader _elem70;
+          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
           {
-            _elem54 = new WireHeader();
-            _elem54.read(iprot);
-            struct.headers.add(_elem54);
+            _elem70 = new WireHeader();
+            _elem70.read(iprot);
+            struct.headers.add(_elem70);
           }
         }
         struct.setHeadersIsSet(true);
--- a/src/main/java/org/siskindyke/wire/ForwardResponse.java
+++ b/src/main/java/org/siskindyke/wire/ForwardResponse.java
@@ -1177,14 +1177,14 @@
           case 3: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<WireHeader>(_list56.size);
-                @org.apache.thrift.annotation.Nullable WireHeader _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<WireHeader>(_list72.size);
+                @org.apache.thrift.annotation.Nullable WireHeader _elem73;
+                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                 {
-                  _elem57 = new WireHeader();
-                  _elem57.read(iprot);
-                  struct.headers.add(_elem57);
+                  _elem73 = new WireHeader();
+                  _elem73.read(iprot);
+                  struct.headers.add(_elem73);
                 }
                 iprot.readListEnd();
               }
@@ -1286,9 +1286,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.headers.size()));
-          for (WireHeader _iter59 : struct.headers)
+          for (WireHeader _iter75 : struct.headers)
           {
-            _iter59.write(oprot);
+            _iter75.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1392,9 +1392,9 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (WireHeader _iter60 : struct.headers)
+          for (WireHeader _iter76 : struct.headers)
           {
-            _iter60.write(oprot);
+            _iter76.write(oprot);
           }
         }
       }
@@ -1438,14 +1438,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.headers = new java.util.ArrayList<WireHeader>(_list61.size);
-          @org.apache.thrift.annotation.Nullable WireHeader _elem62;
-          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.headers = new java.util.ArrayList<WireHeader>(_list77.size);
+          @org.apache.thrift.annotation.Nullable WireHeader _elem78;
+          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
           {
-            _elem62 = new WireHeader();
-            _elem62.read(iprot);
-            struct.headers.add(_elem62);
+            _elem78 = new WireHeader();
+            _elem78.read(iprot);
+            struct.headers.add(_elem78);
           }
         }
         struct.setHeadersIsSet(true);
--- a/src/main/java/org/siskindyke/wire/GossipRequest.java
+++ b/src/main/java/org/siskindyke/wire/GossipRequest.java
@@ -21,6 +21,7 @@
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.LIST, (short)7);
   private static final org.apache.thrift.protocol.TField TABLE_AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("tableAgeMillis", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField EVACUATIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("evacuations", org.apache.thrift.protocol.TType.LIST, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GossipRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GossipRequestTupleSchemeFactory();
@@ -36,6 +37,7 @@
    * How long ago the table last answered any member, as far as the sender knows.
    */
   public long tableAgeMillis; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<WireEvacuation> evacuations; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -49,7 +51,8 @@
     /**
      * How long ago the table last answered any member, as far as the sender knows.
      */
-    TABLE_AGE_MILLIS((short)8, "tableAgeMillis");
+    TABLE_AGE_MILLIS((short)8, "tableAgeMillis"),
+    EVACUATIONS((short)9, "evacuations");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -81,6 +84,8 @@
           return SUSPECTS;
         case 8: // TABLE_AGE_MILLIS
           return TABLE_AGE_MILLIS;
+        case 9: // EVACUATIONS
+          return EVACUATIONS;
         default:
           return null;
       }
@@ -128,7 +133,7 @@
   private static final int __CONFIGURATIONREVISION_ISSET_ID = 1;
   private static final int __TABLEAGEMILLIS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS_DIGEST,_Fields.SUSPECTS,_Fields.TABLE_AGE_MILLIS};
+  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS_DIGEST,_Fields.SUSPECTS,_Fields.TABLE_AGE_MILLIS,_Fields.EVACUATIONS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -150,6 +155,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSuspect.class))));
     tmpMap.put(_Fields.TABLE_AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("tableAgeMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.EVACUATIONS, new org.apache.thrift.meta_data.FieldMetaData("evacuations", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireEvacuation.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GossipRequest.class, metaDataMap);
   }
@@ -200,6 +208,13 @@
       this.suspects = __this__suspects;
     }
     this.tableAgeMillis = other.tableAgeMillis;
+    if (other.isSetEvacuations()) {
+      java.util.List<WireEvacuation> __this__evacuations = new java.util.ArrayList<WireEvacuation>(other.evacuations.size());
+      for (WireEvacuation other_element : other.evacuations) {
+        __this__evacuations.add(new WireEvacuation(other_element));
+      }
+      this.evacuations = __this__evacuations;
+    }
   }
 
   @Override
@@ -220,6 +235,7 @@
     this.suspects = null;
     setTableAgeMillisIsSet(false);
     this.tableAgeMillis = 0;
+    this.evacuations = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -454,6 +470,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TABLEAGEMILLIS_ISSET_ID, value);
   }
 
+  public int getEvacuationsSize() {
+    return (this.evacuations == null) ? 0 : this.evacuations.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireEvacuation> getEvacuationsIterator() {
+    return (this.evacuations == null) ? null : this.evacuations.iterator();
+  }
+
+  public void addToEvacuations(WireEvacuation elem) {
+    if (this.evacuations == null) {
+      this.evacuations = new java.util.ArrayList<WireEvacuation>();
+    }
+    this.evacuations.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireEvacuation> getEvacuations() {
+    return this.evacuations;
+  }
+
+  public GossipRequest setEvacuations(@org.apache.thrift.annotation.Nullable java.util.List<WireEvacuation> evacuations) {
+    this.evacuations = evacuations;
+    return this;
+  }
+
+  public void unsetEvacuations() {
+    this.evacuations = null;
+  }
+
+  /** Returns true if field evacuations is set (has been assigned a value) and false otherwise */
+  public boolean isSetEvacuations() {
+    return this.evacuations != null;
+  }
+
+  public void setEvacuationsIsSet(boolean value) {
+    if (!value) {
+      this.evacuations = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -521,6 +578,14 @@
       }
       break;
 
+    case EVACUATIONS:
+      if (value == null) {
+        unsetEvacuations();
+      } else {
+        setEvacuations((java.util.List<WireEvacuation>)value);
+      }
+      break;
+
     }
   }
 
@@ -552,6 +617,9 @@
     case TABLE_AGE_MILLIS:
       return getTableAgeMillis();
 
+    case EVACUATIONS:
+      return getEvacuations();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -580,6 +648,8 @@
       return isSetSuspects();
     case TABLE_AGE_MILLIS:
       return isSetTableAgeMillis();
+    case EVACUATIONS:
+      return isSetEvacuations();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -669,6 +739,15 @@
         return false;
     }
 
+    boolean this_present_evacuations = true && this.isSetEvacuations();
+    boolean that_present_evacuations = true && that.isSetEvacuations();
+    if (this_present_evacuations || that_present_evacuations) {
+      if (!(this_present_evacuations && that_present_evacuations))
+        return false;
+      if (!this.evacuations.equals(that.evacuations))
+        return false;
+    }
+
     return true;
   }
 
@@ -704,6 +783,10 @@
     if (isSetTableAgeMillis())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tableAgeMillis);
 
+    hashCode = hashCode * 8191 + ((isSetEvacuations()) ? 131071 : 524287);
+    if (isSetEvacuations())
+      hashCode = hashCode * 8191 + evacuations.hashCode();
+
     return hashCode;
   }
 
@@ -795,6 +878,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetEvacuations(), other.isSetEvacuations());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEvacuations()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.evacuations, other.evacuations);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -878,6 +971,16 @@
       sb.append(this.tableAgeMillis);
       first = false;
     }
+    if (isSetEvacuations()) {
+      if (!first) sb.append(", ");
+      sb.append("evacuations:");
+      if (this.evacuations == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.evacuations);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1014,6 +1117,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // EVACUATIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list22 = iprot.readListBegin();
+                struct.evacuations = new java.util.ArrayList<WireEvacuation>(_list22.size);
+                @org.apache.thrift.annotation.Nullable WireEvacuation _elem23;
+                for (int _i24 = 0; _i24 < _list22.size; ++_i24)
+                {
+                  _elem23 = new WireEvacuation();
+                  _elem23.read(iprot);
+                  struct.evacuations.add(_elem23);
+                }
+                iprot.readListEnd();
+              }
+              struct.setEvacuationsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1058,9 +1180,9 @@
           oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.suspectsDigest.size()));
-            for (int _iter22 : struct.suspectsDigest)
+            for (int _iter25 : struct.suspectsDigest)
             {
-              oprot.writeI32(_iter22);
+              oprot.writeI32(_iter25);
             }
             oprot.writeListEnd();
           }
@@ -1072,9 +1194,9 @@
           oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-            for (WireSuspect _iter23 : struct.suspects)
+            for (WireSuspect _iter26 : struct.suspects)
             {
-              _iter23.write(oprot);
+              _iter26.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1086,6 +1208,20 @@
         oprot.writeI64(struct.tableAgeMillis);
         oprot.writeFieldEnd();
       }
+      if (struct.evacuations != null) {
+        if (struct.isSetEvacuations()) {
+          oprot.writeFieldBegin(EVACUATIONS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.evacuations.size()));
+            for (WireEvacuation _iter27 : struct.evacuations)
+            {
+              _iter27.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1129,7 +1265,10 @@
       if (struct.isSetTableAgeMillis()) {
         optionals.set(7);
       }
-      oprot.writeBitSet(optionals, 8);
+      if (struct.isSetEvacuations()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
       if (struct.isSetMember()) {
         oprot.writeString(struct.member);
       }
@@ -1148,30 +1287,39 @@
       if (struct.isSetSuspectsDigest()) {
         {
           oprot.writeI32(struct.suspectsDigest.size());
-          for (int _iter24 : struct.suspectsDigest)
+          for (int _iter28 : struct.suspectsDigest)
           {
-            oprot.writeI32(_iter24);
+            oprot.writeI32(_iter28);
           }
         }
       }
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (WireSuspect _iter25 : struct.suspects)
+          for (WireSuspect _iter29 : struct.suspects)
           {
-            _iter25.write(oprot);
+            _iter29.write(oprot);
           }
         }
       }
       if (struct.isSetTableAgeMillis()) {
         oprot.writeI64(struct.tableAgeMillis);
       }
+      if (struct.isSetEvacuations()) {
+        {
+          oprot.writeI32(struct.evacuations.size());
+          for (WireEvacuation _iter30 : struct.evacuations)
+          {
+            _iter30.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, GossipRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(8);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
         struct.member = iprot.readString();
         struct.setMemberIsSet(true);
@@ -1195,27 +1343,27 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list26.size);
-          int _elem27;
-          for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+          org.apache.thrift.protocol.TList _list31 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list31.size);
+          int _elem32;
+          for (int _i33 = 0; _i33 < _list31.size; ++_i33)
           {
-            _elem27 = iprot.readI32();
-            struct.suspectsDigest.add(_elem27);
+            _elem32 = iprot.readI32();
+            struct.suspectsDigest.add(_elem32);
           }
         }
         struct.setSuspectsDigestIsSet(true);
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.suspects = new java.util.ArrayList<WireSuspect>(_list29.size);
-          @org.apache.thrift.annotation.Nullable WireSuspect _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.suspects = new java.util.ArrayList<WireSuspect>(_list34.size);
+          @org.apache.thrift.annotation.Nullable WireSuspect _elem35;
+          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
           {
-            _elem30 = new WireSuspect();
-            _elem30.read(iprot);
-            struct.suspects.add(_elem30);
+            _elem35 = new WireSuspect();
+            _elem35.read(iprot);
+            struct.suspects.add(_elem35);
           }
         }
         struct.setSuspectsIsSet(true);
@@ -1224,6 +1372,20 @@
         struct.tableAgeMillis = iprot.readI64();
         struct.setTableAgeMillisIsSet(true);
       }
+      if (incoming.get(8)) {
+        {
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.evacuations = new java.util.ArrayList<WireEvacuation>(_list37.size);
+          @org.apache.thrift.annotation.Nullable WireEvacuation _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          {
+            _elem38 = new WireEvacuation();
+            _elem38.read(iprot);
+            struct.evacuations.add(_elem38);
+          }
+        }
+        struct.setEvacuationsIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/siskindyke/wire/GossipResponse.java
+++ b/src/main/java/org/siskindyke/wire/GossipResponse.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField SUSPECTS_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectsDigest", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField TABLE_AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("tableAgeMillis", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField EVACUATIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("evacuations", org.apache.thrift.protocol.TType.LIST, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GossipResponseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GossipResponseTupleSchemeFactory();
@@ -31,6 +32,7 @@
    * How long ago the table last answered any member, as far as the sender knows.
    */
   public long tableAgeMillis; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<WireEvacuation> evacuations; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -43,7 +45,8 @@
     /**
      * How long ago the table last answered any member, as far as the sender knows.
      */
-    TABLE_AGE_MILLIS((short)7, "tableAgeMillis");
+    TABLE_AGE_MILLIS((short)7, "tableAgeMillis"),
+    EVACUATIONS((short)8, "evacuations");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -73,6 +76,8 @@
           return SUSPECTS;
         case 7: // TABLE_AGE_MILLIS
           return TABLE_AGE_MILLIS;
+        case 8: // EVACUATIONS
+          return EVACUATIONS;
         default:
           return null;
       }
@@ -120,7 +125,7 @@
   private static final int __CONFIGURATIONREVISION_ISSET_ID = 1;
   private static final int __TABLEAGEMILLIS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS_DIGEST,_Fields.SUSPECTS,_Fields.TABLE_AGE_MILLIS};
+  private static final _Fields optionals[] = {_Fields.CONFIGURATION,_Fields.SUSPECTS_DIGEST,_Fields.SUSPECTS,_Fields.TABLE_AGE_MILLIS,_Fields.EVACUATIONS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -140,6 +145,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSuspect.class))));
     tmpMap.put(_Fields.TABLE_AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("tableAgeMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.EVACUATIONS, new org.apache.thrift.meta_data.FieldMetaData("evacuations", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireEvacuation.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GossipResponse.class, metaDataMap);
   }
@@ -185,6 +193,13 @@
       this.suspects = __this__suspects;
     }
     this.tableAgeMillis = other.tableAgeMillis;
+    if (other.isSetEvacuations()) {
+      java.util.List<WireEvacuation> __this__evacuations = new java.util.ArrayList<WireEvacuation>(other.evacuations.size());
+      for (WireEvacuation other_element : other.evacuations) {
+        __this__evacuations.add(new WireEvacuation(other_element));
+      }
+      this.evacuations = __this__evacuations;
+    }
   }
 
   @Override
@@ -204,6 +219,7 @@
     this.suspects = null;
     setTableAgeMillisIsSet(false);
     this.tableAgeMillis = 0;
+    this.evacuations = null;
   }
 
   public long getTableVersion() {
@@ -413,6 +429,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TABLEAGEMILLIS_ISSET_ID, value);
   }
 
+  public int getEvacuationsSize() {
+    return (this.evacuations == null) ? 0 : this.evacuations.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireEvacuation> getEvacuationsIterator() {
+    return (this.evacuations == null) ? null : this.evacuations.iterator();
+  }
+
+  public void addToEvacuations(WireEvacuation elem) {
+    if (this.evacuations == null) {
+      this.evacuations = new java.util.ArrayList<WireEvacuation>();
+    }
+    this.evacuations.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireEvacuation> getEvacuations() {
+    return this.evacuations;
+  }
+
+  public GossipResponse setEvacuations(@org.apache.thrift.annotation.Nullable java.util.List<WireEvacuation> evacuations) {
+    this.evacuations = evacuations;
+    return this;
+  }
+
+  public void unsetEvacuations() {
+    this.evacuations = null;
+  }
+
+  /** Returns true if field evacuations is set (has been assigned a value) and false otherwise */
+  public boolean isSetEvacuations() {
+    return this.evacuations != null;
+  }
+
+  public void setEvacuationsIsSet(boolean value) {
+    if (!value) {
+      this.evacuations = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -472,6 +529,14 @@
       }
       break;
 
+    case EVACUATIONS:
+      if (value == null) {
+        unsetEvacuations();
+      } else {
+        setEvacuations((java.util.List<WireEvacuation>)value);
+      }
+      break;
+
     }
   }
 
@@ -500,6 +565,9 @@
     case TABLE_AGE_MILLIS:
       return getTableAgeMillis();
 
+    case EVACUATIONS:
+      return getEvacuations();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -526,6 +594,8 @@
       return isSetSuspects();
     case TABLE_AGE_MILLIS:
       return isSetTableAgeMillis();
+    case EVACUATIONS:
+      return isSetEvacuations();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -606,6 +676,15 @@
         return false;
     }
 
+    boolean this_present_evacuations = true && this.isSetEvacuations();
+    boolean that_present_evacuations = true && that.isSetEvacuations();
+    if (this_present_evacuations || that_present_evacuations) {
+      if (!(this_present_evacuations && that_present_evacuations))
+        return false;
+      if (!this.evacuations.equals(that.evacuations))
+        return false;
+    }
+
     return true;
   }
 
@@ -637,6 +716,10 @@
     if (isSetTableAgeMillis())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tableAgeMillis);
 
+    hashCode = hashCode * 8191 + ((isSetEvacuations()) ? 131071 : 524287);
+    if (isSetEvacuations())
+      hashCode = hashCode * 8191 + evacuations.hashCode();
+
     return hashCode;
   }
 
@@ -718,6 +801,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetEvacuations(), other.isSetEvacuations());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEvacuations()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.evacuations, other.evacuations);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -793,6 +886,16 @@
       sb.append(this.tableAgeMillis);
       first = false;
     }
+    if (isSetEvacuations()) {
+      if (!first) sb.append(", ");
+      sb.append("evacuations:");
+      if (this.evacuations == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.evacuations);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -879,13 +982,13 @@
           case 5: // SUSPECTS_DIGEST
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list32.size);
-                int _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list40.size);
+                int _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem33 = iprot.readI32();
-                  struct.suspectsDigest.add(_elem33);
+                  _elem41 = iprot.readI32();
+                  struct.suspectsDigest.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -897,14 +1000,14 @@
           case 6: // SUSPECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
-                struct.suspects = new java.util.ArrayList<WireSuspect>(_list35.size);
-                @org.apache.thrift.annotation.Nullable WireSuspect _elem36;
-                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.suspects = new java.util.ArrayList<WireSuspect>(_list43.size);
+                @org.apache.thrift.annotation.Nullable WireSuspect _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
                 {
-                  _elem36 = new WireSuspect();
-                  _elem36.read(iprot);
-                  struct.suspects.add(_elem36);
+                  _elem44 = new WireSuspect();
+                  _elem44.read(iprot);
+                  struct.suspects.add(_elem44);
                 }
                 iprot.readListEnd();
               }
@@ -921,6 +1024,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // EVACUATIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list46 = iprot.readListBegin();
+                struct.evacuations = new java.util.ArrayList<WireEvacuation>(_list46.size);
+                @org.apache.thrift.annotation.Nullable WireEvacuation _elem47;
+                for (int _i48 = 0; _i48 < _list46.size; ++_i48)
+                {
+                  _elem47 = new WireEvacuation();
+                  _elem47.read(iprot);
+                  struct.evacuations.add(_elem47);
+                }
+                iprot.readListEnd();
+              }
+              struct.setEvacuationsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -960,9 +1082,9 @@
           oprot.writeFieldBegin(SUSPECTS_DIGEST_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.suspectsDigest.size()));
-            for (int _iter38 : struct.suspectsDigest)
+            for (int _iter49 : struct.suspectsDigest)
             {
-              oprot.writeI32(_iter38);
+              oprot.writeI32(_iter49);
             }
             oprot.writeListEnd();
           }
@@ -974,9 +1096,9 @@
           oprot.writeFieldBegin(SUSPECTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.suspects.size()));
-            for (WireSuspect _iter39 : struct.suspects)
+            for (WireSuspect _iter50 : struct.suspects)
             {
-              _iter39.write(oprot);
+              _iter50.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -988,6 +1110,20 @@
         oprot.writeI64(struct.tableAgeMillis);
         oprot.writeFieldEnd();
       }
+      if (struct.evacuations != null) {
+        if (struct.isSetEvacuations()) {
+          oprot.writeFieldBegin(EVACUATIONS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.evacuations.size()));
+            for (WireEvacuation _iter51 : struct.evacuations)
+            {
+              _iter51.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1028,7 +1164,10 @@
       if (struct.isSetTableAgeMillis()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetEvacuations()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetTableVersion()) {
         oprot.writeI64(struct.tableVersion);
       }
@@ -1044,30 +1183,39 @@
       if (struct.isSetSuspectsDigest()) {
         {
           oprot.writeI32(struct.suspectsDigest.size());
-          for (int _iter40 : struct.suspectsDigest)
+          for (int _iter52 : struct.suspectsDigest)
           {
-            oprot.writeI32(_iter40);
+            oprot.writeI32(_iter52);
           }
         }
       }
       if (struct.isSetSuspects()) {
         {
           oprot.writeI32(struct.suspects.size());
-          for (WireSuspect _iter41 : struct.suspects)
+          for (WireSuspect _iter53 : struct.suspects)
           {
-            _iter41.write(oprot);
+            _iter53.write(oprot);
           }
         }
       }
       if (struct.isSetTableAgeMillis()) {
         oprot.writeI64(struct.tableAgeMillis);
       }
+      if (struct.isSetEvacuations()) {
+        {
+          oprot.writeI32(struct.evacuations.size());
+          for (WireEvacuation _iter54 : struct.evacuations)
+          {
+            _iter54.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, GossipResponse struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         struct.tableVersion = iprot.readI64();
         struct.setTableVersionIsSet(true);
@@ -1087,27 +1235,27 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list42.size);
-          int _elem43;
-          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+          org.apache.thrift.protocol.TList _list55 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.suspectsDigest = new java.util.ArrayList<java.lang.Integer>(_list55.size);
+          int _elem56;
+          for (int _i57 = 0; _i57 < _list55.size; ++_i57)
           {
-            _elem43 = iprot.readI32();
-            struct.suspectsDigest.add(_elem43);
+            _elem56 = iprot.readI32();
+            struct.suspectsDigest.add(_elem56);
           }
         }
         struct.setSuspectsDigestIsSet(true);
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.suspects = new java.util.ArrayList<WireSuspect>(_list45.size);
-          @org.apache.thrift.annotation.Nullable WireSuspect _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.suspects = new java.util.ArrayList<WireSuspect>(_list58.size);
+          @org.apache.thrift.annotation.Nullable WireSuspect _elem59;
+          for (int _i60 = 0; _i60 < _list58.size; ++_i60)
           {
-            _elem46 = new WireSuspect();
-            _elem46.read(iprot);
-            struct.suspects.add(_elem46);
+            _elem59 = new WireSuspect();
+            _elem59.read(iprot);
+            struct.suspects.add(_elem59);
           }
         }
         struct.setSuspectsIsSet(true);
@@ -1116,6 +1264,20 @@
         struct.tableAgeMillis = iprot.readI64();
         struct.setTableAgeMillisIsSet(true);
       }
+      if (incoming.get(7)) {
+        {
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.evacuations = new java.util.ArrayList<WireEvacuation>(_list61.size);
+          @org.apache.thrift.annotation.Nullable WireEvacuation _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          {
+            _elem62 = new WireEvacuation();
+            _elem62.read(iprot);
+            struct.evacuations.add(_elem62);
+          }
+        }
+        struct.setEvacuationsIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/siskindyke/wire/LinkState.java
+++ b/src/main/java/org/siskindyke/wire/LinkState.java
@@ -825,13 +825,13 @@
           case 4: // PENDING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
-                struct.pending = new java.util.ArrayList<java.lang.Long>(_list72.size);
-                long _elem73;
-                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
+                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
+                struct.pending = new java.util.ArrayList<java.lang.Long>(_list88.size);
+                long _elem89;
+                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
                 {
-                  _elem73 = iprot.readI64();
-                  struct.pending.add(_elem73);
+                  _elem89 = iprot.readI64();
+                  struct.pending.add(_elem89);
                 }
                 iprot.readListEnd();
               }
@@ -867,13 +867,13 @@
           case 10: // RECEIVED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list75 = iprot.readListBegin();
-                struct.received = new java.util.ArrayList<java.lang.Long>(_list75.size);
-                long _elem76;
-                for (int _i77 = 0; _i77 < _list75.size; ++_i77)
+                org.apache.thrift.protocol.TList _list91 = iprot.readListBegin();
+                struct.received = new java.util.ArrayList<java.lang.Long>(_list91.size);
+                long _elem92;
+                for (int _i93 = 0; _i93 < _list91.size; ++_i93)
                 {
-                  _elem76 = iprot.readI64();
-                  struct.received.add(_elem76);
+                  _elem92 = iprot.readI64();
+                  struct.received.add(_elem92);
                 }
                 iprot.readListEnd();
               }
@@ -906,9 +906,9 @@
           oprot.writeFieldBegin(PENDING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.pending.size()));
-            for (long _iter78 : struct.pending)
+            for (long _iter94 : struct.pending)
             {
-              oprot.writeI64(_iter78);
+              oprot.writeI64(_iter94);
             }
             oprot.writeListEnd();
           }
@@ -935,9 +935,9 @@
           oprot.writeFieldBegin(RECEIVED_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.received.size()));
-            for (long _iter79 : struct.received)
+            for (long _iter95 : struct.received)
             {
-              oprot.writeI64(_iter79);
+              oprot.writeI64(_iter95);
             }
             oprot.writeListEnd();
           }
@@ -988,9 +988,9 @@
       if (struct.isSetPending()) {
         {
           oprot.writeI32(struct.pending.size());
-          for (long _iter80 : struct.pending)
+          for (long _iter96 : struct.pending)
           {
-            oprot.writeI64(_iter80);
+            oprot.writeI64(_iter96);
           }
         }
       }
@@ -1006,9 +1006,9 @@
       if (struct.isSetReceived()) {
         {
           oprot.writeI32(struct.received.size());
-          for (long _iter81 : struct.received)
+          for (long _iter97 : struct.received)
           {
-            oprot.writeI64(_iter81);
+            oprot.writeI64(_iter97);
           }
         }
       }
@@ -1024,13 +1024,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list82 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.pending = new java.util.ArrayList<java.lang.Long>(_list82.size);
-          long _elem83;
-          for (int _i84 = 0; _i84 < _list82.size; ++_i84)
+          org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.pending = new java.util.ArrayList<java.lang.Long>(_list98.size);
+          long _elem99;
+          for (int _i100 = 0; _i100 < _list98.size; ++_i100)
           {
-            _elem83 = iprot.readI64();
-            struct.pending.add(_elem83);
+            _elem99 = iprot.readI64();
+            struct.pending.add(_elem99);
           }
         }
         struct.setPendingIsSet(true);
@@ -1049,13 +1049,13 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
-          struct.received = new java.util.ArrayList<java.lang.Long>(_list85.size);
-          long _elem86;
-          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.received = new java.util.ArrayList<java.lang.Long>(_list101.size);
+          long _elem102;
+          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
           {
-            _elem86 = iprot.readI64();
-            struct.received.add(_elem86);
+            _elem102 = iprot.readI64();
+            struct.received.add(_elem102);
           }
         }
         struct.setReceivedIsSet(true);
--- a/src/main/java/org/siskindyke/wire/ReleaseRequest.java
+++ b/src/main/java/org/siskindyke/wire/ReleaseRequest.java
@@ -590,13 +590,13 @@
           case 2: // SLICES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
-                struct.slices = new java.util.ArrayList<java.lang.Integer>(_list64.size);
-                int _elem65;
-                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
+                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
+                struct.slices = new java.util.ArrayList<java.lang.Integer>(_list80.size);
+                int _elem81;
+                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
                 {
-                  _elem65 = iprot.readI32();
-                  struct.slices.add(_elem65);
+                  _elem81 = iprot.readI32();
+                  struct.slices.add(_elem81);
                 }
                 iprot.readListEnd();
               }
@@ -646,9 +646,9 @@
         oprot.writeFieldBegin(SLICES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.slices.size()));
-          for (int _iter67 : struct.slices)
+          for (int _iter83 : struct.slices)
           {
-            oprot.writeI32(_iter67);
+            oprot.writeI32(_iter83);
           }
           oprot.writeListEnd();
         }
@@ -702,9 +702,9 @@
       if (struct.isSetSlices()) {
         {
           oprot.writeI32(struct.slices.size());
-          for (int _iter68 : struct.slices)
+          for (int _iter84 : struct.slices)
           {
-            oprot.writeI32(_iter68);
+            oprot.writeI32(_iter84);
           }
         }
       }
@@ -726,13 +726,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.slices = new java.util.ArrayList<java.lang.Integer>(_list69.size);
-          int _elem70;
-          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
+          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.slices = new java.util.ArrayList<java.lang.Integer>(_list85.size);
+          int _elem86;
+          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
           {
-            _elem70 = iprot.readI32();
-            struct.slices.add(_elem70);
+            _elem86 = iprot.readI32();
+            struct.slices.add(_elem86);
           }
         }
         struct.setSlicesIsSet(true);
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -51,6 +51,16 @@
   3: list<WireCrash> crashes,
 }
 
+/** The latest state of an operator's order to evacuate a failure domain. */
+struct WireEvacuation {
+  1: string domain,
+  2: i64 era,
+  3: i64 version,
+  4: bool evacuated,
+  /** How long ago the sender learnt this state first. */
+  5: i64 ageMillis,
+}
+
 /** Pulls what the asker does not know yet and offers what it knows. */
 struct GossipRequest {
   1: string member,
@@ -62,6 +72,7 @@
   7: optional list<WireSuspect> suspects,
   /** How long ago the table last answered any member, as far as the sender knows. */
   8: optional i64 tableAgeMillis,
+  9: optional list<WireEvacuation> evacuations,
 }
 
 struct GossipResponse {
@@ -73,6 +84,7 @@
   6: optional list<WireSuspect> suspects,
   /** How long ago the table last answered any member, as far as the sender knows. */
   7: optional i64 tableAgeMillis,
+  8: optional list<WireEvacuation> evacuations,
 }
 
 struct WireHeader {
--- a/src/test/java/org/siskindyke/kernel/route/RouteTableTest.java
+++ b/src/test/java/org/siskindyke/kernel/route/RouteTableTest.java
@@ -6,6 +6,7 @@
 
 import net.jqwik.api.Example;
 import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.place.AllowedRegions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,7 +16,7 @@
     private static final ServiceName B = ServiceName.of("b");
 
     private static Route route(String name, String host, String prefix, ServiceShare... shares) {
-        return new Route(name, host, prefix, RouteKind.SAFE, 1_000, 100, 1, 2, List.of(shares));
+        return new Route(name, host, prefix, RouteKind.SAFE, 1_000, 100, 1, 2, List.of(shares), AllowedRegions.ALL);
     }
 
     private static RouteTable table(Route... routes) {
