--- a/src/test/java/org/siskindyke/platform/OperatorOrdersTest.java
+++ b/src/test/java/org/siskindyke/platform/OperatorOrdersTest.java
@@ -7,7 +7,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 
 import net.jqwik.api.Example;
@@ -28,13 +31,22 @@
     /** Time within which an evacuation must be in force here. */
     private static final long EVACUATION_MILLIS = 3_000;
 
+    private static final int COLD_PER_SECOND = 4;
+    private static final double COLD_EXCESS = 1.5;
+    private static final double COLD_SLACK = 8;
+    /** Time in which the router hears from the server that it is cold; several heartbeats. */
+    private static final long COLD_KNOWN_MILLIS = 1_000;
+
+    private static final int CALLERS = 24;
+    private static final Executor NEXT_REQUEST = CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS);
     private static final int ROUNDS = 40;
     private static final int KEY_STEP = 1_637;
     private static final String ORDER = "evacuate/a";
     private static final String PATH = "{\"name\":\"%s\",\"prefix\":\"/%s/\",\"route_type\":\"safe\","
             + "\"timeout_ms\":5000,\"aim_ms\":1000,\"priority\":1,\"service\":\"%s\",\"max_attempts\":2%s}";
     private static final String CONFIGURATION = "{\"version\":\"r1\",\"services\":[{\"name\":\"keyed\","
-            + "\"max_connections\":20,\"sharded\":true},{\"name\":\"plain\",\"max_connections\":20}],"
+            + "\"max_connections\":20,\"sharded\":true},{\"name\":\"plain\",\"max_connections\":20,\"cold_per_s\":"
+            + COLD_PER_SECOND + "}],"
             + "\"virtual_hosts\":[{\"hostname\":\"127.0.0.1\",\"paths\":["
             + String.format(PATH, "k", "k", "keyed", "") + ","
             + String.format(PATH, "p", "p", "plain", "") + ","
@@ -47,7 +59,8 @@
     private LoopbackCluster.Instance start(String service, String domain) throws InterruptedException {
         Topology topology = new Topology(
                 Map.of(FailureDomain.of("a"), Region.of("north"), FailureDomain.of("b"), Region.of("south")));
-        cluster.setDeployment(new DeploymentSettings(topology, false, 1.5, 8, Duration.ofMillis(EVACUATION_MILLIS)));
+        cluster.setDeployment(
+                new DeploymentSettings(topology, false, COLD_EXCESS, COLD_SLACK, Duration.ofMillis(EVACUATION_MILLIS)));
         cluster.configure(CONFIGURATION);
         return cluster.start(service, service.equals("keyed"), domain);
     }
@@ -107,6 +120,39 @@
         assertTrue(events().contains("REGION_NOT_ALLOWED"), this::events);
     }
 
+    /** Guards against a server that crashes in its warm-up, since it gets requests at the rate of a warm one. */
+    @Example
+    void aServerThatTurnsColdInTheMiddleOfARunGetsOnlyWhatItTakes() throws InterruptedException {
+        LoopbackCluster.Instance plain = start("plain", "a");
+        await(() -> runs(plain, "/p/0"));
+        plain.backend().beCold(TIMEOUT_MILLIS);
+        long startNanos = System.nanoTime();
+        AtomicBoolean done = new AtomicBoolean();
+        for (int i = 0; i < CALLERS; i++) {
+            sendUntil(done, plain);
+        }
+        await(() -> System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(COLD_KNOWN_MILLIS));
+        long fromNanos = System.nanoTime();
+        int before = executed(List.of(plain)).get(0);
+        await(() -> System.nanoTime() - fromNanos > TimeUnit.MILLISECONDS.toNanos(EVACUATION_MILLIS));
+        int ran = executed(List.of(plain)).get(0) - before;
+        double seconds = (System.nanoTime() - fromNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+        done.set(true);
+        assertTrue(ran > 0, this::events);
+        assertTrue(ran <= seconds * COLD_PER_SECOND * COLD_EXCESS + COLD_SLACK, () -> ran + " in " + seconds + " s");
+    }
+
+    private void sendUntil(AtomicBoolean done, LoopbackCluster.Instance router) {
+        cluster.send(router, "/p/0")
+                .whenCompleteAsync(
+                        (response, failure) -> {
+                            if (!done.get()) {
+                                sendUntil(done, router);
+                            }
+                        },
+                        NEXT_REQUEST);
+    }
+
     private void assertServedByAll(List<LoopbackCluster.Instance> routers) throws InterruptedException {
         for (int i = 0; i < ROUNDS; i++) {
             for (LoopbackCluster.Instance router : routers) {
