Evacuate a failure domain in soaks

The soak did not know evacuation orders. Plans of planned work now evacuate the failure domain of one instance and take it back; an invariant checks that no server there begins a run after 5 s.

--- a/src/main/java/org/siskindyke/soak/SoakCluster.java
+++ b/src/main/java/org/siskindyke/soak/SoakCluster.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.siskindyke.standin.StoreStandin;
 
@@ -16,6 +17,7 @@
     private static final InetSocketAddress STORE =
             new InetSocketAddress(SoakTopology.host(STORE_INDEX), SoakTopology.STORE_PORT);
 
+    private final SoakTopology topology;
     private final SoakJournal journal;
     private final List<SoakInstance> instances = new ArrayList<>();
     private final SoakProcess storeProcess;
@@ -24,6 +26,7 @@
     private int crashingRequests;
 
     SoakCluster(SoakTopology topology, SoakPlan plan, File directory, SoakJournal journal) {
+        this.topology = topology;
         this.journal = journal;
         String address = STORE.getHostString() + ":" + STORE.getPort();
         storeProcess = startStandin(directory, "store", List.of(SoakStandinMain.STORE, address));
@@ -81,6 +84,17 @@
         }
     }
 
+    /** Evacuates the failure domain of an instance, or takes it back. */
+    void evacuate(int instanceIndex, boolean evacuated) {
+        String domain = topology.instances().get(instanceIndex).domain();
+        storeProcess.writeLine((evacuated ? SoakStandinMain.EVACUATE : SoakStandinMain.TAKE_BACK) + domain);
+        String names = topology.instances().stream()
+                .filter(instance -> instance.domain().equals(domain))
+                .map(SoakTopology.Instance::name)
+                .collect(Collectors.joining(","));
+        journal.add(SoakEvent.What.EVACUATED, domain, evacuated ? names : "");
+    }
+
     /** Writes odd rows among those of the routers, and sends odd heartbeats to one of them. */
     void writeOddEntries(int instanceIndex) {
         storeProcess.writeLine(SoakStandinMain.ODD);
--- a/src/main/java/org/siskindyke/soak/SoakEvent.java
+++ b/src/main/java/org/siskindyke/soak/SoakEvent.java
@@ -62,6 +62,8 @@
         LIMITED,
         /** A configuration was written; the detail is its version. */
         CONFIGURED,
+        /** A failure domain is evacuated from now on; the detail names its instances, or is empty at the end. */
+        EVACUATED,
         /** A router was told to stop; the event names its instance. */
         STOPPING,
         /** A router that was told to stop has ended. */
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -81,7 +81,13 @@
     /** The connections of other routers to one are reset several times in a row. */
     RESET_PEERS(Component.PEERS, false, SoakInstance::resetPeers, instance -> {}),
     /** A backend server, and those that replace it, write each response once more, late. */
-    STUTTER(Component.RESPONSES, false, SoakInstance::stutter, SoakInstance::stopStuttering);
+    STUTTER(Component.RESPONSES, false, SoakInstance::stutter, SoakInstance::stopStuttering),
+    /** The operator evacuates the failure domain of an instance, and takes it back. */
+    EVACUATE_DOMAIN(
+            Component.ORDERS,
+            true,
+            (cluster, instanceIndex) -> cluster.evacuate(instanceIndex, true),
+            (cluster, instanceIndex) -> cluster.evacuate(instanceIndex, false));
 
     /** Longer than the late heartbeats of a backend server that has deregistered are under way. */
     private static final long MIN_DEREGISTERED_MILLIS = 7_000;
@@ -95,6 +101,9 @@
     /** The time after which the limit must be kept and twice the window in which requests are counted. */
     private static final long MIN_LIMITED_MILLIS = 11_000;
 
+    /** The time within which an evacuation must be in force, and as long again. */
+    private static final long MIN_EVACUATED_MILLIS = 2 * SoakInvariants.MAX_EVACUATION_MILLIS;
+
     /** Longest time that a router takes to stop if it wrongly treats SIGHUP as a request to stop. */
     private static final long MAX_STOP_MILLIS = SoakTopology.GRACE_SECONDS * 1_000L + 1_500;
 
@@ -128,6 +137,8 @@
         STORE,
         /** The configuration that the operator writes. */
         OPERATOR,
+        /** The evacuation orders that the operator writes. */
+        ORDERS,
         /** The callers. */
         CALLERS,
         /** Another program that writes to the store and to a router. */
@@ -153,7 +164,7 @@
 
         /** Returns whether there is one of this component only, whatever the instance that a fault names. */
         boolean isShared() {
-            return this == ALL_ROUTERS || this == STORE || this == OPERATOR || this == CALLERS;
+            return this == ALL_ROUTERS || this == STORE || this == OPERATOR || this == ORDERS || this == CALLERS;
         }
     }
 
@@ -199,6 +210,7 @@
             case REPLACE_TARGET -> Math.max(MIN_REPLACEMENT_MILLIS, drawnMillis);
             case CRASHING_REQUEST -> Math.max(MIN_CRASHING_MILLIS, drawnMillis);
             case LIMIT_TARGET -> Math.max(MIN_LIMITED_MILLIS, drawnMillis);
+            case EVACUATE_DOMAIN -> Math.max(MIN_EVACUATED_MILLIS, drawnMillis);
             case HANG_UP_ROUTER -> Math.max(MAX_STOP_MILLIS, drawnMillis);
             default -> drawnMillis;
         };
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -15,6 +15,9 @@
 
 /** The rules of the users' brief and of their platform that each soak checks. */
 final class SoakInvariants {
+    /** Time within which an evacuation must be in force, as the settings say where they say nothing. */
+    static final long MAX_EVACUATION_MILLIS = 5_000;
+
     /** An outdated grant may be recorded up to this long after its router or backend server was thawed. */
     private static final long THAW_TOLERANCE_MILLIS = 300;
     /** Time in which a new configuration must be in force at routers that count as undisturbed. */
@@ -61,6 +64,7 @@
                 invariant("requests that end servers are refused", (events, plan) -> crashingRequestsRefused(events)),
                 invariant("callers that left get no work", (events, plan) -> abandonedRequestsNotRun(events)),
                 invariant("a named limit is kept", (events, plan) -> limitsKept(events)),
+                invariant("an evacuated domain runs nothing", (events, plan) -> evacuationsObeyed(events)),
                 invariant("served again in time", (events, plan) -> faultsRecordedAs(events, SoakRun.NOT_SERVED)),
                 invariant(
                         "no router ends by itself",
@@ -495,6 +499,25 @@
         return violations;
     }
 
+    /** Checks that no backend server of an evacuated failure domain begins a run after the time allowed for that. */
+    private static List<String> evacuationsObeyed(List<SoakEvent> events) {
+        List<String> violations = new ArrayList<>();
+        Map<String, SoakEvent> orders = new HashMap<>();
+        for (SoakEvent event : events) {
+            if (event.what() == What.EVACUATED) {
+                orders.put(event.who(), event);
+            } else if (event.what() == What.RUN) {
+                String instance = event.who().substring(event.who().indexOf('-') + 1);
+                orders.values().stream()
+                        .filter(order -> List.of(order.detail().split(",")).contains(instance))
+                        .filter(order -> event.atMillis() - order.atMillis() > MAX_EVACUATION_MILLIS)
+                        .forEach(order -> violations.add(event.atMillis() + ": " + event.who() + " in evacuated "
+                                + order.who() + " ran " + event.requestId()));
+            }
+        }
+        return violations;
+    }
+
     /** Returns the part of a request's id that is the same each time it is sent; null for other requests. */
     private static String crashingRequestOf(SoakEvent event) {
         String id = event.requestId();
--- a/src/main/java/org/siskindyke/soak/SoakPlan.java
+++ b/src/main/java/org/siskindyke/soak/SoakPlan.java
@@ -47,6 +47,7 @@
         List<SoakFault> kinds = List.of(SoakFault.values()).stream()
                 .filter(kind -> kind.isPlanned() || !plannedOnly)
                 .filter(kind -> kind != SoakFault.RESET_PEERS && kind != SoakFault.STUTTER)
+                .filter(kind -> kind != SoakFault.EVACUATE_DOMAIN)
                 .toList();
         List<Step> steps = new ArrayList<>();
         long atMillis = FIRST_FAULT_MILLIS;
@@ -59,6 +60,12 @@
         if (Math.floorMod(seed, PLANNED_SEED_INTERVAL) == PEER_RESETS_SEED) {
             steps.addAll(drawPeerResets(new Random(~seed), instances, lengthMillis));
         }
+        if (plannedOnly) {
+            // Routers that are cut off from the store need not obey in time, so that only planned work goes with it.
+            SoakFault evacuation = SoakFault.EVACUATE_DOMAIN;
+            int instance = new Random(~seed).nextInt(instances);
+            steps.add(new Step(FIRST_FAULT_MILLIS, evacuation.durationMillis(0), evacuation, instance));
+        }
         SoakPlan plan = new SoakPlan(List.copyOf(steps), plannedOnly, false);
         return Math.floorMod(seed, PLANNED_SEED_INTERVAL) == STUTTER_SEED
                 ? plan.withStutter(instances, lengthMillis)
--- a/src/main/java/org/siskindyke/soak/SoakStandinMain.java
+++ b/src/main/java/org/siskindyke/soak/SoakStandinMain.java
@@ -40,6 +40,9 @@
 
     static final String CONFIGURE = "configure ";
 
+    static final String EVACUATE = "evacuate ";
+    static final String TAKE_BACK = "take-back ";
+
     private SoakStandinMain() {}
 
     /**
@@ -86,6 +89,10 @@
                 store.setFault(StoreStandin.Fault.valueOf(line.substring(FAULT.length())));
             } else if (line.equals(ODD)) {
                 writeOddRows(store);
+            } else if (line.startsWith(EVACUATE)) {
+                store.put("op", "evacuate/" + line.substring(EVACUATE.length()), "{}");
+            } else if (line.startsWith(TAKE_BACK)) {
+                store.remove("op", "evacuate/" + line.substring(TAKE_BACK.length()));
             } else if (line.startsWith(CONFIGURE)) {
                 store.put("op", "config", line.substring(CONFIGURE.length()));
             }
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -88,6 +88,21 @@
         assertEquals(1, violations("a named limit is kept", events).size());
     }
 
+    /** Guards against a check that misses requests to an evacuated failure domain, or counts those of others. */
+    @Example
+    void aRunInAnEvacuatedFailureDomainIsAViolationOnceTheOrderMustBeInForce() {
+        List<SoakEvent> events = new ArrayList<>();
+        events.add(SoakEvent.of(0, What.EVACUATED, "d0", "n0,n1"));
+        events.add(SoakEvent.run(4_900, "t0-n1", "c1", "r1", -1, -1));
+        events.add(SoakEvent.run(5_100, "t0-n2", "c2", "r2", -1, -1));
+        assertEquals(List.of(), violations("an evacuated domain runs nothing", events));
+        events.add(SoakEvent.run(5_200, "t0-n1", "c3", "r3", -1, -1));
+        assertEquals(1, violations("an evacuated domain runs nothing", events).size());
+        events.add(SoakEvent.of(9_000, What.EVACUATED, "d0", ""));
+        events.add(SoakEvent.run(9_100, "t0-n1", "c4", "r4", -1, -1));
+        assertEquals(1, violations("an evacuated domain runs nothing", events).size());
+    }
+
     private List<SoakEvent> lateRuns(int count) {
         List<SoakEvent> late = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -69,6 +69,15 @@
         assertEquals(Map.of(), verdict.violations());
     }
 
+    /** Guards against requests that are cut while their failure domain is evacuated, or reach it afterwards. */
+    @Example
+    void anEvacuatedFailureDomainGetsNoRequestsAndIsTakenBack() throws IOException, InterruptedException {
+        List<SoakPlan.Step> steps = List.of(new SoakPlan.Step(500, 9_000, SoakFault.EVACUATE_DOMAIN, 0));
+        SoakRun.Verdict verdict = run(new SoakPlan(steps, true, false), 2 * INSTANCES);
+        assertEquals(Map.of(), verdict.violations());
+        assertTrue(verdict.served() > verdict.requests() / 2, verdict.toString());
+    }
+
     /** Guards against orders that run twice when connections between routers are reset several times in a row. */
     @Example
     void ordersRunOnceThoughConnectionsBetweenRoutersAreResetInSeries() throws IOException, InterruptedException {
