--- a/src/main/java/org/siskindyke/runtime/TargetController.java
+++ b/src/main/java/org/siskindyke/runtime/TargetController.java
@@ -82,9 +82,14 @@
     private long evacuatedServesUntilMillis;
     /** Whether slices can move out of the evacuated failure domain. */
     private boolean canMoveSlices;
-    /** Until when heartbeats do not count after the end of an evacuation; {@link Long#MIN_VALUE} if it is used. */
+    /**
+     * Until when heartbeats may have been sent before the end of an evacuation was known; {@link Long#MIN_VALUE} once a
+     * later one has arrived.
+     */
     private long unusedUntilMillis = Long.MIN_VALUE;
 
+    /** Whether the calls to the backend server were spaced, as it was cold, at its last heartbeat. */
+    private boolean paced;
     /** When the backend server is warm, by its last heartbeat. */
     private long coldUntilMillis = Long.MIN_VALUE;
 
@@ -186,6 +191,21 @@
         }
     }
 
+    private void logWarmUp(TargetHeartbeat heartbeat, WarmUpPace.Limit limit) {
+        boolean nowPaced = limit.callsPerSecond() > 0 && heartbeat.remainingWarmUpMillis() > 0;
+        if (nowPaced != paced) {
+            paced = nowPaced;
+            log.event(
+                    nowPaced ? "target-cold" : "target-warm",
+                    "target",
+                    heartbeat.target(),
+                    "leftMillis",
+                    heartbeat.remainingWarmUpMillis(),
+                    "callsPerSecond",
+                    limit.callsPerSecond());
+        }
+    }
+
     private WarmUpPace.Limit warmUpLimit(Optional<ServiceSettings> serviceSettings) {
         double callsPerSecond =
                 serviceSettings.map(ServiceSettings::coldCallsPerSecond).orElse(0.0);
@@ -376,6 +396,7 @@
         boolean accepts = acceptsCalls(lastHeartbeatMillis);
         accepting = accepts;
         WarmUpPace.Limit warmUp = warmUpLimit(serviceSettings);
+        logWarmUp(heartbeat, warmUp);
         long coldUntil = coldUntilMillis;
         traffic.execute(() -> {
             backend.setTarget(target);
--- a/src/test/java/org/siskindyke/platform/OperatorOrdersTest.java
+++ b/src/test/java/org/siskindyke/platform/OperatorOrdersTest.java
@@ -86,6 +86,43 @@
         await(() -> runs(inA.get(0), "/p/0"));
     }
 
+    /** Guards against a router that starts in the middle of an evacuation and uses its server until it learns of it. */
+    @Example
+    void aServerThatStartsInAnEvacuatedFailureDomainGetsNoRequests() throws InterruptedException {
+        LoopbackCluster.Instance inB = start("plain", "b");
+        await(() -> serves(inB, "/p/0"));
+        cluster.store().put("op", ORDER, "{}");
+        LoopbackCluster.Instance inA = start("plain", "a");
+        await(() -> serves(inA, "/p/0") && events().contains("evacuation-begun"));
+        for (int i = 0; i < ROUNDS; i++) {
+            assertEquals(OK, cluster.request(inA, "/p/0", 0), this::events);
+            assertEquals(OK, cluster.request(inB, "/p/0", 0), this::events);
+        }
+        assertEquals(List.of(0), executed(List.of(inA)), this::events);
+    }
+
+    /** Guards against an order or its removal that no router learns of, since the store has dropped its history. */
+    @Example
+    void ordersAndRemovalsThatWatchesDoNotHearAreObeyedAlthoughReadsAreStale() throws InterruptedException {
+        LoopbackCluster.Instance inA = start("plain", "a");
+        LoopbackCluster.Instance inB = start("plain", "b");
+        await(() -> runs(inA, "/p/0") && serves(inB, "/p/0"));
+        changeUnheard(() -> cluster.store().put("op", ORDER, "{}"));
+        awaitEvents("evacuations-in-force", 2);
+        await(() -> !runs(inA, "/p/0"));
+        changeUnheard(() -> cluster.store().remove("op", ORDER));
+        await(() -> runs(inA, "/p/0"));
+    }
+
+    /** Changes a row; watches do not hear of it, and reads that follow the loss of the history are stale. */
+    private void changeUnheard(Runnable change) {
+        cluster.store().setWatchesHearNothing(true);
+        change.run();
+        cluster.store().setStaleReads(TIMEOUT_MILLIS);
+        cluster.store().dropHistory();
+        cluster.store().setWatchesHearNothing(false);
+    }
+
     /** Guards against requests that wait for a server although the operator has evacuated all failure domains. */
     @Example
     void requestsAreRefusedAtOnceWhereAllFailureDomainsAreEvacuated() throws Exception {
