Make order and refusals of the admission queue a policy

The queue under overload needs other decisions than it takes today, but only in some deployments. The decisions move to AdmissionPolicy; PriorityAdmission holds the present ones unchanged and stays the default. AdmissionQueueTest, ServiceTimeEstimatorTest and StoppingDispatcherTest pass unchanged.

--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -10,22 +10,19 @@
  * Limits the concurrent calls of one target to its slots, spaces them by its {@link ArrivalPace}, and orders the calls
  * that wait. Confined to one thread. All times are on the monotonic clock.
  *
- * <p>Nested calls go first, since a running call waits for them, then calls of higher priority. Within a priority,
- * calls that can still meet their latency objective go first, by earliest objective; the others follow by earliest
- * deadline. A call that cannot be served in time is refused at once, so that its caller can retry later or at another
- * target.
+ * <p>An {@link AdmissionPolicy} decides about order and refusals. A call that cannot be served in time is refused at
+ * once, so that its caller can retry later or at another target.
  *
  * <p>For calls that are routed by a {@code RouteTable}; calls of service documents wait in a {@link SlotQueue}.
  */
 public final class AdmissionQueue {
     /** Maximum waiting calls per slot; bounds memory, not the waiting time. */
     private static final int MAX_WAITING_PER_SLOT = 16;
-    /** Fraction of the expected service time that must remain until the deadline, as calls vary around the average. */
-    private static final double MIN_SERVICE_TIME_SHARE = 0.6;
 
     private final List<Entry> waiting = new ArrayList<>();
     private final ServiceTimeEstimator times;
     private final ArrivalPace pace;
+    private final AdmissionPolicy policy;
     private int slots;
     private int used;
     private long nextSequenceNumber;
@@ -37,6 +34,7 @@
         private final Runnable onAdmitted;
         private final BiConsumer<Refusal, Long> onRefused;
         private long sequenceNumber;
+        private long submittedMillis;
 
         /**
          * Creates an entry.
@@ -56,19 +54,52 @@
             this.onAdmitted = onAdmitted;
             this.onRefused = onRefused;
         }
+
+        /** Returns the attributes that determine the call's position. */
+        public SchedulingAttributes attributes() {
+            return attributes;
+        }
+
+        /** Returns the time from which a response is of no use. */
+        public long deadlineMillis() {
+            return deadlineMillis;
+        }
+
+        /** Returns the position of the call among those of its queue, by arrival. */
+        long sequenceNumber() {
+            return sequenceNumber;
+        }
+
+        /** Returns when the call arrived at its queue. */
+        long submittedMillis() {
+            return submittedMillis;
+        }
     }
 
     /**
-     * Creates a queue.
+     * Creates a queue with a {@link PriorityAdmission}.
      *
      * @param slots calls that may run concurrently
      * @param times estimates the service time of calls
      * @param pace decides when the next call may start
      */
     public AdmissionQueue(int slots, ServiceTimeEstimator times, ArrivalPace pace) {
+        this(slots, times, pace, new PriorityAdmission(times, pace));
+    }
+
+    /**
+     * Creates a queue.
+     *
+     * @param slots calls that may run concurrently
+     * @param times estimates the service time of calls
+     * @param pace decides when the next call may start
+     * @param policy decides about the order of calls and about refusals
+     */
+    public AdmissionQueue(int slots, ServiceTimeEstimator times, ArrivalPace pace, AdmissionPolicy policy) {
         this.slots = slots;
         this.times = times;
         this.pace = pace;
+        this.policy = policy;
     }
 
     /** Changes the number of slots. Admitted calls keep theirs; {@link #admit} gives new ones to waiting calls. */
@@ -93,24 +124,26 @@
     /** Admits, enqueues or refuses a call; its callback may run before this method returns. */
     public void submit(Entry entry, long nowMillis) {
         entry.sequenceNumber = nextSequenceNumber++;
+        entry.submittedMillis = nowMillis;
+        policy.onArrival(entry, nowMillis);
         if (waiting.isEmpty() && isAdmitting(nowMillis)) {
+            policy.onAccepted(entry, nowMillis);
             start(entry, nowMillis);
             return;
         }
-        double waitMillis = waitMillis(entry, nowMillis);
-        double ownMillis = times.expectedMillis(entry.attributes.kind(), nowMillis);
-        boolean tooLate = nowMillis + waitMillis + ownMillis * MIN_SERVICE_TIME_SHARE > entry.deadlineMillis;
-        boolean late = nowMillis + waitMillis + ownMillis > entry.attributes.objectiveMillis();
-        boolean retryElsewhere = entry.attributes.movable() && late;
-        // Under a limit that is used up, newer calls would overtake a late one until its deadline.
-        boolean crowdedOut = pace.isLimited() && late && !waiting.isEmpty() && !entry.attributes.nested();
-        if (waiting.size() >= slots * MAX_WAITING_PER_SLOT || tooLate || retryElsewhere || crowdedOut) {
-            entry.onRefused.accept(Refusal.QUEUE_FULL, (long) Math.max(ownMillis, waitMillis));
+        AdmissionPolicy.Outlook outlook = outlook(waitMillis(entry, nowMillis));
+        if (waiting.size() >= slots * MAX_WAITING_PER_SLOT || policy.refusesArrival(entry, outlook, nowMillis)) {
+            entry.onRefused.accept(Refusal.QUEUE_FULL, policy.retryAfterMillis(entry, outlook, nowMillis));
         } else {
+            policy.onAccepted(entry, nowMillis);
             waiting.add(entry);
         }
     }
 
+    private AdmissionPolicy.Outlook outlook(double startDelayMillis) {
+        return new AdmissionPolicy.Outlook(startDelayMillis, slots, !waiting.isEmpty());
+    }
+
     private boolean isAdmitting(long nowMillis) {
         return used < slots && pace.allows(used, nowMillis);
     }
@@ -118,12 +151,13 @@
     private void start(Entry entry, long nowMillis) {
         used++;
         pace.onStarted(nowMillis);
+        policy.onStarted(entry, nowMillis);
         entry.onAdmitted.run();
     }
 
     /** Estimates how long a call that arrives now would wait for a slot and its turn. */
     private double waitMillis(Entry entry, long nowMillis) {
-        Comparator<Entry> order = order(nowMillis);
+        Comparator<Entry> order = policy.order(nowMillis);
         double aheadMillis = 0;
         int aheadCount = 0;
         for (Entry ahead : waiting) {
@@ -152,22 +186,6 @@
         return waiting.isEmpty() || used >= slots ? 0 : pace.delayMillis(nowMillis);
     }
 
-    private Comparator<Entry> order(long nowMillis) {
-        return Comparator.comparing((Entry e) -> !e.attributes.nested())
-                .thenComparingInt(e -> e.attributes.priority())
-                .thenComparing(e -> !meetsObjective(e, nowMillis))
-                .thenComparingLong(
-                        e -> meetsObjective(e, nowMillis) ? e.attributes.objectiveMillis() : e.deadlineMillis)
-                .thenComparingLong(e -> e.sequenceNumber);
-    }
-
-    /** Returns whether a call that starts now would meet its objective; false for nested calls, ordered by deadline. */
-    private boolean meetsObjective(Entry entry, long nowMillis) {
-        return !entry.attributes.nested()
-                && nowMillis + times.expectedMillis(entry.attributes.kind(), nowMillis)
-                        <= entry.attributes.objectiveMillis();
-    }
-
     /** Removes a waiting call without running its callbacks; returns false if it was not waiting. */
     public boolean remove(Entry entry) {
         return waiting.remove(entry);
@@ -182,10 +200,9 @@
     /** Admits waiting calls as slots and pace allow, and refuses those whose turn comes too late for their deadline. */
     public void admit(long nowMillis) {
         while (!waiting.isEmpty() && isAdmitting(nowMillis)) {
-            Entry next = Collections.min(waiting, order(nowMillis));
+            Entry next = Collections.min(waiting, policy.order(nowMillis));
             waiting.remove(next);
-            double minServiceMillis = times.expectedMillis(next.attributes.kind(), nowMillis) * MIN_SERVICE_TIME_SHARE;
-            if (nowMillis + minServiceMillis > next.deadlineMillis) {
+            if (policy.refusesStart(next, nowMillis)) {
                 next.onRefused.accept(Refusal.QUEUE_TIMEOUT, 0L);
             } else {
                 start(next, nowMillis);
@@ -193,17 +210,17 @@
         }
     }
 
-    /** Refuses the waiting calls that will miss their deadline, such as those that more urgent calls have overtaken. */
+    /** Refuses the waiting calls that will be too late, such as those that more urgent calls have overtaken. */
     public void refusePredictedTimeouts(long nowMillis) {
         double aheadMillis = 0;
         int aheadCount = 0;
         List<Entry> late = new ArrayList<>();
         List<Entry> ordered = new ArrayList<>(waiting);
-        ordered.sort(order(nowMillis));
+        ordered.sort(policy.order(nowMillis));
         for (Entry entry : ordered) {
             double ownMillis = times.expectedMillis(entry.attributes.kind(), nowMillis);
-            double startMillis = nowMillis + startDelayMillis(aheadMillis, aheadCount, nowMillis);
-            if (startMillis + ownMillis * MIN_SERVICE_TIME_SHARE > entry.deadlineMillis) {
+            double delayMillis = startDelayMillis(aheadMillis, aheadCount, nowMillis);
+            if (policy.refusesWaiting(entry, outlook(delayMillis), nowMillis)) {
                 late.add(entry);
             } else {
                 aheadMillis += ownMillis;
