--- a/src/main/java/org/siskindyke/kernel/call/AdmissionPolicy.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionPolicy.java
@@ -22,6 +22,12 @@
     /** Records a call that is admitted at once or waits. */
     default void onAccepted(AdmissionQueue.Entry entry, long nowMillis) {}
 
+    /** Records a call that is refused on arrival. */
+    default void onRefused(AdmissionQueue.Entry entry, long nowMillis) {}
+
+    /** Records a waiting call that is refused. */
+    default void onWaitingRefused(AdmissionQueue.Entry entry, long nowMillis) {}
+
     /** Records a call that gets a slot. */
     default void onStarted(AdmissionQueue.Entry entry, long nowMillis) {}
 
@@ -50,4 +56,14 @@
      * unknown.
      */
     long retryAfterMillis(AdmissionQueue.Entry entry, Outlook outlook, long nowMillis);
+
+    /** As above, of a waiting call that is refused. */
+    default long retryAfterWaitMillis(AdmissionQueue.Entry entry, Outlook outlook, long nowMillis) {
+        return (long) outlook.startDelayMillis();
+    }
+
+    /** Returns the decisions since the policy's creation. */
+    default AdmissionCounts counts() {
+        return AdmissionCounts.NONE;
+    }
 }
--- a/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionQueue.java
@@ -35,6 +35,7 @@
         private final BiConsumer<Refusal, Long> onRefused;
         private long sequenceNumber;
         private long submittedMillis;
+        private boolean movedToFront;
 
         /**
          * Creates an entry.
@@ -70,6 +71,16 @@
             return sequenceNumber;
         }
 
+        /** Marks the call as one that goes before all ranks. */
+        void moveToFront() {
+            movedToFront = true;
+        }
+
+        /** Returns whether the call goes before all ranks. */
+        boolean isMovedToFront() {
+            return movedToFront;
+        }
+
         /** Returns when the call arrived at its queue. */
         long submittedMillis() {
             return submittedMillis;
@@ -116,6 +127,16 @@
         return used;
     }
 
+    /** Returns the decisions of the queue's policy. */
+    public AdmissionCounts counts() {
+        return policy.counts();
+    }
+
+    /** Records the end of a nested call that a running call has made, see {@link AdmissionPolicy#onNestedEnded}. */
+    public void onNestedEnded(String parentKind, boolean refused, long nowMillis) {
+        policy.onNestedEnded(parentKind, refused, nowMillis);
+    }
+
     /** Returns the number of waiting calls. */
     public int waiting() {
         return waiting.size();
@@ -133,6 +154,7 @@
         }
         AdmissionPolicy.Outlook outlook = outlook(waitMillis(entry, nowMillis));
         if (waiting.size() >= slots * MAX_WAITING_PER_SLOT || policy.refusesArrival(entry, outlook, nowMillis)) {
+            policy.onRefused(entry, nowMillis);
             entry.onRefused.accept(Refusal.QUEUE_FULL, policy.retryAfterMillis(entry, outlook, nowMillis));
         } else {
             policy.onAccepted(entry, nowMillis);
@@ -203,6 +225,7 @@
             Entry next = Collections.min(waiting, policy.order(nowMillis));
             waiting.remove(next);
             if (policy.refusesStart(next, nowMillis)) {
+                policy.onWaitingRefused(next, nowMillis);
                 next.onRefused.accept(Refusal.QUEUE_TIMEOUT, 0L);
             } else {
                 start(next, nowMillis);
@@ -227,9 +250,11 @@
                 aheadCount++;
             }
         }
+        AdmissionPolicy.Outlook afterwards = outlook(startDelayMillis(aheadMillis, aheadCount, nowMillis));
         for (Entry entry : late) {
             waiting.remove(entry);
-            entry.onRefused.accept(Refusal.QUEUE_TIMEOUT, (long) startDelayMillis(aheadMillis, aheadCount, nowMillis));
+            policy.onWaitingRefused(entry, nowMillis);
+            entry.onRefused.accept(Refusal.QUEUE_TIMEOUT, policy.retryAfterWaitMillis(entry, afterwards, nowMillis));
         }
     }
 }
