Admit by rank where the settings call for it

A router with rankedAdmission uses RankedAdmission at its backend server, gives nested requests the rank and deadline of the request that makes them, recognizes callers that return after a refusal, and names the shortest delay of the full targets it has tried. Elsewhere PriorityAdmission decides as before. ForwardRequest has the optional field 21.

--- a/src/main/java/org/siskindyke/kernel/call/AdmissionCounts.java
+++ b/src/main/java/org/siskindyke/kernel/call/AdmissionCounts.java
@@ -11,4 +11,13 @@
 public record AdmissionCounts(long refusedOnArrival, long refusedWaiting, long refusedReturning, long movedToFront) {
     /** No decisions; also of a policy that does not count them. */
     public static final AdmissionCounts NONE = new AdmissionCounts(0, 0, 0, 0);
+
+    /** Returns the decisions since an earlier count. */
+    public AdmissionCounts minus(AdmissionCounts earlier) {
+        return new AdmissionCounts(
+                refusedOnArrival - earlier.refusedOnArrival,
+                refusedWaiting - earlier.refusedWaiting,
+                refusedReturning - earlier.refusedReturning,
+                movedToFront - earlier.movedToFront);
+    }
 }
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -17,6 +17,8 @@
 
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.balance.RelieveOverloadPolicy;
+import org.siskindyke.kernel.call.PriorityAdmission;
+import org.siskindyke.kernel.call.RankedAdmission;
 import org.siskindyke.kernel.call.SharedRetryBudget;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.ConfigurationText;
@@ -169,7 +171,9 @@
                         .owner(slice)
                         .filter(owner -> member.row().id().equals(owner.member()))
                         .isPresent(),
-                crashGuard,
+                new BackendDispatcher.Policies(
+                        crashGuard,
+                        settings.deployment().rankedAdmission() ? RankedAdmission::new : PriorityAdmission::new),
                 crashes,
                 log);
         this.peers = new PeerNetwork(traffic, control, clock, backend, log);
@@ -187,6 +191,7 @@
                         new LocalityAwareSelector(settings.failureDomain()),
                         this::newBudget,
                         crashGuard,
+                        settings.deployment().rankedAdmission(),
                         () -> this.settings.bounds().drain(),
                         this::onRetryDecided,
                         this::onRequestEnded,
@@ -243,18 +248,9 @@
         control.scheduleWithFixedDelay(this::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(backend::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(
-                () -> requestLog.flush(traffic.takeMaxDelayMillis()), TimeUnit.SECONDS.toMillis(5));
-        traffic.schedule(
-                () -> metrics.start(
-                        backend::slotsUsed,
-                        backend::waiting,
-                        backend::responsesDropped,
-                        log::dropped,
-                        this::convictedRequests,
-                        this::membersServing,
-                        configuration::version,
-                        table::era),
-                METRICS_START_DELAY_MILLIS);
+                () -> requestLog.flush(traffic.takeMaxDelayMillis(), backend.admissionCounts()),
+                TimeUnit.SECONDS.toMillis(5));
+        traffic.schedule(this::startMetrics, METRICS_START_DELAY_MILLIS);
         log.event(
                 "router-started",
                 "failureDomain",
@@ -267,6 +263,21 @@
                 traffic.transport());
     }
 
+    private void startMetrics() {
+        metrics.start(
+                backend::slotsUsed,
+                backend::waiting,
+                backend::responsesDropped,
+                log::dropped,
+                this::convictedRequests,
+                this::membersServing,
+                configuration::version,
+                table::era);
+        if (settings.deployment().rankedAdmission()) {
+            metrics.registerAdmission(backend::admissionCounts);
+        }
+    }
+
     private void onRequestEnded(CallOutcome outcome) {
         requestLog.onEnded(outcome);
         metrics.onEnded(outcome);
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.siskindyke.kernel.call.AdmissionCounts;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.traffic.CallOutcome;
@@ -33,6 +34,8 @@
     private final EventRateLimiter failureLimiter = new EventRateLimiter(FAILURES_PER_SECOND);
     private final EventRateLimiter abandonedLimiter = new EventRateLimiter(ABANDONED_PER_SECOND);
 
+    private AdmissionCounts loggedCounts = AdmissionCounts.NONE;
+
     RequestLog(EventLog log, MonotonicClock clock) {
         this.log = log;
         this.clock = clock;
@@ -106,8 +109,10 @@
      * suppressed since then and of events dropped since the start, unless all are 0.
      *
      * @param maxDelayMillis longest delay of the traffic loop since the last call; logged where the loop was behind
+     * @param admission decisions of the admission policy since the start; logged where they have changed
      */
-    void flush(long maxDelayMillis) {
+    void flush(long maxDelayMillis, AdmissionCounts admission) {
+        logAdmission(admission);
         if (maxDelayMillis >= TrafficLoop.BEHIND_MILLIS) {
             log.event("traffic-loop-delayed", "maxMillis", maxDelayMillis);
         }
@@ -130,4 +135,21 @@
                     log.dropped());
         }
     }
+
+    private void logAdmission(AdmissionCounts counts) {
+        if (!counts.equals(loggedCounts)) {
+            AdmissionCounts since = counts.minus(loggedCounts);
+            log.event(
+                    "admission",
+                    "refusedOnArrival",
+                    since.refusedOnArrival(),
+                    "refusedWaiting",
+                    since.refusedWaiting(),
+                    "refusedReturning",
+                    since.refusedReturning(),
+                    "movedToFront",
+                    since.movedToFront());
+            loggedCounts = counts;
+        }
+    }
 }
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -11,6 +11,7 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.siskindyke.kernel.call.AdmissionCounts;
 import org.siskindyke.runtime.call.Header;
 import org.siskindyke.runtime.traffic.CallOutcome;
 import org.siskindyke.runtime.traffic.Cancellable;
@@ -50,6 +51,20 @@
         Gauge.builder("siskindyke.log.events.dropped", eventsDropped).register(registry);
     }
 
+    /** Registers the decisions of the admission policy, after {@link #start}. */
+    void registerAdmission(Supplier<AdmissionCounts> admission) {
+        admissionGauge("refused_on_arrival", () -> admission.get().refusedOnArrival());
+        admissionGauge("refused_waiting", () -> admission.get().refusedWaiting());
+        admissionGauge("refused_returning", () -> admission.get().refusedReturning());
+        admissionGauge("moved_to_front", () -> admission.get().movedToFront());
+    }
+
+    private void admissionGauge(String decision, Supplier<Number> count) {
+        Gauge.builder("siskindyke.admission.decisions", count)
+                .tag("decision", decision)
+                .register(registry);
+    }
+
     /** Records the result and duration of a request that has ended. */
     void onEnded(CallOutcome outcome) {
         if (registry == null) {
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -281,6 +281,9 @@
         wire.setMovable(call.scheduling().movable());
         wire.setKind(call.scheduling().kind());
         wire.setSuspected(call.scheduling().suspected());
+        if (call.scheduling().returning()) {
+            wire.setReturning(true);
+        }
         wire.setToMember(to.value());
         return wire;
     }
@@ -315,7 +318,8 @@
                         LongMath.saturatedAdd(nowMillis, wire.getObjectiveMillis()),
                         wire.isNested(),
                         wire.isMovable(),
-                        wire.isSuspected()));
+                        wire.isSuspected(),
+                        wire.isReturning()));
     }
 
     /** Converts the outcome of a call to its wire form. */
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -6,14 +6,19 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
 import org.siskindyke.kernel.balance.TargetLoadReport;
+import org.siskindyke.kernel.call.AdmissionCounts;
+import org.siskindyke.kernel.call.AdmissionPolicy;
 import org.siskindyke.kernel.call.AdmissionQueue;
+import org.siskindyke.kernel.call.ArrivalPace;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
 import org.siskindyke.kernel.crash.SuspectAssessment;
@@ -69,6 +74,8 @@
     private final List<DispatchedCall> waitingForGrant = new ArrayList<>();
     /** Number of runs by request id; a request that comes through two routers may run twice at a time. */
     private final Map<String, Integer> runsByRequestId = new HashMap<>();
+    /** The calls above, by request id; of several with one id the latest. */
+    private final Map<String, Call> runningCalls = new HashMap<>();
 
     private volatile LocalTargetInfo target;
     private HttpClientPool pool;
@@ -92,7 +99,7 @@
      * @param dialect defines the header fields towards the backend server
      * @param meter counts calls by slice
      * @param owns returns whether this router owns a slice, to its present knowledge
-     * @param crashGuard tells which calls may crash the backend server
+     * @param policies decide which calls run
      * @param observer receives the signs of a lost or crashed backend server
      * @param log receives the causes of lost responses and refusals of suspected calls
      */
@@ -102,7 +109,7 @@
             CallDialect dialect,
             SliceMeter meter,
             BiPredicate<ServiceName, SliceRef> owns,
-            CrashGuard crashGuard,
+            Policies policies,
             TargetObserver observer,
             EventLog log) {
         this.traffic = traffic;
@@ -110,15 +117,24 @@
         this.dialect = dialect;
         this.meter = meter;
         this.owns = owns;
-        this.crashGuard = crashGuard;
+        this.crashGuard = policies.crashGuard();
         this.observer = observer;
-        this.crashSigns = new CrashSigns(traffic, clock, crashGuard, observer);
+        this.crashSigns = new CrashSigns(traffic, clock, policies.crashGuard(), observer);
         this.requests = new BackendRequestFactory(dialect);
-        this.admission = new PacedAdmission(traffic, clock, serviceTimes);
+        this.admission = new PacedAdmission(traffic, clock, serviceTimes, policies.admission());
         this.queue = admission.queue();
         this.log = new DispatchLog(log, clock);
     }
 
+    /**
+     * Decide which calls the backend server runs.
+     *
+     * @param crashGuard tells which calls may crash it
+     * @param admission creates the policy that orders and refuses waiting calls
+     */
+    public record Policies(
+            CrashGuard crashGuard, BiFunction<ServiceTimeEstimator, ArrivalPace, AdmissionPolicy> admission) {}
+
     /**
      * Replaces the backend server's description. If it has started again or another has taken its place, all grants are
      * dropped and calls that were sent before are reported as lost.
@@ -227,9 +243,27 @@
         return lastAnswerMillis;
     }
 
-    /** Returns whether the backend server is running a request. */
-    boolean isRunning(String requestId) {
-        return runsByRequestId.containsKey(requestId);
+    /** Returns the call that the backend server is running for a request; empty where it runs none. */
+    Optional<Call> runningCall(String requestId) {
+        return Optional.ofNullable(runningCalls.get(requestId));
+    }
+
+    /**
+     * Records the end of a nested request.
+     *
+     * @param parentRequestId id of the request that made it
+     * @param refused whether it was refused without running, so that the request that made it fails
+     */
+    void onNestedEnded(String parentRequestId, boolean refused) {
+        Call parent = runningCalls.get(parentRequestId);
+        if (parent != null) {
+            queue.onNestedEnded(parent.scheduling().kind(), refused, clock.nowMillis());
+        }
+    }
+
+    /** Returns the decisions of the admission policy. */
+    public AdmissionCounts admissionCounts() {
+        return queue.counts();
     }
 
     /** Returns the number of responses that belonged to no awaited request. May be called on any thread. */
@@ -429,6 +463,7 @@
         private void onAdmitted() {
             holdsSlot = true;
             runsByRequestId.merge(call.id(), 1, Integer::sum);
+            runningCalls.put(call.id(), call);
             long nowMillis = clock.nowMillis();
             if (call.slice() != null && !isGranted()) {
                 // The grant was dropped or ended while the call waited for the slot.
@@ -537,6 +572,9 @@
             if (holdsSlot) {
                 holdsSlot = false;
                 runsByRequestId.computeIfPresent(call.id(), (id, runs) -> runs == 1 ? null : runs - 1);
+                if (!runsByRequestId.containsKey(call.id())) {
+                    runningCalls.remove(call.id());
+                }
                 timer.cancel();
                 admission.releaseSlot();
                 leaveSuspectLane();
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -11,9 +11,11 @@
 import java.util.function.Supplier;
 
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
+import org.siskindyke.kernel.call.ExpectedReturns;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.SchedulingAttributes;
 import org.siskindyke.kernel.call.SharedRetryBudget;
+import org.siskindyke.kernel.call.Verdict;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.MemberId;
@@ -33,6 +35,9 @@
     /** Time from the end of a router until the next one at its address serves. */
     private static final long RESTART_MILLIS = 1_200;
 
+    /** Refused requests that are remembered under ranked admission; about 100 bytes each. */
+    private static final int MAX_EXPECTED_RETURNS = 1_024;
+
     private static final int NOT_FOUND = 404;
     private static final int BAD_REQUEST = 400;
 
@@ -42,6 +47,8 @@
     private final ServiceName ownService;
     private final TargetSelector targets;
     private final RequestAttempts.Context context;
+    private final boolean rankedAdmission;
+    private final ExpectedReturns returns;
     private final Set<RequestAttempts> active = new HashSet<>();
     private RouteTable routes;
     private boolean withdrawing;
@@ -62,6 +69,8 @@
         this.dialect = dialect;
         this.dispatcher = dispatcher;
         this.ownService = policies.ownService();
+        this.rankedAdmission = policies.rankedAdmission();
+        this.returns = new ExpectedReturns(rankedAdmission ? MAX_EXPECTED_RETURNS : 0);
         this.targets = new TargetSelector(view, policies.chooser(), policies.drain());
         this.context = new RequestAttempts.Context(
                 traffic,
@@ -71,9 +80,11 @@
                 new AttemptSender(self, peers, dispatcher),
                 new RetryBudgets(() -> policies.budgets().apply(targets::routerCount), policies.retryListener()),
                 policies.crashGuard(),
+                rankedAdmission,
+                returns,
                 this::isWithdrawn,
                 active::remove,
-                policies.listener(),
+                outcome -> onEnded(outcome, policies.listener()),
                 policies.abandonedListener());
     }
 
@@ -85,6 +96,7 @@
      * @param budgets creates a service's retry budget, given a function that returns the number of routers that share
      *     the allowance
      * @param crashGuard tells which requests may crash backend servers
+     * @param rankedAdmission whether targets order calls by rank under overload
      * @param drain returns the time within which a leaving backend server stops getting calls
      * @param retryListener receives each decision of a retry budget
      * @param listener receives the outcome of each request that was answered
@@ -95,11 +107,20 @@
             LocalityAwareSelector chooser,
             Function<IntSupplier, SharedRetryBudget> budgets,
             CrashGuard crashGuard,
+            boolean rankedAdmission,
             Supplier<Duration> drain,
             Consumer<RetryDecision> retryListener,
             Consumer<CallOutcome> listener,
             Consumer<CallOutcome> abandonedListener) {}
 
+    private void onEnded(CallOutcome outcome, Consumer<CallOutcome> listener) {
+        if (outcome.nested()) {
+            boolean refused = outcome.refusal() != null && outcome.verdict() == Verdict.NOT_RUN;
+            dialect.parentRequestId(outcome.requestId()).ifPresent(parent -> dispatcher.onNestedEnded(parent, refused));
+        }
+        listener.accept(outcome);
+    }
+
     /** Replaces the routes and the configuration they belong to. */
     public void setRoutes(RouteTable table) {
         routes = table;
@@ -182,11 +203,12 @@
             attempts.refuse(Refusal.NO_TARGET, RequestAttempts.UNAVAILABLE, RequestAttempts.NO_OWNER_RETRY_MILLIS);
             return Cancellable.NONE;
         }
+        Optional<ExpectedReturns.Return> returned = returns.onArrival(fields.requestId(), attempts.startMillis());
+        returned.ifPresent(earlier -> attempts.setFirstMillis(earlier.firstMillis()));
+        boolean returning = returned.filter(ExpectedReturns.Return::punctual).isPresent();
         active.add(attempts);
         attempts.start(
-                route,
-                newCall(route, service.get(), request, fields, attempts.startMillis()),
-                isDivided(service.get()));
+                route, newCall(route, service.get(), request, fields, attempts, returning), isDivided(service.get()));
         return attempts;
     }
 
@@ -195,16 +217,20 @@
             ServiceName service,
             HttpExchange.Request request,
             CallDialect.CallerFields fields,
-            long startMillis) {
+            RequestAttempts attempts,
+            boolean returning) {
+        Optional<Call> parent = parent(fields.requestId());
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), fields.timeoutMillis().orElse(route.timeoutMillis()));
+        long deadlineMillis = attempts.startMillis() + timeoutMillis;
         SchedulingAttributes scheduling = new SchedulingAttributes(
                 route.name(),
-                route.priority(),
-                startMillis + route.objectiveMillis(),
-                isNested(fields.requestId()),
+                priority(route, parent),
+                attempts.firstMillis() + route.objectiveMillis(),
+                parent.isPresent(),
                 false,
-                false);
+                false,
+                returning);
         return new Call(
                 fields.requestId(),
                 ClientAccount.of(ownService.value()),
@@ -215,11 +241,26 @@
                 request.target(),
                 dialect.forwardedHeaders(Headers.endToEnd(request.headers()), Optional.of(ownService)),
                 request.body(),
-                startMillis + timeoutMillis,
+                deadlineMillis(deadlineMillis, parent),
                 route.kind() == RouteKind.SAFE,
                 scheduling);
     }
 
+    /** Returns a request's rank; under ranked admission a nested request has that of the request that makes it. */
+    private int priority(Route route, Optional<Call> parent) {
+        return rankedAdmission && parent.isPresent() ? parent.get().scheduling().priority() : route.priority();
+    }
+
+    /**
+     * Returns a request's deadline; under ranked admission a nested request ends with the request that makes it. One
+     * that is not idempotent runs on after its deadline and still needs the response.
+     */
+    private long deadlineMillis(long ownMillis, Optional<Call> parent) {
+        return rankedAdmission && parent.filter(Call::idempotent).isPresent()
+                ? Math.min(ownMillis, parent.get().deadlineMillis())
+                : ownMillis;
+    }
+
     private SliceRef sliceOf(ServiceName service, CallDialect.CallerFields fields) {
         boolean keyed = isDivided(service) && fields.key().isPresent();
         return keyed ? targets.slice(service, fields.key().getAsInt()) : null;
@@ -232,6 +273,11 @@
 
     /** Returns whether a call that runs at the backend server beside this router made the request and waits for it. */
     private boolean isNested(String requestId) {
-        return dialect.parentRequestId(requestId).filter(dispatcher::isRunning).isPresent();
+        return parent(requestId).isPresent();
+    }
+
+    /** Returns the call above, which made the request; empty where there is none. */
+    private Optional<Call> parent(String requestId) {
+        return dialect.parentRequestId(requestId).flatMap(dispatcher::runningCall);
     }
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/PacedAdmission.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PacedAdmission.java
@@ -1,5 +1,8 @@
 package org.siskindyke.runtime.traffic;
 
+import java.util.function.BiFunction;
+
+import org.siskindyke.kernel.call.AdmissionPolicy;
 import org.siskindyke.kernel.call.AdmissionQueue;
 import org.siskindyke.kernel.call.ArrivalPace;
 import org.siskindyke.kernel.call.ServiceTimeEstimator;
@@ -18,11 +21,15 @@
     private boolean turnScheduled;
     private volatile int usableSlots = Integer.MAX_VALUE;
 
-    PacedAdmission(TrafficLoop traffic, MonotonicClock clock, ServiceTimeEstimator serviceTimes) {
+    PacedAdmission(
+            TrafficLoop traffic,
+            MonotonicClock clock,
+            ServiceTimeEstimator serviceTimes,
+            BiFunction<ServiceTimeEstimator, ArrivalPace, AdmissionPolicy> policies) {
         this.traffic = traffic;
         this.clock = clock;
         this.serviceTimes = serviceTimes;
-        this.queue = new AdmissionQueue(0, serviceTimes, pace);
+        this.queue = new AdmissionQueue(0, serviceTimes, pace, policies.apply(serviceTimes, pace));
     }
 
     AdmissionQueue queue() {
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 
 import org.siskindyke.kernel.balance.ReportedTargetLoad;
+import org.siskindyke.kernel.call.ExpectedReturns;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.Verdict;
 import org.siskindyke.kernel.crash.CrashSuspects;
@@ -64,6 +65,9 @@
     private final HttpExchange.Responder responder;
     private final long configurationVersion;
     private final long startMillis;
+    /** When the caller's first attempt was read, where this one returns after a refusal; else as above. */
+    private long firstMillis;
+
     private final Set<MemberId> tried = new HashSet<>();
     private boolean divided;
     private Route route;
@@ -74,6 +78,9 @@
     private int backendAttempts;
 
     private int fullTargets;
+    /** The shortest delay after which one of these targets expects to have capacity. */
+    private long capacityDelayMillis = Long.MAX_VALUE;
+
     /** Backend servers that, as far as known before the first attempt, have ended while they ran this request. */
     private int knownCrashes;
     /** Attempts whose answers were lost. */
@@ -102,6 +109,7 @@
         this.requestId = requestId;
         this.responder = responder;
         this.startMillis = clock.nowMillis();
+        this.firstMillis = startMillis;
     }
 
     /** Returns when the request was read, by the monotonic clock. */
@@ -109,6 +117,16 @@
         return startMillis;
     }
 
+    /** Records that the caller returns after a refusal of an attempt that was read at {@code earlierMillis}. */
+    void setFirstMillis(long earlierMillis) {
+        firstMillis = earlierMillis;
+    }
+
+    /** Returns when the caller's first attempt was read, by the monotonic clock. */
+    long firstMillis() {
+        return firstMillis;
+    }
+
     /** Returns the call; null before {@link #start}. */
     Call call() {
         return call;
@@ -293,7 +311,10 @@
         boolean arrived = reply.refusal() == Refusal.TARGET_REFUSED;
         boolean full = reply.refusal() == Refusal.QUEUE_FULL || reply.refusal() == Refusal.QUEUE_TIMEOUT;
         backendAttempts += arrived ? 1 : 0;
-        fullTargets += full ? 1 : 0;
+        if (full) {
+            fullTargets++;
+            capacityDelayMillis = Math.min(capacityDelayMillis, reply.retryAfterMillis());
+        }
         lastFailure = reply;
         boolean giveUp = context.withdrawing().test(call)
                 || reply.refusal() == Refusal.SUSPECTED_OF_CRASHES
@@ -340,7 +361,9 @@
         if (reply.isAnswer()) {
             deliver(reply);
         } else {
-            refuse(reply.refusal(), statusOf(verdict), reply.retryAfterMillis());
+            boolean anyTarget = context.rankedAdmission() && fullTargets > 0 && !divided;
+            long delayMillis = anyTarget ? capacityDelayMillis : reply.retryAfterMillis();
+            refuse(reply.refusal(), statusOf(verdict), delayMillis);
         }
     }
 
@@ -374,7 +397,11 @@
             headers.add(context.dialect().requestIdField(requestId));
         }
         if (status == UNAVAILABLE) {
-            double seconds = Math.max(MIN_RETRY_AFTER_MILLIS, retryAfterMillis) / MILLIS_PER_SECOND;
+            long delayMillis = Math.max(MIN_RETRY_AFTER_MILLIS, retryAfterMillis);
+            if (requestId != null) {
+                context.returns().onRefused(requestId, firstMillis, delayMillis, clock.nowMillis());
+            }
+            double seconds = delayMillis / MILLIS_PER_SECOND;
             headers.add(new Header("Retry-After", String.format(Locale.ROOT, "%.2f", seconds)));
         }
         responder.respond(new HttpExchange.Response(status, headers, NO_BODY));
@@ -437,6 +464,8 @@
      * @param sender sends calls to members
      * @param budgets the retry budgets
      * @param crashGuard tells which requests may crash backend servers
+     * @param rankedAdmission whether targets order calls by rank under overload
+     * @param returns recognizes callers that return after a refusal
      * @param withdrawing returns whether a call is not sent again, as the router stops
      * @param onFinished receives each request that has ended
      * @param listener receives the outcome of each request that was answered
@@ -450,6 +479,8 @@
             AttemptSender sender,
             RetryBudgets budgets,
             CrashGuard crashGuard,
+            boolean rankedAdmission,
+            ExpectedReturns returns,
             Predicate<Call> withdrawing,
             Consumer<RequestAttempts> onFinished,
             Consumer<CallOutcome> listener,
--- a/src/main/java/org/siskindyke/wire/ForwardRequest.java
+++ b/src/main/java/org/siskindyke/wire/ForwardRequest.java
@@ -33,6 +33,7 @@
   private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.STRING, (short)18);
   private static final org.apache.thrift.protocol.TField CALLER_FIELD_DESC = new org.apache.thrift.protocol.TField("caller", org.apache.thrift.protocol.TType.STRING, (short)19);
   private static final org.apache.thrift.protocol.TField SUSPECTED_FIELD_DESC = new org.apache.thrift.protocol.TField("suspected", org.apache.thrift.protocol.TType.BOOL, (short)20);
+  private static final org.apache.thrift.protocol.TField RETURNING_FIELD_DESC = new org.apache.thrift.protocol.TField("returning", org.apache.thrift.protocol.TType.BOOL, (short)21);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ForwardRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ForwardRequestTupleSchemeFactory();
@@ -78,6 +79,10 @@
    * Whether the answer to an earlier attempt was lost, so that the call may crash the target.
    */
   public boolean suspected; // required
+  /**
+   * Whether an earlier attempt was refused and its caller returns when it was told to; absent for false.
+   */
+  public boolean returning; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -121,7 +126,11 @@
     /**
      * Whether the answer to an earlier attempt was lost, so that the call may crash the target.
      */
-    SUSPECTED((short)20, "suspected");
+    SUSPECTED((short)20, "suspected"),
+    /**
+     * Whether an earlier attempt was refused and its caller returns when it was told to; absent for false.
+     */
+    RETURNING((short)21, "returning");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -177,6 +186,8 @@
           return CALLER;
         case 20: // SUSPECTED
           return SUSPECTED;
+        case 21: // RETURNING
+          return RETURNING;
         default:
           return null;
       }
@@ -230,7 +241,9 @@
   private static final int __NESTED_ISSET_ID = 7;
   private static final int __MOVABLE_ISSET_ID = 8;
   private static final int __SUSPECTED_ISSET_ID = 9;
+  private static final int __RETURNING_ISSET_ID = 10;
   private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.RETURNING};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -275,6 +288,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.SUSPECTED, new org.apache.thrift.meta_data.FieldMetaData("suspected", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.RETURNING, new org.apache.thrift.meta_data.FieldMetaData("returning", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ForwardRequest.class, metaDataMap);
   }
@@ -386,6 +401,7 @@
       this.caller = other.caller;
     }
     this.suspected = other.suspected;
+    this.returning = other.returning;
   }
 
   @Override
@@ -425,6 +441,8 @@
     this.caller = null;
     setSuspectedIsSet(false);
     this.suspected = false;
+    setReturningIsSet(false);
+    this.returning = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -974,6 +992,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTED_ISSET_ID, value);
   }
 
+  /**
+   * Whether an earlier attempt was refused and its caller returns when it was told to; absent for false.
+   */
+  public boolean isReturning() {
+    return this.returning;
+  }
+
+  /**
+   * Whether an earlier attempt was refused and its caller returns when it was told to; absent for false.
+   */
+  public ForwardRequest setReturning(boolean returning) {
+    this.returning = returning;
+    setReturningIsSet(true);
+    return this;
+  }
+
+  public void unsetReturning() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RETURNING_ISSET_ID);
+  }
+
+  /** Returns true if field returning is set (has been assigned a value) and false otherwise */
+  public boolean isSetReturning() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RETURNING_ISSET_ID);
+  }
+
+  public void setReturningIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETURNING_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1141,6 +1188,14 @@
       }
       break;
 
+    case RETURNING:
+      if (value == null) {
+        unsetReturning();
+      } else {
+        setReturning((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -1208,6 +1263,9 @@
     case SUSPECTED:
       return isSuspected();
 
+    case RETURNING:
+      return isReturning();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1260,6 +1318,8 @@
       return isSetCaller();
     case SUSPECTED:
       return isSetSuspected();
+    case RETURNING:
+      return isSetReturning();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1457,6 +1517,15 @@
         return false;
     }
 
+    boolean this_present_returning = true && this.isSetReturning();
+    boolean that_present_returning = true && that.isSetReturning();
+    if (this_present_returning || that_present_returning) {
+      if (!(this_present_returning && that_present_returning))
+        return false;
+      if (this.returning != that.returning)
+        return false;
+    }
+
     return true;
   }
 
@@ -1524,6 +1593,10 @@
 
     hashCode = hashCode * 8191 + ((suspected) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetReturning()) ? 131071 : 524287);
+    if (isSetReturning())
+      hashCode = hashCode * 8191 + ((returning) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -1735,6 +1808,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetReturning(), other.isSetReturning());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReturning()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.returning, other.returning);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1878,6 +1961,12 @@
     sb.append("suspected:");
     sb.append(this.suspected);
     first = false;
+    if (isSetReturning()) {
+      if (!first) sb.append(", ");
+      sb.append("returning:");
+      sb.append(this.returning);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -2096,6 +2185,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 21: // RETURNING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.returning = iprot.readBool();
+              struct.setReturningIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2199,6 +2296,11 @@
       oprot.writeFieldBegin(SUSPECTED_FIELD_DESC);
       oprot.writeBool(struct.suspected);
       oprot.writeFieldEnd();
+      if (struct.isSetReturning()) {
+        oprot.writeFieldBegin(RETURNING_FIELD_DESC);
+        oprot.writeBool(struct.returning);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2278,7 +2380,10 @@
       if (struct.isSetSuspected()) {
         optionals.set(19);
       }
-      oprot.writeBitSet(optionals, 20);
+      if (struct.isSetReturning()) {
+        optionals.set(20);
+      }
+      oprot.writeBitSet(optionals, 21);
       if (struct.isSetCallId()) {
         oprot.writeString(struct.callId);
       }
@@ -2345,12 +2450,15 @@
       if (struct.isSetSuspected()) {
         oprot.writeBool(struct.suspected);
       }
+      if (struct.isSetReturning()) {
+        oprot.writeBool(struct.returning);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ForwardRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(20);
+      java.util.BitSet incoming = iprot.readBitSet(21);
       if (incoming.get(0)) {
         struct.callId = iprot.readString();
         struct.setCallIdIsSet(true);
@@ -2441,6 +2549,10 @@
         struct.suspected = iprot.readBool();
         struct.setSuspectedIsSet(true);
       }
+      if (incoming.get(20)) {
+        struct.returning = iprot.readBool();
+        struct.setReturningIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -109,6 +109,8 @@
   19: string caller,
   /** Whether the answer to an earlier attempt was lost, so that the call may crash the target. */
   20: bool suspected,
+  /** Whether an earlier attempt was refused and its caller returns when it was told to; absent for false. */
+  21: optional bool returning,
 }
 
 /** How busy a target is. */
--- a/src/test/java/org/siskindyke/runtime/traffic/StoppingDispatcherTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/StoppingDispatcherTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import net.jqwik.api.Example;
+import org.siskindyke.kernel.call.PriorityAdmission;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.SchedulingAttributes;
 import org.siskindyke.kernel.control.ClusterView;
@@ -42,7 +43,7 @@
                 null,
                 new SliceMeter(clock, service -> OptionalInt.empty()),
                 (service, slice) -> true,
-                crashGuard,
+                new BackendDispatcher.Policies(crashGuard, PriorityAdmission::new),
                 null,
                 log);
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
