--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -23,6 +23,7 @@
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.InstanceName;
 import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.runtime.DeploymentSettings;
 import org.siskindyke.runtime.EventLog;
 import org.siskindyke.runtime.InstanceRouter;
 import org.siskindyke.runtime.InstanceSettings;
@@ -56,6 +57,7 @@
 
     private final TrafficLoop traffic = new TrafficLoop();
     private final EventLog log;
+    private final DeploymentSettings deployment;
     private final StoreStandin store = new StoreStandin(traffic, SystemMonotonicClock.INSTANCE);
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<Instance> instances = new ArrayList<>();
@@ -73,7 +75,13 @@
 
     /** Creates a cluster without instances; routers log their events to {@code out}. */
     LoopbackCluster(PrintStream out) {
-        log = new EventLog("loopback", out);
+        this(out, DeploymentSettings.DEFAULT);
+    }
+
+    /** Creates a cluster as above, whose routers have the given settings of their deployment. */
+    LoopbackCluster(PrintStream out, DeploymentSettings deployment) {
+        this.log = new EventLog("loopback", out);
+        this.deployment = deployment;
     }
 
     /** Writes a routing configuration, in the platform's JSON form, to the store. */
@@ -110,7 +118,8 @@
                         freeAddress(), peers, peers, freeAddress(), freeAddress(), freeAddress()),
                 storeAddress,
                 HEARTBEAT_INTERVAL,
-                BOUNDS);
+                BOUNDS,
+                deployment);
         routers.put(settings, PlatformRouter.start(settings, traffic, log));
         return settings;
     }
--- a/src/test/java/org/siskindyke/runtime/WireCodecTest.java
+++ b/src/test/java/org/siskindyke/runtime/WireCodecTest.java
@@ -74,6 +74,27 @@
         assertTrue(WireMapper.fromWire(wire, true, 5_000).scheduling().objectiveMillis() > 1L << 60);
     }
 
+    /** Guards against a caller that returns through another router than its target's and is taken for a new one. */
+    @Example
+    void aForwardedCallStillReturnsAfterARefusal() {
+        SchedulingAttributes returning = new SchedulingAttributes("k", 1, 3_000, false, false, false, true);
+        Call call = new Call(
+                "c1",
+                ClientAccount.UNKNOWN,
+                ServiceName.of("orders"),
+                null,
+                null,
+                "GET",
+                "/",
+                List.of(),
+                new byte[0],
+                2_000,
+                true,
+                returning);
+        ForwardRequest wire = WireMapper.toWire(call, MemberId.TABLE, 0, 1_000);
+        assertEquals(returning, WireMapper.fromWire(wire, true, 1_000).scheduling());
+    }
+
     /** Messages of other routers with fields that are missing, doubled or of another type. */
     @Property(tries = 3_000, seed = "64")
     void anOddPeerMessageIsReadOrRefusedWithACode(@ForAll long seed) {
