--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -12,6 +12,7 @@
 
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.call.ExpectedReturns;
+import org.siskindyke.kernel.call.FullTargets;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.SchedulingAttributes;
 import org.siskindyke.kernel.call.SharedRetryBudget;
@@ -81,6 +82,7 @@
                 new RetryBudgets(() -> policies.budgets().apply(targets::routerCount), policies.retryListener()),
                 policies.crashGuard(),
                 rankedAdmission,
+                new FullTargets(),
                 returns,
                 this::isWithdrawn,
                 active::remove,
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -11,6 +11,7 @@
 
 import org.siskindyke.kernel.balance.ReportedTargetLoad;
 import org.siskindyke.kernel.call.ExpectedReturns;
+import org.siskindyke.kernel.call.FullTargets;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.Verdict;
 import org.siskindyke.kernel.crash.CrashSuspects;
@@ -141,7 +142,25 @@
         knownCrashes = context.crashGuard().assess(call).crashed().size();
         context.budgets().onRequest(service, startMillis);
         deadlineTimer = context.traffic().schedule(this::onDeadline, call.deadlineMillis() - startMillis);
-        startAttempt();
+        long fullMillis = knownFullMillis();
+        if (fullMillis > 0) {
+            refuse(Refusal.QUEUE_FULL, UNAVAILABLE, fullMillis);
+        } else {
+            startAttempt();
+        }
+    }
+
+    /**
+     * Returns for how long all targets are known to be full for a new request, under ranked admission; else 0. A nested
+     * request and one that returns after a refusal are sent in any case.
+     */
+    private long knownFullMillis() {
+        boolean isNew = !call.scheduling().nested() && !call.scheduling().returning();
+        return context.rankedAdmission() && !divided && isNew
+                ? context.fullTargets()
+                        .fullForMillis(
+                                route.name(), () -> context.targets().acceptingIds(service, startMillis), startMillis)
+                : 0;
     }
 
     private void startAttempt() {
@@ -289,6 +308,7 @@
 
     private void onAnswer(Reply reply, long nowMillis) {
         backendAttempts++;
+        context.fullTargets().onRun(route.name(), lastMember);
         boolean failed = reply.status() >= SERVER_ERROR;
         boolean retriable = failed
                 && call.idempotent()
@@ -314,6 +334,9 @@
         if (full) {
             fullTargets++;
             capacityDelayMillis = Math.min(capacityDelayMillis, reply.retryAfterMillis());
+            if (context.rankedAdmission() && !divided) {
+                context.fullTargets().onFull(route.name(), lastMember, reply.retryAfterMillis(), nowMillis);
+            }
         }
         lastFailure = reply;
         boolean giveUp = context.withdrawing().test(call)
@@ -465,6 +488,7 @@
      * @param budgets the retry budgets
      * @param crashGuard tells which requests may crash backend servers
      * @param rankedAdmission whether targets order calls by rank under overload
+     * @param fullTargets knows which targets are full
      * @param returns recognizes callers that return after a refusal
      * @param withdrawing returns whether a call is not sent again, as the router stops
      * @param onFinished receives each request that has ended
@@ -480,6 +504,7 @@
             RetryBudgets budgets,
             CrashGuard crashGuard,
             boolean rankedAdmission,
+            FullTargets fullTargets,
             ExpectedReturns returns,
             Predicate<Call> withdrawing,
             Consumer<RequestAttempts> onFinished,
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -106,6 +106,11 @@
         return acceptingMembers(service, nowMillis).stream().anyMatch(m -> !tried.contains(m.id()));
     }
 
+    /** Returns the members that accept requests for the service. */
+    List<MemberId> acceptingIds(ServiceName service, long nowMillis) {
+        return acceptingMembers(service, nowMillis).stream().map(MemberRow::id).toList();
+    }
+
     /** Returns whether a member's target has not said that it leaves. */
     boolean isStaying(MemberRow member, ServiceName service, long nowMillis) {
         return !isLeaving(member, service, 0, nowMillis);
--- a/src/test/java/org/siskindyke/platform/RankedAdmissionPathTest.java
+++ b/src/test/java/org/siskindyke/platform/RankedAdmissionPathTest.java
@@ -24,7 +24,9 @@
     private static final int UNAVAILABLE = 503;
     private static final long TIMEOUT_MILLIS = 15_000;
     /** With 4 slots a server runs 40 of these in the second of their objective. */
-    private static final String PATH = "/k/100";
+    private static final String TO_DIVIDED = "/k/100";
+    /** As above, not idempotent. */
+    private static final String TO_UNDIVIDED = "/p/100";
 
     private static final int REQUESTS = 200;
 
@@ -34,9 +36,9 @@
             new DeploymentSettings(Topology.UNKNOWN, true, 1, 0, DeploymentSettings.DEFAULT.evacuation()));
 
     /** Sends all requests at once, each with an id of its own, and returns the ids of those that were refused. */
-    private List<String> sendAll(LoopbackCluster.Instance caller, List<String> ids) {
+    private List<String> sendAll(LoopbackCluster.Instance caller, String path, List<String> ids) {
         List<CompletableFuture<HttpResponse<String>>> sent =
-                ids.stream().map(id -> cluster.sendAs(id, caller, PATH)).toList();
+                ids.stream().map(id -> cluster.sendAs(id, caller, path)).toList();
         List<String> refused = new ArrayList<>();
         for (int i = 0; i < sent.size(); i++) {
             HttpResponse<String> response = sent.get(i).join();
@@ -48,29 +50,41 @@
         return refused;
     }
 
-    /** Guards against a refused request that has run, and against one that runs twice when its caller returns. */
-    @Example
-    void aRefusedRequestHasNotRunAndItsReturnRunsOnce() throws InterruptedException {
-        cluster.configure(SelfCheck.CONFIGURATION);
-        LoopbackCluster.Instance caller = cluster.start("plain", false, "a");
-        LoopbackCluster.Instance owner = cluster.start("keyed", true, "b");
+    private void sendCrowd(String path, LoopbackCluster.Instance caller, LoopbackCluster.Instance server)
+            throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-        while (cluster.request(caller, PATH, 0) != OK) {
+        while (cluster.request(caller, path, 0) != OK) {
             assertTrue(System.nanoTime() < endNanos, this::events);
         }
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < REQUESTS; i++) {
             ids.add("crowd" + i);
         }
-        List<String> refused = sendAll(caller, ids);
+        List<String> refused = sendAll(caller, path, ids);
         assertTrue(!refused.isEmpty() && refused.size() < REQUESTS, () -> refused.size() + " refused");
-        assertNoneRan(owner, refused);
-        assertNoneRan(owner, sendAll(caller, refused));
+        assertNoneRan(server, refused);
+        assertNoneRan(server, sendAll(caller, path, refused));
+    }
+
+    /** Guards against a refused request that has run, and against one that runs twice when its caller returns. */
+    @Example
+    void aRefusedRequestToADividedServiceHasNotRunAndItsReturnRunsOnce() throws InterruptedException {
+        cluster.configure(SelfCheck.CONFIGURATION);
+        LoopbackCluster.Instance caller = cluster.start("plain", false, "a");
+        sendCrowd(TO_DIVIDED, caller, cluster.start("keyed", true, "b"));
+    }
+
+    /** Guards against the same where the router refuses without sending, since it knows the target to be full. */
+    @Example
+    void aRefusedRequestToAnUndividedServiceHasNotRunAndItsReturnRunsOnce() throws InterruptedException {
+        cluster.configure(SelfCheck.CONFIGURATION);
+        LoopbackCluster.Instance server = cluster.start("plain", false, "a");
+        sendCrowd(TO_UNDIVIDED, cluster.start("keyed", true, "b"), server);
     }
 
     /** Requires that the server has run none of the refused requests, and no request of the crowd twice. */
-    private void assertNoneRan(LoopbackCluster.Instance owner, List<String> refused) {
-        List<String> runs = owner.backend().executedRequestIds().stream()
+    private void assertNoneRan(LoopbackCluster.Instance server, List<String> refused) {
+        List<String> runs = server.backend().executedRequestIds().stream()
                 .filter(id -> id.startsWith("crowd"))
                 .toList();
         Set<String> ids = new HashSet<>(runs);
