Merge ranked admission under overload

The refusal of late calls by a cold server moves with the previous rules into PriorityAdmission; RankedAdmission covers it by the pace's load.

--- a/src/main/java/org/siskindyke/platform/LoopbackCluster.java
+++ b/src/main/java/org/siskindyke/platform/LoopbackCluster.java
@@ -75,7 +75,7 @@
 
     /** Creates a cluster without instances; routers log their events to {@code out}. */
     LoopbackCluster(PrintStream out) {
-        log = new EventLog("loopback", out);
+        this.log = new EventLog("loopback", out);
     }
 
     /** Writes a routing configuration, in the platform's JSON form, to the store. */
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -17,6 +17,8 @@
 
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.balance.RelieveOverloadPolicy;
+import org.siskindyke.kernel.call.PriorityAdmission;
+import org.siskindyke.kernel.call.RankedAdmission;
 import org.siskindyke.kernel.call.SharedRetryBudget;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.ConfigurationText;
@@ -173,7 +175,9 @@
                         .owner(slice)
                         .filter(owner -> member.row().id().equals(owner.member()))
                         .isPresent(),
-                crashGuard,
+                new BackendDispatcher.Policies(
+                        crashGuard,
+                        settings.deployment().rankedAdmission() ? RankedAdmission::new : PriorityAdmission::new),
                 crashes,
                 log);
         this.peers = new PeerNetwork(traffic, control, clock, backend, log);
@@ -191,6 +195,7 @@
                         new LocalityAwareSelector(settings.failureDomain()),
                         this::newBudget,
                         crashGuard,
+                        settings.deployment().rankedAdmission(),
                         () -> this.settings.bounds().drain(),
                         settings.deployment().topology(),
                         settings.deployment().evacuation(),
@@ -249,7 +254,8 @@
         control.scheduleWithFixedDelay(this::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(backend::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(
-                () -> requestLog.flush(traffic.takeMaxDelayMillis()), TimeUnit.SECONDS.toMillis(5));
+                () -> requestLog.flush(traffic.takeMaxDelayMillis(), backend.admissionCounts()),
+                TimeUnit.SECONDS.toMillis(5));
         traffic.schedule(this::startMetrics, METRICS_START_DELAY_MILLIS);
         log.event(
                 "router-started",
@@ -277,6 +283,9 @@
                 "siskindyke.evacuated.domains",
                 () -> evacuations.stream().filter(EvacuationOrder::evacuated).count());
         metrics.gauge("siskindyke.target.cold", () -> backend.isCold() ? 1 : 0);
+        if (settings.deployment().rankedAdmission()) {
+            metrics.registerAdmission(backend::admissionCounts);
+        }
     }
 
     private void onRequestEnded(CallOutcome outcome) {
