Choose targets by proportional filling where load reports are old

Many routers choose at once by reports that are up to two seconds old. All of them took the target with the least expected time, so servers were overloaded in turn.

Services with at least eight targets, and deployments with several regions, now draw the target by shares that would make the loads even, from a sample of eight targets of a distance. The load that servers announce goes with the replies between routers. Other services keep the exact comparison.

--- a/src/main/java/org/siskindyke/kernel/balance/LocalityAwareSelector.java
+++ b/src/main/java/org/siskindyke/kernel/balance/LocalityAwareSelector.java
@@ -8,6 +8,8 @@
 import org.siskindyke.kernel.id.FailureDomain;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.place.Distance;
+import org.siskindyke.kernel.place.Topology;
 
 /**
  * Selects the target of a call to an undivided service: in the router's own failure domain if the call is expected to
@@ -15,9 +17,13 @@
  * would be late in all of them stays in the own domain, since a late response is worth too little to justify the cost
  * of traffic between failure domains.
  *
- * <p>For calls that are routed by a {@code RouteTable}; for those of service documents, a {@link TargetPolicy} selects.
+ * <p>Compares all candidates. Where many routers choose at once, all of them choose the same target until its next
+ * report; {@link StaleLoadSelector} is for those deployments.
  */
-public final class LocalityAwareSelector {
+public final class LocalityAwareSelector implements TargetChooser {
+    /** The name of this method of choice. */
+    public static final String METHOD = "least-expected-time";
+
     /** Additional time of a call to another failure domain: two round trips and the processing on the way. */
     private static final double CROSS_DOMAIN_PENALTY_MILLIS = 20;
     /** Cost of one rank; longer than any call, so that the rank of a target outweighs its expected time. */
@@ -30,16 +36,7 @@
         this.ownDomain = ownDomain;
     }
 
-    /**
-     * Selects a target.
-     *
-     * @param candidates members with a target of the service
-     * @param tried members that the call was already sent to
-     * @param loads returns the load of a member's target
-     * @param remainingMillis time left until the call's latency objective
-     * @param nowMillis current time on the monotonic clock
-     * @return the member; empty if all candidates were tried
-     */
+    @Override
     public Optional<MemberRow> choose(
             List<MemberRow> candidates,
             Set<MemberId> tried,
@@ -67,9 +64,30 @@
      */
     private double cost(MemberRow candidate, ReportedTargetLoad load, long remainingMillis, long nowMillis) {
         boolean sameDomain = candidate.failureDomain().equals(ownDomain);
-        double expectedMillis = load.expectedMillis(nowMillis) + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MILLIS);
+        double expectedMillis = expectedMillis(candidate, load, nowMillis);
         int rank = (sameDomain ? 0 : 1) + (expectedMillis <= remainingMillis ? 0 : 2);
         int avoidanceRank = load.isAvoided(nowMillis) ? 4 : 0;
         return expectedMillis + (rank + avoidanceRank) * RANK_COST_MILLIS;
     }
+
+    @Override
+    public Distance distance(MemberRow candidate) {
+        return Topology.UNKNOWN.distance(ownDomain, candidate.failureDomain());
+    }
+
+    @Override
+    public String method(List<MemberRow> candidates) {
+        return METHOD;
+    }
+
+    @Override
+    public double expectedMillis(
+            List<MemberRow> candidates, MemberRow candidate, ReportedTargetLoad load, long nowMillis) {
+        return expectedMillis(candidate, load, nowMillis);
+    }
+
+    private double expectedMillis(MemberRow candidate, ReportedTargetLoad load, long nowMillis) {
+        boolean sameDomain = candidate.failureDomain().equals(ownDomain);
+        return load.expectedMillis(nowMillis) + (sameDomain ? 0 : CROSS_DOMAIN_PENALTY_MILLIS);
+    }
 }
--- a/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
+++ b/src/main/java/org/siskindyke/kernel/balance/ReportedTargetLoad.java
@@ -61,6 +61,31 @@
         return nowMillis < avoidUntilMillis;
     }
 
+    /** Returns the latest report, or an assumed one of an idle target before the first. */
+    public TargetLoadReport report() {
+        return report;
+    }
+
+    /** Returns whether there has been a report. */
+    public boolean isReported() {
+        return reported;
+    }
+
+    /** Returns the age of the latest report, in milliseconds; 0 before the first. */
+    public long ageMillis(long nowMillis) {
+        return reported ? Math.max(0, nowMillis - reportedMillis) : 0;
+    }
+
+    /** Returns this router's own calls in flight. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns by how much the own calls in flight have grown since the latest report; all of them before the first. */
+    public int sentSinceReport() {
+        return Math.max(0, inFlight - inFlightAtReport);
+    }
+
     /**
      * Returns the expected time of a call that is sent now, in milliseconds, including its wait for a slot and for its
      * turn under the limit on calls.
@@ -72,7 +97,7 @@
         long ageMillis = nowMillis - reportedMillis;
         boolean fresh = ageMillis < REPORT_VALIDITY_MILLIS;
         double callMillis = fresh ? report.millisPerCall() : decayedCallMillis(ageMillis - REPORT_VALIDITY_MILLIS);
-        int sinceReport = Math.max(0, inFlight - inFlightAtReport);
+        int sinceReport = sentSinceReport();
         int load = fresh ? report.busy() + report.waiting() + sinceReport : inFlight;
         int ahead = Math.max(0, load + 1 - report.slots());
         double slotMillis = ahead * callMillis / Math.max(1, report.slots());
--- a/src/main/java/org/siskindyke/platform/PlatformDialect.java
+++ b/src/main/java/org/siskindyke/platform/PlatformDialect.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.siskindyke.kernel.balance.ServerLoadTracker;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.input.NumberField;
@@ -30,6 +31,14 @@
     /** Calls per second that a backend server accepts from all callers together, a decimal number. */
     private static final String LIMIT = "Server-Limit";
 
+    /**
+     * Load of a backend server, separated by commas: requests running, requests waiting, slots and, where present, how
+     * long work takes on its host, in percent of the usual.
+     */
+    private static final String SERVER_LOAD = "X-Siskindyke-Server-Load";
+
+    private static final int MIN_LOAD_PARTS = 3;
+    private static final int MAX_LOAD_PARTS = 4;
     private static final String LEAVING = "Server-Leaving";
     private static final String LEAVING_VALUE = "1";
     private static final Set<String> NOT_FORWARDED = Set.of(
@@ -43,6 +52,8 @@
     private static final NumberField TIMEOUT = NumberField.ofMessage(TIMEOUT_MILLIS, 0, NumberField.MAX_EXACT);
     private static final NumberField KEY_NUMBER = NumberField.ofMessage(KEY, 0, KeyRange.KEY_COUNT - 1);
     private static final NumberField LIMIT_NUMBER = NumberField.ofMessage(LIMIT, 0, NumberField.MAX_EXACT);
+    private static final NumberField LOAD_COUNT = NumberField.ofMessage(SERVER_LOAD, 0, 1_000_000);
+    private static final NumberField LOAD_PERCENT = NumberField.ofMessage(SERVER_LOAD, 1, 100_000);
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
@@ -122,6 +133,28 @@
         return AnnouncedLimit.of(LIMIT_NUMBER.tryParseDecimal(text));
     }
 
+    @Override
+    public ServerLoadTracker.Announcement serverLoad(List<Header> headers) {
+        String text = Headers.firstIgnoringCase(headers, SERVER_LOAD);
+        String[] parts = text == null ? new String[0] : text.split(",", MAX_LOAD_PARTS + 1);
+        if (parts.length < MIN_LOAD_PARTS || parts.length > MAX_LOAD_PARTS) {
+            return null;
+        }
+        OptionalLong running = LOAD_COUNT.tryParse(parts[0]);
+        OptionalLong waiting = LOAD_COUNT.tryParse(parts[1]);
+        OptionalLong slots = LOAD_COUNT.tryParse(parts[2]);
+        boolean hasPercent = parts.length == MAX_LOAD_PARTS;
+        double percent = hasPercent ? LOAD_PERCENT.tryParseDecimal(parts[MIN_LOAD_PARTS]) : Double.NaN;
+        if (running.isEmpty() || waiting.isEmpty() || slots.isEmpty() || hasPercent && Double.isNaN(percent)) {
+            return null;
+        }
+        return new ServerLoadTracker.Announcement(
+                Math.toIntExact(running.getAsLong()),
+                Math.toIntExact(waiting.getAsLong()),
+                Math.toIntExact(slots.getAsLong()),
+                percent);
+    }
+
     @Override
     public boolean isLeaving(List<Header> headers) {
         return LEAVING_VALUE.equals(Headers.firstIgnoringCase(headers, LEAVING));
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,9 @@
 
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.balance.RelieveOverloadPolicy;
+import org.siskindyke.kernel.balance.ScaledTargetChooser;
+import org.siskindyke.kernel.balance.StaleLoadSelector;
+import org.siskindyke.kernel.balance.TargetChooser;
 import org.siskindyke.kernel.call.SharedRetryBudget;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.ConfigurationText;
@@ -35,6 +39,7 @@
 import org.siskindyke.kernel.membership.MemberAddress;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
+import org.siskindyke.kernel.place.Topology;
 import org.siskindyke.kernel.route.RouteTable;
 import org.siskindyke.kernel.route.RoutingConfiguration;
 import org.siskindyke.kernel.table.TableService;
@@ -50,6 +55,7 @@
 import org.siskindyke.runtime.traffic.HttpListener;
 import org.siskindyke.runtime.traffic.PeerNetwork;
 import org.siskindyke.runtime.traffic.RetryDecision;
+import org.siskindyke.runtime.traffic.TargetChoice;
 import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
@@ -184,7 +190,8 @@
                 backend,
                 new CallerRequestHandler.Policies(
                         settings.service(),
-                        new LocalityAwareSelector(settings.failureDomain()),
+                        newTargetChooser(),
+                        this::onTargetChosen,
                         this::newBudget,
                         crashGuard,
                         () -> this.settings.bounds().drain(),
@@ -195,6 +202,14 @@
         this.callers = new HttpListener(traffic, clock, configuration::limits, callerRequests);
     }
 
+    private TargetChooser newTargetChooser() {
+        Topology topology = settings.deployment().topology();
+        return new ScaledTargetChooser(
+                new LocalityAwareSelector(settings.failureDomain()),
+                new StaleLoadSelector(settings.failureDomain(), topology, new SplittableRandom()),
+                topology);
+    }
+
     private TargetController newTargetController() {
         TargetGrants grants = new TargetGrants(SLICE_COUNT, maxGrantMillis(), clock.nowMillis());
         return new TargetController(settings, clock, System::currentTimeMillis, traffic, backend, crashes, log, grants);
@@ -272,6 +287,11 @@
         metrics.onEnded(outcome);
     }
 
+    private void onTargetChosen(TargetChoice choice) {
+        requestLog.onTargetChosen(choice);
+        metrics.onTargetChosen(choice);
+    }
+
     private void onRetryDecided(RetryDecision decision) {
         requestLog.onRetryDecided(decision);
         metrics.onRetryDecided(decision);
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -4,9 +4,11 @@
 import java.util.TreeMap;
 
 import org.siskindyke.kernel.id.ServiceName;
+import org.siskindyke.kernel.place.Distance;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.traffic.CallOutcome;
 import org.siskindyke.runtime.traffic.RetryDecision;
+import org.siskindyke.runtime.traffic.TargetChoice;
 import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
@@ -22,6 +24,8 @@
 
     private static final int FIRST_FAILURE_STATUS = 400;
 
+    private static final int DISTANCES = Distance.values().length;
+
     private final EventLog log;
     private final MonotonicClock clock;
     /** For each route: requests that succeeded, requests that failed, and the total duration in milliseconds. */
@@ -30,6 +34,9 @@
     /** For each service: retries granted, retries refused, and the number of routers that its budget assumes. */
     private final Map<ServiceName, int[]> retriesByService = new TreeMap<>();
 
+    /** For each service: choices at each distance, those that had a report, and the total age of these in ms. */
+    private final Map<ServiceName, long[]> choicesByService = new TreeMap<>();
+
     private final EventRateLimiter failureLimiter = new EventRateLimiter(FAILURES_PER_SECOND);
     private final EventRateLimiter abandonedLimiter = new EventRateLimiter(ABANDONED_PER_SECOND);
 
@@ -66,6 +73,30 @@
         counts[2] = decision.routers();
     }
 
+    void onTargetChosen(TargetChoice choice) {
+        long[] counts = choicesByService.computeIfAbsent(choice.service(), s -> new long[DISTANCES + 2]);
+        counts[choice.distance().ordinal()]++;
+        counts[DISTANCES] += choice.isReported() ? 1 : 0;
+        counts[DISTANCES + 1] += choice.reportAgeMillis();
+    }
+
+    private void logTargetChoices(ServiceName service, long[] counts) {
+        log.event(
+                "target-choices",
+                "service",
+                service,
+                "sameDomain",
+                counts[Distance.SAME_DOMAIN.ordinal()],
+                "sameRegion",
+                counts[Distance.SAME_REGION.ordinal()],
+                "otherRegion",
+                counts[Distance.OTHER_REGION.ordinal()],
+                "reported",
+                counts[DISTANCES],
+                "meanReportAgeMillis",
+                counts[DISTANCES + 1] / Math.max(1, counts[DISTANCES]));
+    }
+
     private void onFailure(CallOutcome outcome) {
         if (failureLimiter.tryAcquire(clock.nowMillis())) {
             logRequest("request-failed", outcome);
@@ -117,6 +148,8 @@
         retriesByService.forEach((service, counts) -> log.event(
                 "retries", "service", service, "granted", counts[0], "refused", counts[1], "routers", counts[2]));
         retriesByService.clear();
+        choicesByService.forEach(this::logTargetChoices);
+        choicesByService.clear();
         long notLogged = failureLimiter.takeSuppressedCount();
         long abandonedNotLogged = abandonedLimiter.takeSuppressedCount();
         if (notLogged > 0 || abandonedNotLogged > 0 || log.dropped() > 0) {
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -16,6 +16,7 @@
 import org.siskindyke.runtime.traffic.Cancellable;
 import org.siskindyke.runtime.traffic.HttpExchange;
 import org.siskindyke.runtime.traffic.RetryDecision;
+import org.siskindyke.runtime.traffic.TargetChoice;
 
 /**
  * Counters and latency histograms of a router. The registry is created some seconds after the start, since creating it
@@ -81,6 +82,21 @@
         }
     }
 
+    /** Counts the choice of a target by its distance, and records the age of the report it was based on, if any. */
+    void onTargetChosen(TargetChoice choice) {
+        if (registry == null) {
+            return;
+        }
+        String service = choice.service().value();
+        String distance = choice.distance().name();
+        registry.counter("siskindyke.target.choices", "service", service, "distance", distance)
+                .increment();
+        if (choice.isReported()) {
+            registry.timer("siskindyke.target.report.age", "service", service)
+                    .record(choice.reportAgeMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Returns a handler that serves all metrics in the Prometheus text format; an empty body before the start. */
     public HttpExchange.Handler handler() {
         return (request, responder) -> {
--- a/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
+++ b/src/main/java/org/siskindyke/runtime/peer/WireMapper.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 
 import com.google.common.math.LongMath;
+import org.siskindyke.kernel.balance.ServerLoad;
 import org.siskindyke.kernel.balance.TargetLoadReport;
 import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.call.Refusal;
@@ -335,9 +336,7 @@
             wire.setGenerationHint(reply.generation());
         }
         if (reply.load() != null) {
-            TargetLoadReport load = reply.load();
-            wire.setLoad(new WireLoad(
-                    load.slots(), load.busy(), load.waiting(), load.millisPerCall(), load.intervalMillis()));
+            wire.setLoad(toWire(reply.load()));
         }
         return wire;
     }
@@ -360,9 +359,39 @@
                 wire.isSetLoad() ? fromWire(wire.getLoad()) : null);
     }
 
+    private static WireLoad toWire(TargetLoadReport load) {
+        WireLoad wire =
+                new WireLoad(load.slots(), load.busy(), load.waiting(), load.millisPerCall(), load.intervalMillis());
+        ServerLoad server = load.server();
+        if (server != null) {
+            wire.setServerRunning(server.running());
+            wire.setServerWaiting(server.waiting());
+            wire.setServerSlots(server.slots());
+            wire.setServerSlownessPercent(server.slownessPercent());
+        }
+        return wire;
+    }
+
     private static TargetLoadReport fromWire(WireLoad load) {
+        // Routers of earlier versions send none of the server's fields, and this one sends all or none.
+        boolean announced = load.isSetServerRunning()
+                && load.isSetServerWaiting()
+                && load.isSetServerSlots()
+                && load.isSetServerSlownessPercent();
+        ServerLoad server = announced
+                ? new ServerLoad(
+                        load.getServerRunning(),
+                        load.getServerWaiting(),
+                        load.getServerSlots(),
+                        load.getServerSlownessPercent())
+                : null;
         return new TargetLoadReport(
-                load.getSlots(), load.getBusy(), load.getWaiting(), load.getMillisPerCall(), load.getIntervalMillis());
+                load.getSlots(),
+                load.getBusy(),
+                load.getWaiting(),
+                load.getMillisPerCall(),
+                load.getIntervalMillis(),
+                server);
     }
 
     /** Converts header fields to their wire form. */
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
+import org.siskindyke.kernel.balance.ServerLoadTracker;
 import org.siskindyke.kernel.balance.TargetLoadReport;
 import org.siskindyke.kernel.call.AdmissionQueue;
 import org.siskindyke.kernel.call.Refusal;
@@ -64,6 +65,7 @@
     private final DispatchLog log;
     private final SuspectLane<DispatchedCall> suspectLane = new SuspectLane<>(MAX_WAITING_SUSPECTS);
     private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
+    private final ServerLoadTracker serverLoad = new ServerLoadTracker();
     private final PacedAdmission admission;
     private final AdmissionQueue queue;
     private final List<DispatchedCall> waitingForGrant = new ArrayList<>();
@@ -130,6 +132,7 @@
         if (previous == null || !previous.isSameIncarnation(announced)) {
             granted = new BitSet();
             admission.onNewIncarnation();
+            serverLoad.reset();
             if (pool != null) {
                 pool.close();
             }
@@ -298,12 +301,14 @@
     }
 
     private TargetLoadReport report() {
+        long nowMillis = clock.nowMillis();
         return new TargetLoadReport(
                 queue.slots(),
                 queue.used(),
                 queue.waiting(),
-                (int) serviceTimes.averageMillis(clock.nowMillis()),
-                admission.intervalMillis());
+                (int) serviceTimes.averageMillis(nowMillis),
+                admission.intervalMillis(),
+                serverLoad.report(nowMillis));
     }
 
     /** One call, from its admission to its reply. */
@@ -466,6 +471,10 @@
                 observer.onLeavingAnnounced(new TargetIncarnation(target.name(), target.startMillis()));
             }
             admission.onResponse(limit, !notRun && genuine);
+            ServerLoadTracker.Announcement announced = dialect.serverLoad(headers);
+            if (announced != null) {
+                serverLoad.onAnnounced(announced, nowMillis);
+            }
             if (!notRun) {
                 recordCrashSigns(endedByClose);
                 lastAnswerMillis = nowMillis;
--- a/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import org.siskindyke.kernel.balance.ServerLoadTracker;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.runtime.call.Call;
@@ -49,6 +50,9 @@
     /** Returns the limit on requests that a response names; the lowest where it names several. */
     AnnouncedLimit limit(List<Header> headers);
 
+    /** Returns the load that the backend server announces in a response; null where that is missing or malformed. */
+    ServerLoadTracker.Announcement serverLoad(List<Header> headers);
+
     /** Returns whether a response says that its backend server is about to leave. */
     boolean isLeaving(List<Header> headers);
 
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -10,7 +10,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
-import org.siskindyke.kernel.balance.LocalityAwareSelector;
+import org.siskindyke.kernel.balance.TargetChooser;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.SchedulingAttributes;
 import org.siskindyke.kernel.call.SharedRetryBudget;
@@ -62,7 +62,7 @@
         this.dialect = dialect;
         this.dispatcher = dispatcher;
         this.ownService = policies.ownService();
-        this.targets = new TargetSelector(view, policies.chooser(), policies.drain());
+        this.targets = new TargetSelector(view, policies.chooser(), policies.choiceListener(), policies.drain());
         this.context = new RequestAttempts.Context(
                 traffic,
                 clock,
@@ -82,6 +82,7 @@
      *
      * @param ownService the service of the backend server beside this router, from which requests come
      * @param chooser chooses targets of undivided services
+     * @param choiceListener receives the choices for services that have many targets
      * @param budgets creates a service's retry budget, given a function that returns the number of routers that share
      *     the allowance
      * @param crashGuard tells which requests may crash backend servers
@@ -92,7 +93,8 @@
      */
     public record Policies(
             ServiceName ownService,
-            LocalityAwareSelector chooser,
+            TargetChooser chooser,
+            Consumer<TargetChoice> choiceListener,
             Function<IntSupplier, SharedRetryBudget> budgets,
             CrashGuard crashGuard,
             Supplier<Duration> drain,
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -6,11 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.siskindyke.kernel.balance.LeavingTargets;
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.balance.ReportedTargetLoad;
+import org.siskindyke.kernel.balance.TargetChooser;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -25,7 +27,8 @@
  */
 final class TargetSelector {
     private final Supplier<ClusterView> clusterView;
-    private final LocalityAwareSelector chooser;
+    private final TargetChooser chooser;
+    private final Consumer<TargetChoice> choiceListener;
     private final Supplier<Duration> drain;
     private final Map<MemberId, ReportedTargetLoad> loadByMember = new HashMap<>();
     private final LeavingTargets leaving = new LeavingTargets();
@@ -35,11 +38,17 @@
      *
      * @param clusterView returns the present view of the cluster
      * @param chooser chooses among the targets of an undivided service
+     * @param choiceListener receives each choice by another method than the one for few targets
      * @param drain returns the time within which a leaving backend server stops getting calls
      */
-    TargetSelector(Supplier<ClusterView> clusterView, LocalityAwareSelector chooser, Supplier<Duration> drain) {
+    TargetSelector(
+            Supplier<ClusterView> clusterView,
+            TargetChooser chooser,
+            Consumer<TargetChoice> choiceListener,
+            Supplier<Duration> drain) {
         this.clusterView = clusterView;
         this.chooser = chooser;
+        this.choiceListener = choiceListener;
         this.drain = drain;
     }
 
@@ -95,10 +104,18 @@
      */
     Optional<Choice> choose(ServiceName service, Set<MemberId> tried, long leftMillis, long nowMillis) {
         List<MemberRow> candidates = acceptingMembers(service, nowMillis);
-        return chooser.choose(candidates, tried, this::observedLoad, leftMillis, nowMillis)
-                .map(chosen -> new Choice(
-                        chosen,
-                        candidates.stream().anyMatch(c -> !c.id().equals(chosen.id()) && !tried.contains(c.id()))));
+        Optional<MemberRow> choice = chooser.choose(candidates, tried, this::observedLoad, leftMillis, nowMillis);
+        choice.ifPresent(chosen -> reportChoice(service, candidates, chosen, nowMillis));
+        return choice.map(chosen -> new Choice(
+                chosen, candidates.stream().anyMatch(c -> !c.id().equals(chosen.id()) && !tried.contains(c.id()))));
+    }
+
+    private void reportChoice(ServiceName service, List<MemberRow> candidates, MemberRow chosen, long nowMillis) {
+        if (!chooser.method(candidates).equals(LocalityAwareSelector.METHOD)) {
+            ReportedTargetLoad load = observedLoad(chosen.id());
+            choiceListener.accept(
+                    new TargetChoice(service, chooser.distance(chosen), load.isReported(), load.ageMillis(nowMillis)));
+        }
     }
 
     /** Returns whether a member that accepts requests for the service has not been tried yet. */
--- a/src/main/java/org/siskindyke/wire/WireLoad.java
+++ b/src/main/java/org/siskindyke/wire/WireLoad.java
@@ -18,6 +18,10 @@
   private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField MILLIS_PER_CALL_FIELD_DESC = new org.apache.thrift.protocol.TField("millisPerCall", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField INTERVAL_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("intervalMillis", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField SERVER_RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("serverRunning", org.apache.thrift.protocol.TType.I32, (short)6);
+  private static final org.apache.thrift.protocol.TField SERVER_WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("serverWaiting", org.apache.thrift.protocol.TType.I32, (short)7);
+  private static final org.apache.thrift.protocol.TField SERVER_SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("serverSlots", org.apache.thrift.protocol.TType.I32, (short)8);
+  private static final org.apache.thrift.protocol.TField SERVER_SLOWNESS_PERCENT_FIELD_DESC = new org.apache.thrift.protocol.TField("serverSlownessPercent", org.apache.thrift.protocol.TType.I32, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireLoadTupleSchemeFactory();
@@ -27,6 +31,16 @@
   public int waiting; // required
   public int millisPerCall; // required
   public int intervalMillis; // required
+  /**
+   * What the target itself has announced lately; absent where it has announced nothing.
+   */
+  public int serverRunning; // optional
+  public int serverWaiting; // optional
+  public int serverSlots; // optional
+  /**
+   * How long work takes on the target's host now, in percent of the average during the calls of millisPerCall.
+   */
+  public int serverSlownessPercent; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +48,17 @@
     BUSY((short)2, "busy"),
     WAITING((short)3, "waiting"),
     MILLIS_PER_CALL((short)4, "millisPerCall"),
-    INTERVAL_MILLIS((short)5, "intervalMillis");
+    INTERVAL_MILLIS((short)5, "intervalMillis"),
+    /**
+     * What the target itself has announced lately; absent where it has announced nothing.
+     */
+    SERVER_RUNNING((short)6, "serverRunning"),
+    SERVER_WAITING((short)7, "serverWaiting"),
+    SERVER_SLOTS((short)8, "serverSlots"),
+    /**
+     * How long work takes on the target's host now, in percent of the average during the calls of millisPerCall.
+     */
+    SERVER_SLOWNESS_PERCENT((short)9, "serverSlownessPercent");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +84,14 @@
           return MILLIS_PER_CALL;
         case 5: // INTERVAL_MILLIS
           return INTERVAL_MILLIS;
+        case 6: // SERVER_RUNNING
+          return SERVER_RUNNING;
+        case 7: // SERVER_WAITING
+          return SERVER_WAITING;
+        case 8: // SERVER_SLOTS
+          return SERVER_SLOTS;
+        case 9: // SERVER_SLOWNESS_PERCENT
+          return SERVER_SLOWNESS_PERCENT;
         default:
           return null;
       }
@@ -108,7 +140,12 @@
   private static final int __WAITING_ISSET_ID = 2;
   private static final int __MILLISPERCALL_ISSET_ID = 3;
   private static final int __INTERVALMILLIS_ISSET_ID = 4;
-  private byte __isset_bitfield = 0;
+  private static final int __SERVERRUNNING_ISSET_ID = 5;
+  private static final int __SERVERWAITING_ISSET_ID = 6;
+  private static final int __SERVERSLOTS_ISSET_ID = 7;
+  private static final int __SERVERSLOWNESSPERCENT_ISSET_ID = 8;
+  private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SERVER_RUNNING,_Fields.SERVER_WAITING,_Fields.SERVER_SLOTS,_Fields.SERVER_SLOWNESS_PERCENT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -122,6 +159,14 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.INTERVAL_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("intervalMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SERVER_RUNNING, new org.apache.thrift.meta_data.FieldMetaData("serverRunning", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SERVER_WAITING, new org.apache.thrift.meta_data.FieldMetaData("serverWaiting", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SERVER_SLOTS, new org.apache.thrift.meta_data.FieldMetaData("serverSlots", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SERVER_SLOWNESS_PERCENT, new org.apache.thrift.meta_data.FieldMetaData("serverSlownessPercent", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireLoad.class, metaDataMap);
   }
@@ -159,6 +204,10 @@
     this.waiting = other.waiting;
     this.millisPerCall = other.millisPerCall;
     this.intervalMillis = other.intervalMillis;
+    this.serverRunning = other.serverRunning;
+    this.serverWaiting = other.serverWaiting;
+    this.serverSlots = other.serverSlots;
+    this.serverSlownessPercent = other.serverSlownessPercent;
   }
 
   @Override
@@ -178,6 +227,14 @@
     this.millisPerCall = 0;
     setIntervalMillisIsSet(false);
     this.intervalMillis = 0;
+    setServerRunningIsSet(false);
+    this.serverRunning = 0;
+    setServerWaitingIsSet(false);
+    this.serverWaiting = 0;
+    setServerSlotsIsSet(false);
+    this.serverSlots = 0;
+    setServerSlownessPercentIsSet(false);
+    this.serverSlownessPercent = 0;
   }
 
   public int getSlots() {
@@ -295,6 +352,110 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INTERVALMILLIS_ISSET_ID, value);
   }
 
+  /**
+   * What the target itself has announced lately; absent where it has announced nothing.
+   */
+  public int getServerRunning() {
+    return this.serverRunning;
+  }
+
+  /**
+   * What the target itself has announced lately; absent where it has announced nothing.
+   */
+  public WireLoad setServerRunning(int serverRunning) {
+    this.serverRunning = serverRunning;
+    setServerRunningIsSet(true);
+    return this;
+  }
+
+  public void unsetServerRunning() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SERVERRUNNING_ISSET_ID);
+  }
+
+  /** Returns true if field serverRunning is set (has been assigned a value) and false otherwise */
+  public boolean isSetServerRunning() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SERVERRUNNING_ISSET_ID);
+  }
+
+  public void setServerRunningIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SERVERRUNNING_ISSET_ID, value);
+  }
+
+  public int getServerWaiting() {
+    return this.serverWaiting;
+  }
+
+  public WireLoad setServerWaiting(int serverWaiting) {
+    this.serverWaiting = serverWaiting;
+    setServerWaitingIsSet(true);
+    return this;
+  }
+
+  public void unsetServerWaiting() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SERVERWAITING_ISSET_ID);
+  }
+
+  /** Returns true if field serverWaiting is set (has been assigned a value) and false otherwise */
+  public boolean isSetServerWaiting() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SERVERWAITING_ISSET_ID);
+  }
+
+  public void setServerWaitingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SERVERWAITING_ISSET_ID, value);
+  }
+
+  public int getServerSlots() {
+    return this.serverSlots;
+  }
+
+  public WireLoad setServerSlots(int serverSlots) {
+    this.serverSlots = serverSlots;
+    setServerSlotsIsSet(true);
+    return this;
+  }
+
+  public void unsetServerSlots() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SERVERSLOTS_ISSET_ID);
+  }
+
+  /** Returns true if field serverSlots is set (has been assigned a value) and false otherwise */
+  public boolean isSetServerSlots() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SERVERSLOTS_ISSET_ID);
+  }
+
+  public void setServerSlotsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SERVERSLOTS_ISSET_ID, value);
+  }
+
+  /**
+   * How long work takes on the target's host now, in percent of the average during the calls of millisPerCall.
+   */
+  public int getServerSlownessPercent() {
+    return this.serverSlownessPercent;
+  }
+
+  /**
+   * How long work takes on the target's host now, in percent of the average during the calls of millisPerCall.
+   */
+  public WireLoad setServerSlownessPercent(int serverSlownessPercent) {
+    this.serverSlownessPercent = serverSlownessPercent;
+    setServerSlownessPercentIsSet(true);
+    return this;
+  }
+
+  public void unsetServerSlownessPercent() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SERVERSLOWNESSPERCENT_ISSET_ID);
+  }
+
+  /** Returns true if field serverSlownessPercent is set (has been assigned a value) and false otherwise */
+  public boolean isSetServerSlownessPercent() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SERVERSLOWNESSPERCENT_ISSET_ID);
+  }
+
+  public void setServerSlownessPercentIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SERVERSLOWNESSPERCENT_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -338,6 +499,38 @@
       }
       break;
 
+    case SERVER_RUNNING:
+      if (value == null) {
+        unsetServerRunning();
+      } else {
+        setServerRunning((java.lang.Integer)value);
+      }
+      break;
+
+    case SERVER_WAITING:
+      if (value == null) {
+        unsetServerWaiting();
+      } else {
+        setServerWaiting((java.lang.Integer)value);
+      }
+      break;
+
+    case SERVER_SLOTS:
+      if (value == null) {
+        unsetServerSlots();
+      } else {
+        setServerSlots((java.lang.Integer)value);
+      }
+      break;
+
+    case SERVER_SLOWNESS_PERCENT:
+      if (value == null) {
+        unsetServerSlownessPercent();
+      } else {
+        setServerSlownessPercent((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -360,6 +553,18 @@
     case INTERVAL_MILLIS:
       return getIntervalMillis();
 
+    case SERVER_RUNNING:
+      return getServerRunning();
+
+    case SERVER_WAITING:
+      return getServerWaiting();
+
+    case SERVER_SLOTS:
+      return getServerSlots();
+
+    case SERVER_SLOWNESS_PERCENT:
+      return getServerSlownessPercent();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -382,6 +587,14 @@
       return isSetMillisPerCall();
     case INTERVAL_MILLIS:
       return isSetIntervalMillis();
+    case SERVER_RUNNING:
+      return isSetServerRunning();
+    case SERVER_WAITING:
+      return isSetServerWaiting();
+    case SERVER_SLOTS:
+      return isSetServerSlots();
+    case SERVER_SLOWNESS_PERCENT:
+      return isSetServerSlownessPercent();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -444,6 +657,42 @@
         return false;
     }
 
+    boolean this_present_serverRunning = true && this.isSetServerRunning();
+    boolean that_present_serverRunning = true && that.isSetServerRunning();
+    if (this_present_serverRunning || that_present_serverRunning) {
+      if (!(this_present_serverRunning && that_present_serverRunning))
+        return false;
+      if (this.serverRunning != that.serverRunning)
+        return false;
+    }
+
+    boolean this_present_serverWaiting = true && this.isSetServerWaiting();
+    boolean that_present_serverWaiting = true && that.isSetServerWaiting();
+    if (this_present_serverWaiting || that_present_serverWaiting) {
+      if (!(this_present_serverWaiting && that_present_serverWaiting))
+        return false;
+      if (this.serverWaiting != that.serverWaiting)
+        return false;
+    }
+
+    boolean this_present_serverSlots = true && this.isSetServerSlots();
+    boolean that_present_serverSlots = true && that.isSetServerSlots();
+    if (this_present_serverSlots || that_present_serverSlots) {
+      if (!(this_present_serverSlots && that_present_serverSlots))
+        return false;
+      if (this.serverSlots != that.serverSlots)
+        return false;
+    }
+
+    boolean this_present_serverSlownessPercent = true && this.isSetServerSlownessPercent();
+    boolean that_present_serverSlownessPercent = true && that.isSetServerSlownessPercent();
+    if (this_present_serverSlownessPercent || that_present_serverSlownessPercent) {
+      if (!(this_present_serverSlownessPercent && that_present_serverSlownessPercent))
+        return false;
+      if (this.serverSlownessPercent != that.serverSlownessPercent)
+        return false;
+    }
+
     return true;
   }
 
@@ -461,6 +710,22 @@
 
     hashCode = hashCode * 8191 + intervalMillis;
 
+    hashCode = hashCode * 8191 + ((isSetServerRunning()) ? 131071 : 524287);
+    if (isSetServerRunning())
+      hashCode = hashCode * 8191 + serverRunning;
+
+    hashCode = hashCode * 8191 + ((isSetServerWaiting()) ? 131071 : 524287);
+    if (isSetServerWaiting())
+      hashCode = hashCode * 8191 + serverWaiting;
+
+    hashCode = hashCode * 8191 + ((isSetServerSlots()) ? 131071 : 524287);
+    if (isSetServerSlots())
+      hashCode = hashCode * 8191 + serverSlots;
+
+    hashCode = hashCode * 8191 + ((isSetServerSlownessPercent()) ? 131071 : 524287);
+    if (isSetServerSlownessPercent())
+      hashCode = hashCode * 8191 + serverSlownessPercent;
+
     return hashCode;
   }
 
@@ -522,6 +787,46 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetServerRunning(), other.isSetServerRunning());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServerRunning()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serverRunning, other.serverRunning);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetServerWaiting(), other.isSetServerWaiting());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServerWaiting()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serverWaiting, other.serverWaiting);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetServerSlots(), other.isSetServerSlots());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServerSlots()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serverSlots, other.serverSlots);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetServerSlownessPercent(), other.isSetServerSlownessPercent());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServerSlownessPercent()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serverSlownessPercent, other.serverSlownessPercent);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -565,6 +870,30 @@
     sb.append("intervalMillis:");
     sb.append(this.intervalMillis);
     first = false;
+    if (isSetServerRunning()) {
+      if (!first) sb.append(", ");
+      sb.append("serverRunning:");
+      sb.append(this.serverRunning);
+      first = false;
+    }
+    if (isSetServerWaiting()) {
+      if (!first) sb.append(", ");
+      sb.append("serverWaiting:");
+      sb.append(this.serverWaiting);
+      first = false;
+    }
+    if (isSetServerSlots()) {
+      if (!first) sb.append(", ");
+      sb.append("serverSlots:");
+      sb.append(this.serverSlots);
+      first = false;
+    }
+    if (isSetServerSlownessPercent()) {
+      if (!first) sb.append(", ");
+      sb.append("serverSlownessPercent:");
+      sb.append(this.serverSlownessPercent);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -652,6 +981,38 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // SERVER_RUNNING
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.serverRunning = iprot.readI32();
+              struct.setServerRunningIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // SERVER_WAITING
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.serverWaiting = iprot.readI32();
+              struct.setServerWaitingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 8: // SERVER_SLOTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.serverSlots = iprot.readI32();
+              struct.setServerSlotsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 9: // SERVER_SLOWNESS_PERCENT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.serverSlownessPercent = iprot.readI32();
+              struct.setServerSlownessPercentIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -683,6 +1044,26 @@
       oprot.writeFieldBegin(INTERVAL_MILLIS_FIELD_DESC);
       oprot.writeI32(struct.intervalMillis);
       oprot.writeFieldEnd();
+      if (struct.isSetServerRunning()) {
+        oprot.writeFieldBegin(SERVER_RUNNING_FIELD_DESC);
+        oprot.writeI32(struct.serverRunning);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetServerWaiting()) {
+        oprot.writeFieldBegin(SERVER_WAITING_FIELD_DESC);
+        oprot.writeI32(struct.serverWaiting);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetServerSlots()) {
+        oprot.writeFieldBegin(SERVER_SLOTS_FIELD_DESC);
+        oprot.writeI32(struct.serverSlots);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetServerSlownessPercent()) {
+        oprot.writeFieldBegin(SERVER_SLOWNESS_PERCENT_FIELD_DESC);
+        oprot.writeI32(struct.serverSlownessPercent);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -717,7 +1098,19 @@
       if (struct.isSetIntervalMillis()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetServerRunning()) {
+        optionals.set(5);
+      }
+      if (struct.isSetServerWaiting()) {
+        optionals.set(6);
+      }
+      if (struct.isSetServerSlots()) {
+        optionals.set(7);
+      }
+      if (struct.isSetServerSlownessPercent()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
       if (struct.isSetSlots()) {
         oprot.writeI32(struct.slots);
       }
@@ -733,12 +1126,24 @@
       if (struct.isSetIntervalMillis()) {
         oprot.writeI32(struct.intervalMillis);
       }
+      if (struct.isSetServerRunning()) {
+        oprot.writeI32(struct.serverRunning);
+      }
+      if (struct.isSetServerWaiting()) {
+        oprot.writeI32(struct.serverWaiting);
+      }
+      if (struct.isSetServerSlots()) {
+        oprot.writeI32(struct.serverSlots);
+      }
+      if (struct.isSetServerSlownessPercent()) {
+        oprot.writeI32(struct.serverSlownessPercent);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
         struct.slots = iprot.readI32();
         struct.setSlotsIsSet(true);
@@ -759,6 +1164,22 @@
         struct.intervalMillis = iprot.readI32();
         struct.setIntervalMillisIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.serverRunning = iprot.readI32();
+        struct.setServerRunningIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.serverWaiting = iprot.readI32();
+        struct.setServerWaitingIsSet(true);
+      }
+      if (incoming.get(7)) {
+        struct.serverSlots = iprot.readI32();
+        struct.setServerSlotsIsSet(true);
+      }
+      if (incoming.get(8)) {
+        struct.serverSlownessPercent = iprot.readI32();
+        struct.setServerSlownessPercentIsSet(true);
+      }
     }
   }
 
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -118,6 +118,12 @@
   3: i32 waiting,
   4: i32 millisPerCall,
   5: i32 intervalMillis,
+  /** What the target itself has announced lately; absent where it has announced nothing. */
+  6: optional i32 serverRunning,
+  7: optional i32 serverWaiting,
+  8: optional i32 serverSlots,
+  /** How long work takes on the target's host now, in percent of the average during the calls of millisPerCall. */
+  9: optional i32 serverSlownessPercent,
 }
 
 struct ForwardResponse {
