--- a/src/main/java/org/siskindyke/kernel/balance/LoadSample.java
+++ b/src/main/java/org/siskindyke/kernel/balance/LoadSample.java
@@ -39,6 +39,9 @@
      */
     private static final double ARRIVALS_UNDER_OVERLOAD = 0.9;
 
+    /** Mean durations after which hardly any of the running calls still run; saves the computation. */
+    private static final double MAX_SURVIVAL_DURATIONS = 8;
+
     private static final double PERCENT = 100;
 
     private final MemberRow[] members = new MemberRow[SIZE];
@@ -129,8 +132,9 @@
             capacity += rate(i);
             knownCapacity += reported[i] ? rate(i) : 0;
             arrivals += reported[i] ? Math.min(reportedCalls[i], slots[i]) / callMillis[i] : 0;
-            remainingCalls[i] = remaining(i) + ownCalls[i];
-            fillMillis[i] = callMillis[i] * -Math.expm1(-ageMillis[i] / callMillis[i]);
+            double survival = survival(ageMillis[i], callMillis[i]);
+            remainingCalls[i] = remaining(i, survival) + ownCalls[i];
+            fillMillis[i] = callMillis[i] * (1 - survival);
             usable[i] = true;
         }
         utilisation = Math.max(MIN_UTILISATION, knownCapacity == 0 ? 0 : arrivals / knownCapacity);
@@ -157,12 +161,20 @@
     }
 
     /** Returns the calls left of those reported: waiting ones start as slots become free, then the rest ends. */
-    private double remaining(int i) {
-        double waiting = Math.max(0, reportedCalls[i] - slots[i]);
+    private double remaining(int i, double survival) {
+        double waiting = reportedCalls[i] - slots[i];
+        if (waiting <= 0) {
+            return reportedCalls[i] * survival;
+        }
         double drainMillis = waiting * callMillis[i] / slots[i];
         return ageMillis[i] <= drainMillis
                 ? reportedCalls[i] - ageMillis[i] * slots[i] / callMillis[i]
-                : Math.min(reportedCalls[i], slots[i]) * Math.exp(-(ageMillis[i] - drainMillis) / callMillis[i]);
+                : slots[i] * survival(ageMillis[i] - drainMillis, callMillis[i]);
+    }
+
+    /** Returns the part of the running calls that still run after a time, if their durations vary exponentially. */
+    private static double survival(double millis, double meanMillis) {
+        return millis >= MAX_SURVIVAL_DURATIONS * meanMillis ? 0 : Math.exp(-millis / meanMillis);
     }
 
     /** Distributes arrivals so that all targets that get any reach the same number of calls per slot. */
