Show where a request would go, and describe the choice of servers

Operators could not see why a router prefers a server. Invalid input gets a coded error.

A filtered list of candidates is passed to the chooser again while it has not changed, so that its preparation is not repeated for each request.

--- a/src/main/java/org/siskindyke/platform/PlatformRouter.java
+++ b/src/main/java/org/siskindyke/platform/PlatformRouter.java
@@ -32,11 +32,7 @@
         new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, new HeartbeatEndpoint(router, log))
                 .listen(addresses.heartbeats());
         new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, router.readiness()).listen(addresses.readiness());
-        new HttpListener(
-                        traffic,
-                        clock,
-                        () -> CallerLimits.DEFAULT,
-                        router.metrics().handler())
+        new HttpListener(traffic, clock, () -> CallerLimits.DEFAULT, router.administration())
                 .listen(addresses.metrics());
         return router;
     }
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -51,6 +51,7 @@
 import org.siskindyke.runtime.traffic.CallOutcome;
 import org.siskindyke.runtime.traffic.CallerRequestHandler;
 import org.siskindyke.runtime.traffic.Cancellable;
+import org.siskindyke.runtime.traffic.ExplainHandler;
 import org.siskindyke.runtime.traffic.HttpExchange;
 import org.siskindyke.runtime.traffic.HttpListener;
 import org.siskindyke.runtime.traffic.PeerNetwork;
@@ -297,9 +298,9 @@
         metrics.onRetryDecided(decision);
     }
 
-    /** Returns the metrics, which are confined to the traffic loop. */
-    public RouterMetrics metrics() {
-        return metrics;
+    /** Returns a handler for operators: metrics, and explanations where requests would go. */
+    public HttpExchange.Handler administration() {
+        return new ExplainHandler(callerRequests::explain, metrics.handler());
     }
 
     /** Returns whether the router has a configuration and is not stopping; for any thread. */
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -15,6 +16,8 @@
 import org.siskindyke.kernel.call.SchedulingAttributes;
 import org.siskindyke.kernel.call.SharedRetryBudget;
 import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -23,6 +26,7 @@
 import org.siskindyke.kernel.route.RouteKind;
 import org.siskindyke.kernel.route.RouteTable;
 import org.siskindyke.kernel.route.ServiceSettings;
+import org.siskindyke.kernel.route.ServiceShare;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.CrashGuard;
@@ -41,6 +45,7 @@
     private final BackendDispatcher dispatcher;
     private final ServiceName ownService;
     private final TargetSelector targets;
+    private final TargetExplainer explainer;
     private final RequestAttempts.Context context;
     private final Set<RequestAttempts> active = new HashSet<>();
     private RouteTable routes;
@@ -63,6 +68,7 @@
         this.dispatcher = dispatcher;
         this.ownService = policies.ownService();
         this.targets = new TargetSelector(view, policies.chooser(), policies.choiceListener(), policies.drain());
+        this.explainer = new TargetExplainer(view, policies.chooser(), targets);
         this.context = new RequestAttempts.Context(
                 traffic,
                 clock,
@@ -192,6 +198,37 @@
         return attempts;
     }
 
+    /**
+     * Returns where a request would go now, see {@link ExplainHandler.Explainer}.
+     *
+     * @param host the value of its Host header
+     * @param path its path
+     * @param key its key; empty if it has none
+     * @throws SiskindykeException with code {@code NOT_FOUND} if no route matches, or {@code PEER_UNAVAILABLE} before
+     *     the first configuration
+     */
+    public RequestExplanation explain(String host, String path, OptionalInt key) {
+        if (routes == null) {
+            throw new SiskindykeException(ErrorCode.PEER_UNAVAILABLE, "the router has no configuration yet");
+        }
+        Route route = routes.find(host, path)
+                .orElseThrow(() -> new SiskindykeException(ErrorCode.NOT_FOUND, "no route matches this host and path"));
+        List<RequestExplanation.Service> services =
+                route.shares().stream().map(share -> explain(route, share, key)).toList();
+        return new RequestExplanation(
+                route.name(), route.priority(), route.objectiveMillis(), route.timeoutMillis(), services);
+    }
+
+    private RequestExplanation.Service explain(Route route, ServiceShare share, OptionalInt key) {
+        ServiceName service = share.service();
+        long nowMillis = clock.nowMillis();
+        if (!isDivided(service)) {
+            return explainer.undivided(service, share.weight(), route.objectiveMillis(), nowMillis);
+        }
+        SliceRef slice = key.isPresent() ? targets.slice(service, key.getAsInt()) : null;
+        return explainer.divided(service, share.weight(), slice, nowMillis);
+    }
+
     private Call newCall(
             Route route,
             ServiceName service,
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -18,6 +18,7 @@
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
 import org.siskindyke.kernel.ownership.KeyRange;
 import org.siskindyke.kernel.ownership.SliceOwner;
 
@@ -31,6 +32,7 @@
     private final Consumer<TargetChoice> choiceListener;
     private final Supplier<Duration> drain;
     private final Map<MemberId, ReportedTargetLoad> loadByMember = new HashMap<>();
+    private final Map<ServiceName, List<MemberRow>> filteredByService = new HashMap<>();
     private final LeavingTargets leaving = new LeavingTargets();
 
     /**
@@ -128,14 +130,25 @@
         return !isLeaving(member, service, 0, nowMillis);
     }
 
-    private List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
+    /** Returns why a member with a target of the service gets no requests for it; null if it may get some. */
+    String exclusion(MemberRow member, ServiceName service, long nowMillis) {
+        if (member.state() != MemberState.ALIVE || !member.acceptsWorkOf(service)) {
+            return "not accepting";
+        }
+        return isStaying(member, service, nowMillis) ? null : "leaving";
+    }
+
+    /** Returns the members that accept requests for an undivided service; the same list until they change. */
+    List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
         List<MemberRow> accepting = clusterView.get().members().acceptingMembers(service);
         if (leaving.isEmpty()) {
             return accepting;
         }
-        return accepting.stream()
+        List<MemberRow> staying = accepting.stream()
                 .filter(member -> isStaying(member, service, nowMillis))
                 .toList();
+        // The chooser prepares each list once, so an unchanged one is passed again.
+        return filteredByService.merge(service, staying, (before, now) -> before.equals(now) ? before : now);
     }
 
     /** Returns the load that this router has observed at a member's target. */
