Treat targets without reports as average ones

A target that had just started counted as one with six slots and calls of 100 ms, so slower services sent it twice its share.

--- a/src/main/java/org/siskindyke/kernel/balance/LoadSample.java
+++ b/src/main/java/org/siskindyke/kernel/balance/LoadSample.java
@@ -124,6 +124,7 @@
      * law, their busy slots by the duration of a call.
      */
     void fill() {
+        assumeUnreported();
         limitDurations();
         double arrivals = 0;
         double knownCapacity = 0;
@@ -141,6 +142,26 @@
         fillTo(utilisation * capacity);
     }
 
+    /** Assumes that targets without reports are like the others on average. */
+    private void assumeUnreported() {
+        int known = 0;
+        double slotSum = 0;
+        double callMillisSum = 0;
+        for (int i = 0; i < size; i++) {
+            if (reported[i]) {
+                known++;
+                slotSum += slots[i];
+                callMillisSum += callMillis[i];
+            }
+        }
+        for (int i = 0; i < size && known > 0; i++) {
+            if (!reported[i]) {
+                slots[i] = slotSum / known;
+                callMillis[i] = callMillisSum / known;
+            }
+        }
+    }
+
     private void limitDurations() {
         double sum = 0;
         for (int i = 0; i < size; i++) {
