--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -14,6 +14,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
+import org.siskindyke.kernel.balance.ServerLoadTracker;
 import org.siskindyke.kernel.balance.TargetLoadReport;
 import org.siskindyke.kernel.call.AdmissionCounts;
 import org.siskindyke.kernel.call.AdmissionPolicy;
@@ -73,6 +74,7 @@
     private final DispatchLog log;
     private final SuspectLane<DispatchedCall> suspectLane = new SuspectLane<>(MAX_WAITING_SUSPECTS);
     private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
+    private final ServerLoadTracker serverLoad = new ServerLoadTracker();
     private final PacedAdmission admission;
     private final AdmissionQueue queue;
     private final List<DispatchedCall> waitingForGrant = new ArrayList<>();
@@ -150,6 +152,7 @@
         if (previous == null || !previous.isSameIncarnation(announced)) {
             granted = new BitSet();
             admission.onNewIncarnation();
+            serverLoad.reset();
             if (pool != null) {
                 pool.close();
             }
@@ -351,12 +354,14 @@
     }
 
     private TargetLoadReport report() {
+        long nowMillis = clock.nowMillis();
         return new TargetLoadReport(
                 queue.slots(),
                 queue.used(),
                 queue.waiting(),
-                (int) serviceTimes.averageMillis(clock.nowMillis()),
-                admission.intervalMillis());
+                (int) serviceTimes.averageMillis(nowMillis),
+                admission.intervalMillis(),
+                serverLoad.report(nowMillis));
     }
 
     /** One call, from its admission to its reply. */
@@ -523,6 +528,10 @@
             if (status == MISDIRECTED_REQUEST) {
                 admission.onNotCounted(sentMillis);
             }
+            ServerLoadTracker.Announcement announced = dialect.serverLoad(headers);
+            if (announced != null) {
+                serverLoad.onAnnounced(announced, nowMillis);
+            }
             if (!notRun) {
                 recordCrashSigns(endedByClose);
                 lastAnswerMillis = nowMillis;
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerRequestHandler.java
@@ -4,13 +4,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
-import org.siskindyke.kernel.balance.LocalityAwareSelector;
+import org.siskindyke.kernel.balance.TargetChooser;
 import org.siskindyke.kernel.call.ExpectedReturns;
 import org.siskindyke.kernel.call.FullTargets;
 import org.siskindyke.kernel.call.Refusal;
@@ -18,6 +19,8 @@
 import org.siskindyke.kernel.call.SharedRetryBudget;
 import org.siskindyke.kernel.call.Verdict;
 import org.siskindyke.kernel.control.ClusterView;
+import org.siskindyke.kernel.error.ErrorCode;
+import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.ClientAccount;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -28,6 +31,7 @@
 import org.siskindyke.kernel.route.RouteKind;
 import org.siskindyke.kernel.route.RouteTable;
 import org.siskindyke.kernel.route.ServiceSettings;
+import org.siskindyke.kernel.route.ServiceShare;
 import org.siskindyke.kernel.time.MonotonicClock;
 import org.siskindyke.runtime.call.Call;
 import org.siskindyke.runtime.call.CrashGuard;
@@ -49,6 +53,7 @@
     private final BackendDispatcher dispatcher;
     private final ServiceName ownService;
     private final TargetSelector targets;
+    private final TargetExplainer explainer;
     private final RequestAttempts.Context context;
     private final boolean rankedAdmission;
     private final ExpectedReturns returns;
@@ -75,7 +80,13 @@
         this.rankedAdmission = policies.rankedAdmission();
         this.returns = new ExpectedReturns(rankedAdmission ? MAX_EXPECTED_RETURNS : 0);
         this.targets = new TargetSelector(
-                view, policies.chooser(), policies.drain(), policies.topology(), policies.evacuationTime());
+                view,
+                policies.chooser(),
+                policies.choiceListener(),
+                policies.drain(),
+                policies.topology(),
+                policies.evacuationTime());
+        this.explainer = new TargetExplainer(view, policies.chooser(), targets);
         this.context = new RequestAttempts.Context(
                 traffic,
                 clock,
@@ -98,6 +109,7 @@
      *
      * @param ownService the service of the backend server beside this router, from which requests come
      * @param chooser chooses targets of undivided services
+     * @param choiceListener receives the choices for services that have many targets
      * @param budgets creates a service's retry budget, given a function that returns the number of routers that share
      *     the allowance
      * @param crashGuard tells which requests may crash backend servers
@@ -111,7 +123,8 @@
      */
     public record Policies(
             ServiceName ownService,
-            LocalityAwareSelector chooser,
+            TargetChooser chooser,
+            Consumer<TargetChoice> choiceListener,
             Function<IntSupplier, SharedRetryBudget> budgets,
             CrashGuard crashGuard,
             boolean rankedAdmission,
@@ -226,6 +239,37 @@
         return attempts;
     }
 
+    /**
+     * Returns where a request would go now, see {@link ExplainHandler.Explainer}.
+     *
+     * @param host the value of its Host header
+     * @param path its path
+     * @param key its key; empty if it has none
+     * @throws SiskindykeException with code {@code NOT_FOUND} if no route matches, or {@code PEER_UNAVAILABLE} before
+     *     the first configuration
+     */
+    public RequestExplanation explain(String host, String path, OptionalInt key) {
+        if (routes == null) {
+            throw new SiskindykeException(ErrorCode.PEER_UNAVAILABLE, "the router has no configuration yet");
+        }
+        Route route = routes.find(host, path)
+                .orElseThrow(() -> new SiskindykeException(ErrorCode.NOT_FOUND, "no route matches this host and path"));
+        List<RequestExplanation.Service> services =
+                route.shares().stream().map(share -> explain(route, share, key)).toList();
+        return new RequestExplanation(
+                route.name(), route.priority(), route.objectiveMillis(), route.timeoutMillis(), services);
+    }
+
+    private RequestExplanation.Service explain(Route route, ServiceShare share, OptionalInt key) {
+        ServiceName service = share.service();
+        long nowMillis = clock.nowMillis();
+        if (!isDivided(service)) {
+            return explainer.undivided(route, service, share.weight(), nowMillis);
+        }
+        SliceRef slice = key.isPresent() ? targets.slice(service, key.getAsInt()) : null;
+        return explainer.divided(route, service, share.weight(), slice, nowMillis);
+    }
+
     private Call newCall(
             Route route,
             ServiceName service,
--- a/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TargetSelector.java
@@ -6,17 +6,20 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.siskindyke.kernel.balance.LeavingTargets;
 import org.siskindyke.kernel.balance.LocalityAwareSelector;
 import org.siskindyke.kernel.balance.ReportedTargetLoad;
+import org.siskindyke.kernel.balance.TargetChooser;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.membership.MemberRow;
+import org.siskindyke.kernel.membership.MemberState;
 import org.siskindyke.kernel.ownership.KeyRange;
 import org.siskindyke.kernel.ownership.SliceOwner;
 import org.siskindyke.kernel.place.Evacuation;
@@ -29,11 +32,13 @@
  */
 final class TargetSelector {
     private final Supplier<ClusterView> clusterView;
-    private final LocalityAwareSelector chooser;
+    private final TargetChooser chooser;
+    private final Consumer<TargetChoice> choiceListener;
     private final Supplier<Duration> drain;
     private final Topology topology;
     private final long evacuationMillis;
     private final Map<MemberId, ReportedTargetLoad> loadByMember = new HashMap<>();
+    private final Map<ServiceName, List<MemberRow>> filteredByService = new HashMap<>();
     private final LeavingTargets leaving = new LeavingTargets();
     private Evacuation evacuation = Evacuation.NONE;
 
@@ -42,18 +47,21 @@
      *
      * @param clusterView returns the present view of the cluster
      * @param chooser chooses among the targets of an undivided service
+     * @param choiceListener receives each choice by another method than the one for few targets
      * @param drain returns the time within which a leaving backend server stops getting calls
      * @param topology the regions of the failure domains
      * @param evacuationTime time within which an evacuation must be in force
      */
     TargetSelector(
             Supplier<ClusterView> clusterView,
-            LocalityAwareSelector chooser,
+            TargetChooser chooser,
+            Consumer<TargetChoice> choiceListener,
             Supplier<Duration> drain,
             Topology topology,
             Duration evacuationTime) {
         this.clusterView = clusterView;
         this.chooser = chooser;
+        this.choiceListener = choiceListener;
         this.drain = drain;
         this.topology = topology;
         this.evacuationMillis = evacuationTime.toMillis();
@@ -148,10 +156,18 @@
      */
     Optional<Choice> choose(Route route, ServiceName service, Set<MemberId> tried, long leftMillis, long nowMillis) {
         List<MemberRow> candidates = candidates(route, service, nowMillis);
-        return chooser.choose(candidates, tried, this::observedLoad, leftMillis, nowMillis)
-                .map(chosen -> new Choice(
-                        chosen,
-                        candidates.stream().anyMatch(c -> !c.id().equals(chosen.id()) && !tried.contains(c.id()))));
+        Optional<MemberRow> choice = chooser.choose(candidates, tried, this::observedLoad, leftMillis, nowMillis);
+        choice.ifPresent(chosen -> reportChoice(service, candidates, chosen, nowMillis));
+        return choice.map(chosen -> new Choice(
+                chosen, candidates.stream().anyMatch(c -> !c.id().equals(chosen.id()) && !tried.contains(c.id()))));
+    }
+
+    private void reportChoice(ServiceName service, List<MemberRow> candidates, MemberRow chosen, long nowMillis) {
+        if (!chooser.method(candidates).equals(LocalityAwareSelector.METHOD)) {
+            ReportedTargetLoad load = observedLoad(chosen.id());
+            choiceListener.accept(
+                    new TargetChoice(service, chooser.distance(chosen), load.isReported(), load.ageMillis(nowMillis)));
+        }
     }
 
     /** Returns whether a member that accepts requests for the service has not been tried yet. */
@@ -169,21 +185,39 @@
         return !isLeaving(member, service, 0, nowMillis);
     }
 
-    private List<MemberRow> candidates(Route route, ServiceName service, long nowMillis) {
+    /** Returns the members to which a request of a route for an undivided service may go. */
+    List<MemberRow> candidates(Route route, ServiceName service, long nowMillis) {
         List<MemberRow> accepting = acceptingMembers(service, nowMillis);
         return route.allowedRegions().isRestricted()
                 ? accepting.stream().filter(member -> permits(route, member)).toList()
                 : accepting;
     }
 
-    private List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
+    /** Returns why a member with a target of the service gets no requests of a route; null if it may get some. */
+    String exclusion(Route route, MemberRow member, ServiceName service, long nowMillis) {
+        if (evacuation.isEvacuated(member.failureDomain())) {
+            return "evacuated";
+        }
+        if (!permits(route, member)) {
+            return "region";
+        }
+        if (member.state() != MemberState.ALIVE || !member.acceptsWorkOf(service)) {
+            return "not accepting";
+        }
+        return isStaying(member, service, nowMillis) ? null : "leaving";
+    }
+
+    /** Returns the members that accept requests for an undivided service; the same list until they change. */
+    List<MemberRow> acceptingMembers(ServiceName service, long nowMillis) {
         List<MemberRow> accepting = clusterView.get().members().acceptingMembers(service);
         if (leaving.isEmpty()) {
             return accepting;
         }
-        return accepting.stream()
+        List<MemberRow> staying = accepting.stream()
                 .filter(member -> isStaying(member, service, nowMillis))
                 .toList();
+        // The chooser prepares each list once, so an unchanged one is passed again.
+        return filteredByService.merge(service, staying, (before, now) -> before.equals(now) ? before : now);
     }
 
     /** Returns the load that this router has observed at a member's target. */
