Run the repeated actions of the traffic loop on one timer

Each listener, the peer network, the dispatcher and the delay check had a timer of its own: over 50 wake-ups of an idle loop per second, and each wake-up costs a system call or more. Actions now share one tick of 50 ms. All intervals in use are multiples of it. A failed action is logged.

--- a/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -50,13 +50,17 @@
     private static final int BACKLOG = 1_024;
     /** Times that a connection is read before others get their turn; Netty's own default for sockets. */
     private static final int MESSAGES_PER_READ = 16;
-    /** Interval at which the delay of the loop is measured. */
-    private static final long DELAY_CHECK_MILLIS = 50;
+    /**
+     * Interval at which the delay of the loop is measured and repeated actions that are due run. One timer for all of
+     * them lets an idle loop wake up 20 times per second in all, and not as often for each action.
+     */
+    private static final long TICK_MILLIS = 50;
 
     private final boolean usesEpoll;
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final LoopDelay delay;
+    private final RepeatedActions repeated = new RepeatedActions(TICK_MILLIS);
 
     /** Creates a loop on the native transport, or on Java's selector where the machine has no native library. */
     public TrafficLoop() {
@@ -73,8 +77,14 @@
         this.usesEpoll = usesEpoll;
         this.group = usesEpoll ? new EpollEventLoopGroup(1) : new NioEventLoopGroup(1);
         this.loop = group.next();
-        this.delay = new LoopDelay(clock, DELAY_CHECK_MILLIS);
-        scheduleWithFixedDelay(delay::onCheck, DELAY_CHECK_MILLIS);
+        this.delay = new LoopDelay(clock, TICK_MILLIS);
+        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        delay.onCheck();
+        repeated.onTick(failure -> System.getLogger(TrafficLoop.class.getName())
+                .log(System.Logger.Level.ERROR, "event=repeated-action-failed", failure));
     }
 
     /** Returns the name of the transport: {@code epoll}, or {@code nio} for Java's selector. */
@@ -120,11 +130,11 @@
     }
 
     /**
-     * Runs an action on the loop repeatedly, with a delay before each run. If a run throws an exception, there are no
-     * further ones. May be called on any thread.
+     * Runs an action on the loop repeatedly, at an interval that is rounded up to a multiple of 50 ms. If a run throws
+     * an exception, it is logged and there are no further runs. May be called on any thread.
      */
     public void scheduleWithFixedDelay(Runnable action, long intervalMillis) {
-        loop.scheduleWithFixedDelay(action, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+        loop.execute(() -> repeated.add(action, intervalMillis));
     }
 
     /**
