Count all memory that is held for callers in one account

Callers ended a router or kept it from answering: a field of two characters took some 200 bytes of heap, each one-byte chunk a buffer and the read buffer behind it, bodies under 64 KiB were not counted, a read could bring thousands of pipelined requests, and responses were copied whole into direct memory for callers that read none.

CallerMemory counts connections, undecoded bytes, header lines, bodies, requests and unread responses, and is asked before more is kept. Where there is no room, the connections give way that hold most and have kept the router waiting for longest. The decoder works on small heap copies and pauses at 32 unanswered requests, chunks are copied together, and responses are written in parts as callers read them. Timers of the traffic loop survive running out of memory. Connections of callers are limited by the descriptors.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -1,13 +1,16 @@
 package org.siskindyke.runtime.traffic;
 
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.siskindyke.kernel.route.CallerLimits;
@@ -21,6 +24,8 @@
 public final class HttpListener {
     private static final int MAX_REQUEST_LINE_BYTES = 8_192;
     private static final long PROGRESS_CHECK_MILLIS = 500;
+    /** Low and high mark of the bytes that wait in the transport of one connection until its caller reads. */
+    private static final WriteBufferWaterMark WRITE_BUFFER = new WriteBufferWaterMark(8_192, 16_384);
 
     private final TrafficLoop traffic;
     private final MonotonicClock clock;
@@ -28,8 +33,10 @@
     private final Supplier<CallerLimits> limits;
     private final RequestMemory requestMemory = new RequestMemory();
     private final Set<HttpServerConnection> connections = new HashSet<>();
+    private final int maxConnections;
     private Channel channel;
     private boolean closing;
+    private long connectionsRefused;
 
     /**
      * Creates a server that does not listen yet.
@@ -45,6 +52,7 @@
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
+        this.maxConnections = MaxConnections.OF_PROCESS;
     }
 
     /**
@@ -68,10 +76,46 @@
                 .setMaxHeaderSize(limits.get().maxHeaderBytes())
                 .setValidateHeaders(true);
         HttpServerConnection connection = new HttpServerConnection(this, clock, handler, accepted);
-        accepted.pipeline().addLast(new StrictRequestDecoder(config), new HttpResponseEncoder(), connection);
+        if (connections.size() >= maxConnections && !closeOneFor(connection) || !connection.reserve()) {
+            connectionsRefused++;
+            connection.refuse();
+            return;
+        }
+        StrictRequestDecoder decoder = new StrictRequestDecoder(config, connection);
+        connection.setDecoder(decoder);
+        accepted.config().setWriteBufferWaterMark(WRITE_BUFFER);
+        accepted.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
         connections.add(connection);
     }
 
+    /** Closes the connection whose caller has kept this server waiting for the longest; returns whether there is one. */
+    private boolean closeOneFor(HttpServerConnection accepted) {
+        Optional<HttpServerConnection> longest = connections.stream()
+                .filter(connection -> connection != accepted && connection.isWaitingForCaller())
+                .min(Comparator.comparingLong(HttpServerConnection::waitingSinceMillis));
+        longest.ifPresent(connection -> {
+            connectionsRefused++;
+            connections.remove(connection);
+            connection.shed();
+            connection.abort();
+        });
+        return longest.isPresent();
+    }
+
+    /** Returns the number of connections. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Returns how many connections were refused or closed since there were too many, or no memory for one more. */
+    public long connectionsRefused() {
+        return connectionsRefused;
+    }
+
+    CallerMemory callerMemory() {
+        return traffic.callerMemory();
+    }
+
     RequestMemory requestMemory() {
         return requestMemory;
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -9,8 +9,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -20,11 +18,14 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -38,14 +39,28 @@
 
 /**
  * A connection to an {@link HttpListener}: reads pipelined requests ahead, up to a limit, and writes responses in
- * order. Confined to the traffic loop.
+ * order, each as far as the caller reads it. What it holds is counted in {@link CallerMemory}. Confined to the traffic
+ * loop.
  */
-final class HttpServerConnection extends ChannelInboundHandlerAdapter {
+final class HttpServerConnection extends ChannelInboundHandlerAdapter
+        implements CallerMemory.Holder, StrictRequestDecoder.Limiter {
+    /** Heap for a connection that holds nothing else: the channel, its handlers and their buffers. */
+    static final int CONNECTION_BYTES = 6_144;
+
+    /** Unanswered requests on one connection from which on no further ones are decoded and the socket is not read. */
+    private static final int MAX_UNANSWERED = 32;
+
+    /** Heap for a request that waits or runs, or for a response, besides its fields and body. */
+    private static final int EXCHANGE_BYTES = 4_096;
     /**
-     * Unanswered requests on one connection from which on the socket is not read. Requests in bytes that were read
-     * before are still handled.
+     * Heap for a request line or a field besides its characters: an entry, two texts, and their copies in the request
+     * that is routed. Some 200 bytes were measured for a field of two characters.
      */
-    private static final int MAX_UNANSWERED = 32;
+    private static final int LINE_BYTES = 320;
+    /** Copies of the characters of a field that are held at a time. */
+    private static final int LINE_COPIES = 2;
+    /** Longer bodies of responses are written in parts, so that only one part is in direct memory. */
+    private static final int RESPONSE_PART_BYTES = 16_384;
 
     /**
      * How long input is read and dropped after the last response. A request that the caller sends before that response
@@ -55,7 +70,7 @@
 
     private static final int BAD_REQUEST = 400;
     private static final int UNAVAILABLE = 503;
-    /** Refuses a request for whose body there is no memory now. */
+    /** Refuses a request for which there is no memory now. */
     private static final HttpExchange.Response NO_MEMORY =
             new HttpExchange.Response(UNAVAILABLE, List.of(new Header("Retry-After", "0.5")), new byte[0]);
 
@@ -71,9 +86,28 @@
     private final HttpExchange.Handler handler;
     private final Channel channel;
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
+    private final CallerMemory.Share share;
+    private StrictRequestDecoder decoder;
     private HttpRequest head;
-    private CompositeByteBuf body;
+    private BodyBytes body;
     private RequestMemory.Reservation bodyMemory;
+    /** Memory for the request line and the fields of the partly read request. */
+    private long linesBytes;
+    /** Longest line that was read; the decoder keeps a buffer of that size. */
+    private int longestLine;
+    /** Size of the decoder's buffer for bytes that are not decoded yet. */
+    private int undecodedBytes;
+    /** Memory for the requests and responses in {@link #exchanges}. */
+    private long exchangesBytes;
+    /** When the first bytes of the partly read request came; -1 while there is none. */
+    private long begunMillis = -1;
+    /** When bytes of a response were last accepted by the transport. */
+    private long writtenMillis;
+    /** Position in the body of the response that is partly written; -1 while none is. */
+    private int partlyWritten = -1;
+
+    private boolean writing;
+    private boolean ended;
     /** When the header section of the partly read request was complete, or its body was asked for. */
     private long bodyAwaitedSinceMillis;
 
@@ -91,6 +125,18 @@
         this.channel = channel;
         this.idleSinceMillis = clock.nowMillis();
         this.bodyAwaitedSinceMillis = idleSinceMillis;
+        this.writtenMillis = idleSinceMillis;
+        this.share = listener.callerMemory().open(this);
+    }
+
+    /** Sets the decoder in front of this handler. */
+    void setDecoder(StrictRequestDecoder requestDecoder) {
+        decoder = requestDecoder;
+    }
+
+    /** Reserves the memory for the connection itself; returns whether there is enough. */
+    boolean reserve() {
+        return share.resize(heldBytes());
     }
 
     /** A request that was read, and its response once there is one. */
@@ -98,14 +144,132 @@
         private final boolean keepAlive;
         private final boolean headRequest;
         private final RequestMemory.Reservation bodyMemory;
+        private long heldBytes;
         private HttpExchange.Response response;
         private Cancellable work = Cancellable.NONE;
         private boolean abandoned;
+        private boolean closes;
 
-        private Exchange(boolean keepAlive, boolean headRequest, RequestMemory.Reservation bodyMemory) {
+        private Exchange(boolean keepAlive, boolean headRequest, RequestMemory.Reservation bodyMemory, long heldBytes) {
             this.keepAlive = keepAlive;
             this.headRequest = headRequest;
             this.bodyMemory = bodyMemory;
+            this.heldBytes = heldBytes;
+        }
+    }
+
+    private long heldBytes() {
+        return CONNECTION_BYTES + longestLine + unfinishedBytes() + exchangesBytes + unsentBytes();
+    }
+
+    /** Returns the memory of requests that are not complete, or not decoded as the connection has too many. */
+    private long unfinishedBytes() {
+        return linesBytes + undecodedBytes + (body == null ? 0 : body.capacity());
+    }
+
+    /** Returns the bytes that wait in the transport until the caller reads. */
+    private long unsentBytes() {
+        var buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
+    /** Counts what is held now, which is as much as before or less, or cannot be given up. */
+    private void count() {
+        if (!ended) {
+            share.force(heldBytes());
+        }
+    }
+
+    /** Returns whether a response waits until the caller has read what was sent before. */
+    private boolean isUnread() {
+        return !exchanges.isEmpty() && exchanges.peek().response != null && !channel.isWritable()
+                || exchanges.isEmpty() && unsentBytes() > 0;
+    }
+
+    @Override
+    public long sheddableBytes() {
+        if (ended) {
+            return 0;
+        }
+        if (exchanges.isEmpty() || isUnread()) {
+            return share.bytes();
+        }
+        return ignoreInput ? 0 : unfinishedBytes();
+    }
+
+    @Override
+    public long waitingSinceMillis() {
+        if (isUnread()) {
+            return writtenMillis;
+        }
+        return begunMillis >= 0 ? begunMillis : idleSinceMillis;
+    }
+
+    /**
+     * Gives up what is held: resets a connection whose responses are not read or whose header section is not complete,
+     * closes an idle one, and refuses a request whose body is not complete.
+     */
+    @Override
+    public void shed() {
+        if (isUnread() || exchanges.isEmpty() && head == null && begunMillis >= 0) {
+            end();
+            abort();
+        } else if (exchanges.isEmpty() && head == null) {
+            end();
+            channel.close();
+        } else {
+            reject(NO_MEMORY);
+        }
+    }
+
+    private void end() {
+        ended = true;
+        ignoreInput = true;
+        discardPartialRequest();
+        share.end();
+    }
+
+    @Override
+    public boolean isPaused() {
+        return exchanges.size() >= MAX_UNANSWERED || !channel.isWritable();
+    }
+
+    @Override
+    public boolean ignoresInput() {
+        return ignoreInput;
+    }
+
+    @Override
+    public void onLine(int length) {
+        linesBytes += LINE_BYTES + (long) LINE_COPIES * length;
+        longestLine = Math.max(longestLine, length);
+        if (ended || !share.resize(heldBytes())) {
+            throw new StrictRequestDecoder.NoRoomException();
+        }
+    }
+
+    @Override
+    public void onDecoded(int heldBytes) {
+        undecodedBytes = heldBytes;
+        boolean unfinished = unfinishedBytes() > 0 || head != null;
+        if (!unfinished) {
+            begunMillis = -1;
+        } else if (begunMillis < 0) {
+            begunMillis = clock.nowMillis();
+        }
+        if (ended) {
+            return;
+        }
+        if (!share.resize(heldBytes())) {
+            undecodedBytes = 0;
+            if (exchanges.isEmpty() && head == null) {
+                end();
+                abort();
+            } else if (!ignoreInput) {
+                reject(NO_MEMORY);
+            }
+        } else if (isPaused()) {
+            channel.config().setAutoRead(false);
         }
     }
 
@@ -130,6 +294,17 @@
         }
     }
 
+    /** Resets the connection, which was not set up, since there is no room for it. */
+    void refuse() {
+        end();
+        abort();
+    }
+
+    /** Returns whether the connection is idle, or has received only a part of a request, or responses are not read. */
+    boolean isWaitingForCaller() {
+        return !ended && (exchanges.isEmpty() || isUnread());
+    }
+
     /** Resets the connection. */
     void abort() {
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
@@ -151,11 +326,17 @@
     }
 
     /**
-     * Closes the connection if it has been idle for too long, or rejects a request whose body has not arrived within
+     * Closes the connection if it has been idle for too long or its caller reads no response, or rejects a request whose body has not arrived within
      * the sum of the header and idle timeouts after its header section. Does neither while there are unanswered
      * requests. An incomplete header section counts as idle time.
      */
     void closeIfTooSlow(long nowMillis) {
+        count();
+        if (isUnread() && nowMillis - writtenMillis > listener.limits().idleTimeoutMillis()) {
+            end();
+            abort();
+            return;
+        }
         if (!exchanges.isEmpty() || ignoreInput) {
             return;
         }
@@ -192,7 +373,7 @@
 
     private void onHead(HttpRequest request) {
         if (request.decoderResult().isFailure()) {
-            reject(statusOf(request.decoderResult()));
+            reject(request.decoderResult());
             return;
         }
         bodyAwaitedSinceMillis = clock.nowMillis();
@@ -207,8 +388,7 @@
             return;
         }
         head = request;
-        // The argument is the number of parts above which the buffer merges them; it does not limit the body.
-        body = Unpooled.compositeBuffer(MAX_UNANSWERED * MAX_UNANSWERED);
+        body = new BodyBytes();
         continueDue = HttpUtil.is100ContinueExpected(request);
         if (continueDue && exchanges.isEmpty()) {
             writeContinue();
@@ -224,6 +404,14 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE), channel.voidPromise());
     }
 
+    private void reject(DecoderResult result) {
+        if (result.cause() instanceof StrictRequestDecoder.NoRoomException) {
+            reject(NO_MEMORY);
+        } else {
+            reject(statusOf(result));
+        }
+    }
+
     private static int statusOf(DecoderResult result) {
         if (result.cause() instanceof TooLongHttpLineException) {
             return URI_TOO_LONG;
@@ -233,22 +421,21 @@
 
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            reject(BAD_REQUEST);
+            reject(content.decoderResult());
             return;
         }
         ByteBuf bytes = content.content();
-        long readBytes = body.readableBytes() + (long) bytes.readableBytes();
+        long readBytes = body.length() + (long) bytes.readableBytes();
         if (readBytes > listener.limits().maxBodyBytes()) {
             reject(TOO_LARGE);
             return;
         }
-        if (!bodyMemory.growTo(readBytes)) {
+        int growth = body.capacityWith(bytes.readableBytes()) - body.capacity();
+        if (!bodyMemory.growTo(readBytes) || growth > 0 && !share.resize(heldBytes() + growth)) {
             reject(NO_MEMORY);
             return;
         }
-        if (bytes.isReadable()) {
-            body.addComponent(true, bytes.retain());
-        }
+        body.append(bytes);
         if (content instanceof LastHttpContent) {
             onRequestComplete();
         }
@@ -256,12 +443,19 @@
 
     private void onRequestComplete() {
         HttpRequest request = head;
-        byte[] bytes = ByteBufUtil.getBytes(body);
+        if (!share.resize(heldBytes() + EXCHANGE_BYTES)) {
+            reject(NO_MEMORY);
+            return;
+        }
+        byte[] bytes = body.toArray();
         Exchange exchange = new Exchange(
-                HttpUtil.isKeepAlive(request), request.method().name().equals("HEAD"), bodyMemory);
+                HttpUtil.isKeepAlive(request),
+                request.method().name().equals("HEAD"),
+                bodyMemory,
+                EXCHANGE_BYTES + linesBytes + bytes.length);
         bodyMemory = null;
         discardPartialRequest();
-        exchanges.add(exchange);
+        add(exchange);
         if (!exchange.keepAlive) {
             ignoreInput = true;
         }
@@ -272,9 +466,12 @@
         HttpExchange.Request complete = new HttpExchange.Request(
                 request.method().name(), request.uri(), headers, bytes, (InetSocketAddress) channel.remoteAddress());
         listener.executeOnceRead(() -> start(exchange, complete));
-        if (exchanges.size() >= MAX_UNANSWERED) {
-            channel.config().setAutoRead(false);
-        }
+    }
+
+    private void add(Exchange exchange) {
+        exchanges.add(exchange);
+        exchangesBytes += exchange.heldBytes;
+        count();
     }
 
     /** Handles a request, unless its caller has left. */
@@ -292,18 +489,20 @@
     private void reject(HttpExchange.Response response) {
         ignoreInput = true;
         discardPartialRequest();
-        Exchange exchange = new Exchange(false, false, listener.requestMemory().new Reservation());
-        exchanges.add(exchange);
+        Exchange exchange = new Exchange(false, false, listener.requestMemory().new Reservation(), EXCHANGE_BYTES);
+        add(exchange);
+        if (decoder != null) {
+            decoder.resume();
+        }
         onResponse(exchange, response);
     }
 
     private void discardPartialRequest() {
         head = null;
+        body = null;
+        linesBytes = 0;
+        begunMillis = -1;
         continueDue = false;
-        if (body != null) {
-            body.release();
-            body = null;
-        }
         if (bodyMemory != null) {
             bodyMemory.release();
             bodyMemory = null;
@@ -311,44 +510,121 @@
     }
 
     private void onResponse(Exchange exchange, HttpExchange.Response response) {
-        if (exchange.response != null || !channel.isActive()) {
+        if (exchange.response != null || exchange.abandoned || !channel.isActive()) {
             return;
         }
         exchange.response = response;
-        boolean wrote = false;
-        while (!exchanges.isEmpty() && exchanges.peek().response != null) {
-            write(exchanges.remove());
-            wrote = true;
+        exchange.bodyMemory.release();
+        exchangesBytes -= exchange.heldBytes;
+        exchange.heldBytes = EXCHANGE_BYTES + response.body().length;
+        exchangesBytes += exchange.heldBytes;
+        writeResponses();
+    }
+
+    /** Writes the responses that are due, as far as the caller reads them, and then reads on. */
+    private void writeResponses() {
+        if (writing) {
+            return;
         }
-        if (wrote) {
+        writing = true;
+        while (isResponseDue() && isWritableOnceFlushed()) {
+            while (isResponseDue() && channel.isWritable()) {
+                writeNextPart();
+            }
             if (continueDue && exchanges.isEmpty()) {
                 writeContinue();
             }
             channel.flush();
-            idleSinceMillis = clock.nowMillis();
-            if (exchanges.size() < MAX_UNANSWERED && !channel.config().isAutoRead()) {
-                channel.config().setAutoRead(true);
+            writtenMillis = clock.nowMillis();
+            idleSinceMillis = writtenMillis;
+        }
+        writing = false;
+        count();
+        readOn();
+    }
+
+    private boolean isResponseDue() {
+        return !ended && !exchanges.isEmpty() && exchanges.peek().response != null;
+    }
+
+    private boolean isWritableOnceFlushed() {
+        if (!channel.isWritable()) {
+            channel.flush();
+        }
+        return channel.isWritable();
+    }
+
+    private void readOn() {
+        if (ended) {
+            return;
+        }
+        if (!isPaused() && decoder != null) {
+            decoder.resume();
+        }
+        if ((ignoreInput || !isPaused()) && !channel.config().isAutoRead()) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (channel.isWritable()) {
+            writtenMillis = clock.nowMillis();
+            writeResponses();
+        }
+    }
+
+    /** Writes the first response, or its next part if it is long. */
+    private void writeNextPart() {
+        Exchange exchange = exchanges.peek();
+        byte[] bytes = exchange.response.body();
+        if (partlyWritten < 0) {
+            boolean last = exchanges.size() == 1 && head == null;
+            boolean close = !exchange.keepAlive || last && (listener.isClosing() || closeAfterLastResponse);
+            ignoreInput |= close;
+            if (!exchange.headRequest && bytes.length > RESPONSE_PART_BYTES) {
+                HttpResponse message = new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(exchange.response.status()));
+                setHeaders(message, exchange.response, close);
+                channel.write(message, channel.voidPromise());
+                exchange.closes = close;
+                partlyWritten = 0;
+            } else {
+                ByteBuf content = exchange.headRequest ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes);
+                HttpResponse message = new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(exchange.response.status()), content);
+                setHeaders(message, exchange.response, close);
+                writeLast(message, close);
             }
+            return;
+        }
+        int count = Math.min(RESPONSE_PART_BYTES, bytes.length - partlyWritten);
+        ByteBuf content = Unpooled.wrappedBuffer(bytes, partlyWritten, count);
+        partlyWritten += count;
+        if (partlyWritten < bytes.length) {
+            channel.write(new DefaultHttpContent(content), channel.voidPromise());
+        } else {
+            partlyWritten = -1;
+            writeLast(new DefaultLastHttpContent(content), exchange.closes);
         }
     }
 
-    private void write(Exchange exchange) {
-        exchange.bodyMemory.release();
-        HttpExchange.Response response = exchange.response;
-        ByteBuf content = exchange.headRequest ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(response.body());
-        FullHttpResponse message = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), content);
+    private static void setHeaders(HttpResponse message, HttpExchange.Response response, boolean close) {
         for (Header header : response.headers()) {
             message.headers().add(header.name(), header.value());
         }
         if (response.status() != NO_CONTENT && response.status() != NOT_MODIFIED) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
         }
-        boolean last = exchanges.isEmpty() && head == null;
-        boolean close = !exchange.keepAlive || last && (listener.isClosing() || closeAfterLastResponse);
         if (close) {
-            ignoreInput = true;
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    /** Writes the last part of the first response, which is then no longer among the unanswered ones. */
+    private void writeLast(Object message, boolean close) {
+        exchangesBytes -= exchanges.remove().heldBytes;
+        if (close) {
             channel.write(message).addListener(sent -> shutDownOutput());
             cancelUnanswered();
         } else {
@@ -370,6 +646,7 @@
     private void cancelUnanswered() {
         List<Exchange> rest = List.copyOf(exchanges);
         exchanges.clear();
+        exchangesBytes = 0;
         rest.forEach(e -> {
             e.abandoned = true;
             e.bodyMemory.release();
@@ -379,8 +656,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        ignoreInput = true;
-        discardPartialRequest();
+        end();
         listener.onClosed(this);
         cancelUnanswered();
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -47,6 +47,8 @@
     /** Longest time to connect; within a region it takes a few milliseconds, and a lost packet adds up to 200 ms. */
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
 
+    private static final String OUT_OF_MEMORY = "event=out-of-memory during a periodic task of the traffic loop";
+
     private static final int BACKLOG = 1_024;
     /** Times that a connection is read before others get their turn; Netty's own default for sockets. */
     private static final int MESSAGES_PER_READ = 16;
@@ -57,6 +59,7 @@
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final LoopDelay delay;
+    private final CallerMemory callerMemory;
 
     /** Creates a loop on the native transport, or on Java's selector where the machine has no native library. */
     public TrafficLoop() {
@@ -73,6 +76,7 @@
         this.usesEpoll = usesEpoll;
         this.group = usesEpoll ? new EpollEventLoopGroup(1) : new NioEventLoopGroup(1);
         this.loop = group.next();
+        this.callerMemory = new CallerMemory(clock);
         this.delay = new LoopDelay(clock, DELAY_CHECK_MILLIS);
         scheduleWithFixedDelay(delay::onCheck, DELAY_CHECK_MILLIS);
     }
@@ -82,6 +86,11 @@
         return usesEpoll ? "epoll" : "nio";
     }
 
+    /** Returns the account of the memory that is held for callers. It is confined to the loop. */
+    public CallerMemory callerMemory() {
+        return callerMemory;
+    }
+
     /** Returns the event loop. */
     public EventLoop loop() {
         return loop;
@@ -121,10 +130,21 @@
 
     /**
      * Runs an action on the loop repeatedly, with a delay before each run. If a run throws an exception, there are no
-     * further ones. May be called on any thread.
+     * further ones; if it runs out of memory, this is logged and there are, since the router would go on without its
+     * timers otherwise. May be called on any thread.
      */
     public void scheduleWithFixedDelay(Runnable action, long intervalMillis) {
-        loop.scheduleWithFixedDelay(action, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> runThoughOutOfMemory(action), intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static void runThoughOutOfMemory(Runnable action) {
+        try {
+            action.run();
+        } catch (OutOfMemoryError e) {
+            // Preallocated text, since there may be no memory for any other.
+            System.err.println(OUT_OF_MEMORY);
+        }
     }
 
     /**
