Answer 502 where a backend server sends a number that is no HTTP status

A server in trouble sent the status 000, and the caller received it. Such a response is now a lost one: its connection is closed, and the request counts as one that may have run, even if the response says that it has not.

InvalidStatusTest and BackendClientTest failed before (status line "HTTP/1.1 0 Unknown Status (0)"; 600 taken for a refusal) and pass, as do HttpClientConnectionTest, HttpClientPoolTest and OddMessagesTest.

--- a/src/main/java/org/siskindyke/runtime/call/BackendClient.java
+++ b/src/main/java/org/siskindyke/runtime/call/BackendClient.java
@@ -23,6 +23,9 @@
     /** Largest body of a response that is collected. */
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
+
     private static final Duration GRANT_RENEWAL_TIMEOUT = Duration.ofMillis(300);
 
     private final TargetAnnouncement target;
@@ -133,13 +136,18 @@
         if (CallIdFilter.namesOther(response.headers().get(Headers.CALL_ID), call.id())) {
             return Reply.mayHaveRun(Refusal.ANSWER_LOST);
         }
+        int status = response.status().code();
+        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+            // No final HTTP status; the call may have run, whatever else the response says.
+            return Reply.mayHaveRun(Refusal.ANSWER_LOST);
+        }
         CharSequence notRun = response.headers().get(Headers.NOT_RUN);
         if (notRun != null && "true".contentEquals(notRun)) {
             return Reply.notRun(Refusal.TARGET_REFUSED, 0);
         }
         List<Header> headers = new ArrayList<>(Headers.endToEnd(response.headers()));
         headers.removeIf(h -> h.name().startsWith("siskindyke-"));
-        return Reply.answer(response.status().code(), headers, Bytes.of(response.payloadBody()));
+        return Reply.answer(status, headers, Bytes.of(response.payloadBody()));
     }
 
     private static Reply toReply(Throwable failure) {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -35,7 +35,7 @@
  * names no request, is dropped and the connection ends after the request. As a server may write a response once more at
  * any later time, and the id does not tell the runs of a request apart, a request that is sent again needs another
  * connection, see {@link #mayCarry}. Bytes that arrive while there is no request close the connection, as does a
- * response without end. Confined to the traffic loop.
+ * response without end or without an HTTP status. Confined to the traffic loop.
  */
 final class HttpClientConnection extends ChannelInboundHandlerAdapter {
     /** Largest body of a response that is collected. */
@@ -51,6 +51,7 @@
     private static final int CHUNK_BYTES = 16_384;
     private static final int CONTINUE = 100;
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
     private static final String KEEP_ALIVE = "keep-alive";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
     private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d+)");
@@ -253,11 +254,38 @@
             fail(ResponseLoss.BAD_RESPONSE, "two responses in one header section");
             return;
         }
+        if (!hasStatus(response) && !namesOther(response)) {
+            // The request may have run, whatever else the response says.
+            fail(
+                    ResponseLoss.BAD_RESPONSE,
+                    "no HTTP status: " + response.status().code());
+            return;
+        }
         head = response;
         body = Unpooled.buffer();
         bodyParts = 0;
     }
 
+    /** Returns whether a response has a status, of an interim response or a final one. */
+    private static boolean hasStatus(HttpResponse response) {
+        int status = response.status().code();
+        return status >= CONTINUE && status <= LAST_STATUS;
+    }
+
+    /** Returns whether a response names another request than the awaited one. */
+    private boolean namesOther(HttpResponse response) {
+        String namedId = dialect.answeredRequestId(headers(response));
+        return exchange.requestId() != null && namedId != null && !namedId.equals(exchange.requestId());
+    }
+
+    private static List<Header> headers(HttpResponse response) {
+        List<Header> headers = new ArrayList<>(response.headers().size());
+        for (Map.Entry<String, String> field : response.headers()) {
+            headers.add(new Header(field.getKey(), field.getValue()));
+        }
+        return headers;
+    }
+
     /**
      * Returns whether a response broke off amid its status line or a field, and the next one follows: the status, or
      * some fields, are then not those of the response that the other fields belong to.
@@ -302,10 +330,7 @@
             skipResponse();
             return;
         }
-        List<Header> headers = new ArrayList<>(response.headers().size());
-        for (Map.Entry<String, String> field : response.headers()) {
-            headers.add(new Header(field.getKey(), field.getValue()));
-        }
+        List<Header> headers = headers(response);
         if (exchange.requestId() != null) {
             String namedId = dialect.answeredRequestId(headers);
             if (!exchange.requestId().equals(namedId)) {
--- a/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
+++ b/src/test/java/org/siskindyke/runtime/call/BackendClientTest.java
@@ -61,6 +61,20 @@
         assertCut(EndlessServer.Kind.HEAD);
     }
 
+    /** Guards against numbers that are no HTTP status and reach callers as one. */
+    @Example
+    void aResponseWithoutAFinalStatusIsReportedAsLost() throws Exception {
+        for (String status : List.of("000", "099", "600", "999")) {
+            try (RawHttpServer server = RawHttpServer.ofTexts(() -> id -> "HTTP/1.1 " + status + " Status\r\n"
+                            + echo(id) + "siskindyke-not-run: true\r\ncontent-length: 2\r\n\r\nok");
+                    BackendClient client = client(server.address())) {
+                Reply reply = send(client, "c" + status);
+                assertEquals(Verdict.MAY_HAVE_RUN, reply.verdict(), status);
+                assertEquals(Refusal.ANSWER_LOST, reply.refusal(), status);
+            }
+        }
+    }
+
     /** Guards against a connection whose requests and responses stay off by one after a late copy of a response. */
     @Example
     void aResponseThatNamesAnotherCallEndsItsConnection() throws Exception {
