Count trailers and forwarded calls, and show what is held for callers

A body that stopped amid its trailer fields was refused, but the decoder kept the fields until the connection ended; 2,000 of these ended a process with a heap of 96 MB. The decoder is now removed with the refusal. Forwarded calls are counted in the same account. Tasks of the control thread and the main thread go on after running out of memory, as those of the traffic loop do. The account appears in the metrics and in the event callers-limited.

--- a/src/main/java/org/siskindyke/platform/PlatformProgram.java
+++ b/src/main/java/org/siskindyke/platform/PlatformProgram.java
@@ -22,6 +22,8 @@
      */
     private static final long SETTINGS_POLL_MILLIS = 1_000;
 
+    private static final String OUT_OF_MEMORY = "event=out-of-memory while the settings file was checked";
+
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_BAD_USAGE = 2;
 
@@ -60,10 +62,15 @@
         long lastModifiedMillis = SettingsReader.modifiedMillis(System.getenv());
         while (true) {
             TimeUnit.MILLISECONDS.sleep(SETTINGS_POLL_MILLIS);
-            long modifiedMillis = SettingsReader.modifiedMillis(System.getenv());
-            if (modifiedMillis != lastModifiedMillis) {
-                lastModifiedMillis = modifiedMillis;
-                reload(router, log);
+            try {
+                long modifiedMillis = SettingsReader.modifiedMillis(System.getenv());
+                if (modifiedMillis != lastModifiedMillis) {
+                    lastModifiedMillis = modifiedMillis;
+                    reload(router, log);
+                }
+            } catch (OutOfMemoryError e) {
+                // The end of the main thread would end the process. The text is preallocated.
+                System.err.println(OUT_OF_MEMORY);
             }
         }
     }
--- a/src/main/java/org/siskindyke/runtime/ControlThread.java
+++ b/src/main/java/org/siskindyke/runtime/ControlThread.java
@@ -19,6 +19,7 @@
 
 /** The single thread to which the control state of a router is confined. */
 public final class ControlThread implements AutoCloseable {
+    private static final String OUT_OF_MEMORY = "event=out-of-memory during a task of the control thread";
 
     private final ScheduledExecutorService executor;
 
@@ -91,6 +92,9 @@
             action.run();
         } catch (RuntimeException e) {
             logger().log(Level.ERROR, "event=control-failure", e);
+        } catch (OutOfMemoryError e) {
+            // Periodic tasks go on: without them, the process would live and lose its lease. The text is preallocated.
+            System.err.println(OUT_OF_MEMORY);
         }
     }
 
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -244,16 +244,21 @@
         traffic.scheduleWithFixedDelay(backend::tick, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(
                 () -> requestLog.flush(traffic.takeMaxDelayMillis()), TimeUnit.SECONDS.toMillis(5));
+        CallerLimitsLog limitsLog = new CallerLimitsLog(log, callers, traffic.callerMemory());
+        traffic.scheduleWithFixedDelay(limitsLog::flush, TimeUnit.SECONDS.toMillis(5));
         traffic.schedule(
-                () -> metrics.start(
-                        backend::slotsUsed,
-                        backend::waiting,
-                        backend::responsesDropped,
-                        log::dropped,
-                        this::convictedRequests,
-                        this::membersServing,
-                        configuration::version,
-                        table::era),
+                () -> {
+                    metrics.start(
+                            backend::slotsUsed,
+                            backend::waiting,
+                            backend::responsesDropped,
+                            log::dropped,
+                            this::convictedRequests,
+                            this::membersServing,
+                            configuration::version,
+                            table::era);
+                    metrics.registerCallers(callers, traffic.callerMemory());
+                },
                 METRICS_START_DELAY_MILLIS);
         log.event(
                 "router-started",
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -13,8 +13,10 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.siskindyke.runtime.call.Header;
 import org.siskindyke.runtime.traffic.CallOutcome;
+import org.siskindyke.runtime.traffic.CallerMemory;
 import org.siskindyke.runtime.traffic.Cancellable;
 import org.siskindyke.runtime.traffic.HttpExchange;
+import org.siskindyke.runtime.traffic.HttpListener;
 import org.siskindyke.runtime.traffic.RetryDecision;
 
 /**
@@ -50,6 +52,17 @@
         Gauge.builder("siskindyke.log.events.dropped", eventsDropped).register(registry);
     }
 
+    /** Registers the gauges of what is held for callers. */
+    void registerCallers(HttpListener callers, CallerMemory memory) {
+        Gauge.builder("siskindyke.caller.memory.bytes", memory::usedBytes).register(registry);
+        Gauge.builder("siskindyke.caller.memory.max.bytes", memory::maxBytes).register(registry);
+        Gauge.builder("siskindyke.caller.memory.shed", memory::shed).register(registry);
+        Gauge.builder("siskindyke.caller.memory.refused", memory::refused).register(registry);
+        Gauge.builder("siskindyke.caller.connections", callers::connections).register(registry);
+        Gauge.builder("siskindyke.caller.connections.refused", callers::connectionsRefused)
+                .register(registry);
+    }
+
     /** Records the result and duration of a request that has ended. */
     void onEnded(CallOutcome outcome) {
         if (registry == null) {
--- a/src/main/java/org/siskindyke/runtime/traffic/CallerMemory.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerMemory.java
@@ -166,14 +166,17 @@
             return false;
         }
         shedding = true;
-        for (Candidate candidate : candidates) {
-            if (usedBytes + moreBytes <= limitBytes - maxBytes / FREED_DIVISOR) {
-                break;
+        try {
+            for (Candidate candidate : candidates) {
+                if (usedBytes + moreBytes <= limitBytes - maxBytes / FREED_DIVISOR) {
+                    break;
+                }
+                candidate.share().holder.shed();
+                shed++;
             }
-            candidate.share().holder.shed();
-            shed++;
+        } finally {
+            shedding = false;
         }
-        shedding = false;
         return usedBytes + moreBytes <= limitBytes;
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -48,11 +48,21 @@
      */
     public HttpListener(
             TrafficLoop traffic, MonotonicClock clock, Supplier<CallerLimits> limits, HttpExchange.Handler handler) {
+        this(traffic, clock, limits, handler, MaxConnections.OF_PROCESS);
+    }
+
+    /** Creates a server as above that accepts a given number of connections. */
+    HttpListener(
+            TrafficLoop traffic,
+            MonotonicClock clock,
+            Supplier<CallerLimits> limits,
+            HttpExchange.Handler handler,
+            int maxConnections) {
         this.traffic = traffic;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
-        this.maxConnections = MaxConnections.OF_PROCESS;
+        this.maxConnections = maxConnections;
     }
 
     /**
@@ -96,8 +106,7 @@
         longest.ifPresent(connection -> {
             connectionsRefused++;
             connections.remove(connection);
-            connection.shed();
-            connection.abort();
+            connection.closeForAnother();
         });
         return longest.isPresent();
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -158,6 +158,19 @@
         }
     }
 
+    /** Returns an estimate of the heap that a request takes which waits or runs. */
+    static long requestBytes(List<Header> headers, int bodyBytes) {
+        long bytes = EXCHANGE_BYTES + bodyBytes;
+        for (Header header : headers) {
+            bytes += lineBytes(header.name().length() + header.value().length());
+        }
+        return bytes;
+    }
+
+    private static long lineBytes(int length) {
+        return LINE_BYTES + (long) LINE_COPIES * length;
+    }
+
     private long heldBytes() {
         return CONNECTION_BYTES + longestLine + unfinishedBytes() + exchangesBytes + unsentBytes();
     }
@@ -211,17 +224,24 @@
      */
     @Override
     public void shed() {
-        if (isUnread() || exchanges.isEmpty() && head == null && begunMillis >= 0) {
-            end();
-            abort();
-        } else if (exchanges.isEmpty() && head == null) {
-            end();
-            channel.close();
+        if (isUnread() || exchanges.isEmpty() && head == null) {
+            closeForAnother();
         } else {
             reject(NO_MEMORY);
         }
     }
 
+    /** Closes a connection that is idle, and resets it otherwise. */
+    void closeForAnother() {
+        boolean idle = exchanges.isEmpty() && begunMillis < 0 && unsentBytes() == 0;
+        end();
+        if (idle) {
+            channel.close();
+        } else {
+            abort();
+        }
+    }
+
     private void end() {
         ended = true;
         ignoreInput = true;
@@ -241,7 +261,7 @@
 
     @Override
     public void onLine(int length) {
-        linesBytes += LINE_BYTES + (long) LINE_COPIES * length;
+        linesBytes += lineBytes(length);
         longestLine = Math.max(longestLine, length);
         if (ended || !share.resize(heldBytes())) {
             throw new StrictRequestDecoder.NoRoomException();
@@ -307,8 +327,10 @@
 
     /** Resets the connection. */
     void abort() {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        channel.close();
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
     }
 
     boolean isFrom(InetSocketAddress remote) {
@@ -491,12 +513,20 @@
         discardPartialRequest();
         Exchange exchange = new Exchange(false, false, listener.requestMemory().new Reservation(), EXCHANGE_BYTES);
         add(exchange);
-        if (decoder != null) {
-            decoder.resume();
-        }
+        removeDecoder();
         onResponse(exchange, response);
     }
 
+    /** Drops what the decoder holds; further bytes arrive at this handler, which ignores them. */
+    private void removeDecoder() {
+        if (decoder != null && channel.pipeline().context(decoder) != null) {
+            channel.pipeline().remove(decoder);
+        }
+        decoder = null;
+        undecodedBytes = 0;
+        longestLine = 0;
+    }
+
     private void discardPartialRequest() {
         head = null;
         body = null;
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -41,6 +41,9 @@
     private static final long TIMEOUT_CHECK_MILLIS = 100;
     private static final byte[] EMPTY_PAYLOAD = {};
 
+    /** Delay after which a call that found no memory may be sent again. */
+    private static final long NO_MEMORY_RETRY_MILLIS = 500;
+
     private final TrafficLoop traffic;
     private final ControlThread control;
     private final MonotonicClock clock;
@@ -226,22 +229,26 @@
         private final long frameId;
         private final Call call;
         private final InboundSession receiver;
+        private final CallerMemory.Share memory;
         private Cancellable work = Cancellable.NONE;
         private boolean cancelled;
         private boolean withdrawn;
 
-        private ForwardedCall(long frameId, Call call, InboundSession receiver) {
+        private ForwardedCall(long frameId, Call call, InboundSession receiver, CallerMemory.Share memory) {
             this.frameId = frameId;
             this.call = call;
             this.receiver = receiver;
+            this.memory = memory;
         }
 
         private void submit() {
             if (cancelled) {
                 return;
             }
-            work = dispatcher.submit(
-                    call, reply -> receiver.reply(ForwardFrames.reply(frameId, call.id(), reply), clock.nowMillis()));
+            work = dispatcher.submit(call, reply -> {
+                memory.end();
+                receiver.reply(ForwardFrames.reply(frameId, call.id(), reply), clock.nowMillis());
+            });
             if (withdrawn) {
                 work.withdraw();
             }
@@ -250,6 +257,7 @@
         @Override
         public void cancel() {
             cancelled = true;
+            memory.end();
             work.cancel();
         }
 
@@ -312,7 +320,16 @@
                         ForwardFrames.reply(frame.id(), null, Reply.notRun(Refusal.NO_SERVICE, 0)), clock.nowMillis());
                 return;
             }
-            ForwardedCall forwarded = new ForwardedCall(frame.id(), call, receiver);
+            CallerMemory.Share memory = traffic.callerMemory().open();
+            if (!memory.resize(HttpServerConnection.requestBytes(call.headers(), call.body().length))) {
+                memory.end();
+                receiver.reply(
+                        ForwardFrames.reply(
+                                frame.id(), call.id(), Reply.notRun(Refusal.QUEUE_FULL, NO_MEMORY_RETRY_MILLIS)),
+                        clock.nowMillis());
+                return;
+            }
+            ForwardedCall forwarded = new ForwardedCall(frame.id(), call, receiver, memory);
             receiver.onRunning(frame.id(), forwarded);
             traffic.executeOnceRead(forwarded::submit);
         }
--- a/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
+++ b/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
@@ -56,6 +56,12 @@
         assertOutlives(PIPELINING_CONNECTIONS, (HEAD + "\r\n").repeat(PIPELINED_REQUESTS));
     }
 
+    /** The process ended under bodies that stop amid trailer fields, which the decoder kept though it was refused. */
+    @Example
+    void unfinishedTrailerSectionsLeaveRoomForOrdinaryCallers() throws Exception {
+        assertOutlives(CONNECTIONS, CHUNKED_HEAD + "0\r\n" + "a:\r\n".repeat(FIELD_BYTES / 4));
+    }
+
     private static String headers(String lines) {
         String section = HEAD + lines.repeat(FIELD_BYTES / lines.length());
         return (section + "\r\n").repeat(REQUESTS_BEFORE) + section;
