Count partly received responses in the account of callers

They were limited per backend server only. No response is lost for lack of memory for callers: callers give way.

HttpClientConnectionTest, HttpClientPoolTest, EndlessResponseTest, LongBodiesTest, OddMessagesTest, CrashingRequestTest, LateCopiesTest, BusyConnectionsTest and PlatformPathTest pass.

--- a/src/main/java/org/siskindyke/runtime/traffic/BodyBytes.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BodyBytes.java
@@ -5,7 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** Collects a body of any length in blocks, into which chunks are copied, so that a small chunk costs its bytes only. */
+/** Collects a body of any length in blocks into which chunks are copied, so that a small chunk costs its bytes only. */
 final class BodyBytes {
     private static final int MIN_BLOCK_BYTES = 512;
     private static final int MAX_BLOCK_BYTES = 65_536;
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -35,7 +35,7 @@
     private final int maxConnections;
     private final ResponseDialect dialect;
     private final ConnectionObserver observer;
-    private final ResponseMemory memory = new ResponseMemory(MAX_PARTIAL_RESPONSES_BYTES);
+    private final ResponseMemory memory;
     private final Deque<HttpClientConnection> idle = new ArrayDeque<>();
     private final Set<HttpClientConnection> all = new HashSet<>();
     private long connectionsOpened;
@@ -74,6 +74,7 @@
         this.maxConnections = maxConnections;
         this.dialect = dialect;
         this.observer = observer;
+        this.memory = new ResponseMemory(MAX_PARTIAL_RESPONSES_BYTES, traffic.callerMemory());
     }
 
     /**
@@ -197,5 +198,6 @@
         List.copyOf(all).forEach(c -> c.abort("connection pool closed"));
         all.clear();
         idle.clear();
+        memory.end();
     }
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -98,7 +98,7 @@
         connections.add(connection);
     }
 
-    /** Closes the connection whose caller has kept this server waiting for the longest; returns whether there is one. */
+    /** Closes the connection whose caller has kept this server waiting for longest; returns whether there is one. */
     private boolean closeOneFor(HttpServerConnection accepted) {
         Optional<HttpServerConnection> longest = connections.stream()
                 .filter(connection -> connection != accepted && connection.isWaitingForCaller())
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -348,9 +348,10 @@
     }
 
     /**
-     * Closes the connection if it has been idle for too long or its caller reads no response, or rejects a request whose body has not arrived within
-     * the sum of the header and idle timeouts after its header section. Does neither while there are unanswered
-     * requests. An incomplete header section counts as idle time.
+     * Closes the connection if it has been idle for too long or its caller has not read a response for as long, or
+     * rejects a request whose body has not arrived within the sum of the header and idle timeouts after its header
+     * section. Does neither of the other two while there are unanswered requests. An incomplete header section counts
+     * as idle time.
      */
     void closeIfTooSlow(long nowMillis) {
         count();
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestMemory.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestMemory.java
@@ -2,8 +2,8 @@
 
 /**
  * Limits the memory that the bodies of the requests at one {@link HttpListener} take, from when they are announced
- * until the requests are answered. Short bodies are not counted, so that long ones do not keep them out. Confined to
- * the traffic loop.
+ * until the requests are answered. Short bodies are not counted here, so that long ones do not keep them out; what has
+ * been received of any body is counted in {@link CallerMemory}. Confined to the traffic loop.
  */
 final class RequestMemory {
     /** Longest body that fits into a message between routers, with its header fields. */
--- a/src/test/java/org/siskindyke/platform/CrowdedRouter.java
+++ b/src/test/java/org/siskindyke/platform/CrowdedRouter.java
@@ -156,9 +156,9 @@
 
     private void sendHeartbeat() {
         sequence++;
-        String body = """
-                {"service":"plain","address":"%s","zone":"a","version":"v1","slots":4,"state":"ready",\
-                "cold_left_ms":0,"born":1,"holds":[],"freed":[],"seq_num":%d}""".formatted(text(backend.address()), sequence);
+        String body = "{\"service\":\"plain\",\"address\":\"" + text(backend.address())
+                + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"cold_left_ms\":0,\"born\":1,"
+                + "\"holds\":[],\"freed\":[],\"seq_num\":" + sequence + "}";
         try {
             client.send(
                     HttpRequest.newBuilder(URI.create("http://" + text(control) + "/instances/i-crowded/heartbeat"))
--- a/src/test/java/org/siskindyke/platform/InvalidStatusTest.java
+++ b/src/test/java/org/siskindyke/platform/InvalidStatusTest.java
@@ -38,7 +38,7 @@
     private final LoopbackCluster cluster = new LoopbackCluster(new PrintStream(events, true, StandardCharsets.UTF_8));
     private final ConcurrentLinkedQueue<String> runs = new ConcurrentLinkedQueue<>();
 
-    /** Answers with the status that the id of the request begins with, and marks it as not run, if it names a status. */
+    /** Answers with the number that the id of the request begins with; the rest of the id says with which fields. */
     private String respond(String id) {
         runs.add(id);
         String status = INVALID.stream().filter(id::startsWith).findFirst().orElse(Integer.toString(OK));
--- a/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
+++ b/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
@@ -36,7 +36,7 @@
         assertOutlives(CONNECTIONS, headers("!:\r\n~: \t \r\n|:c\r\n`: \u00e9\r\n"));
     }
 
-    /** The process ended, or lived on without answering, under bodies in one-byte chunks that stop short of their end. */
+    /** The process ended, or lived on without answering, under bodies in one-byte chunks that stop short of the end. */
     @Example
     void unfinishedBodiesInOneByteChunksLeaveRoomForOrdinaryCallers() throws Exception {
         assertOutlives(CONNECTIONS, CHUNKED_HEAD + "1\r\nx\r\n".repeat(SMALL_CHUNKS));
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -38,7 +38,7 @@
     private void open() {
         releaseWritten();
         outcomes.clear();
-        memory = new ResponseMemory(2L * HttpClientConnection.MAX_BODY_BYTES);
+        memory = new ResponseMemory(2L * HttpClientConnection.MAX_BODY_BYTES, new CallerMemory(() -> 0));
         connection = new HttpClientConnection(1, new TestDialect(), memory, observer, () -> idle++);
         channel = new EmbeddedChannel(connection.handlers());
     }
