--- a/src/main/java/org/siskindyke/runtime/traffic/StrictRequestDecoder.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/StrictRequestDecoder.java
@@ -1,5 +1,7 @@
 package org.siskindyke.runtime.traffic;
 
+import java.util.List;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
@@ -153,7 +155,7 @@
     }
 
     @Override
-    protected void decode(ChannelHandlerContext readContext, ByteBuf in, java.util.List<Object> out) throws Exception {
+    protected void decode(ChannelHandlerContext readContext, ByteBuf in, List<Object> out) throws Exception {
         if (limiter.ignoresInput()) {
             in.skipBytes(in.readableBytes());
         } else if (!limiter.isPaused()) {
