--- a/src/main/java/org/siskindyke/kernel/control/AssignmentPlanner.java
+++ b/src/main/java/org/siskindyke/kernel/control/AssignmentPlanner.java
@@ -20,6 +20,7 @@
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.ownership.SliceOwnershipRow;
+import org.siskindyke.kernel.ownership.SliceRuns;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
 import org.siskindyke.kernel.table.Transaction;
@@ -111,9 +112,8 @@
         if (nowMillis < dueMillis || !assigning.add(document.service())) {
             return;
         }
-        List<OwnedSlice> slices = IntStream.range(0, document.keys().slices())
-                .mapToObj(index -> new OwnedSlice(index, 0, 0))
-                .toList();
+        List<OwnedSlice> slices =
+                blocks(document.keys().slices(), context.view().blockSlices(document.service()));
         Transaction transaction = Transaction.builder()
                 .replace(unassigned.path(), 0, RowCodec.encode(unassigned.plus(slices)))
                 .build();
@@ -123,21 +123,29 @@
         });
     }
 
+    private static List<OwnedSlice> blocks(int sliceCount, int blockSlices) {
+        return IntStream.iterate(0, index -> index < sliceCount, index -> index + blockSlices)
+                .mapToObj(index -> new OwnedSlice(index, 0, 0, null, Math.min(blockSlices, sliceCount - index)))
+                .toList();
+    }
+
     private void assign(ServiceName service, SliceOwnershipRow unassigned, List<MemberRow> members) {
         if (!assigning.add(service)) {
             return;
         }
         Map<MemberId, Integer> counts = new HashMap<>();
-        members.forEach(m -> counts.put(
-                m.id(), context.view().ownershipRow(service, m.id()).slices().size()));
+        members.forEach(m -> counts.put(m.id(), context.view().ownedCount(service, m.id())));
         SliceOwnershipRow free =
                 new SliceOwnershipRow(service, null, context.view().unassignedSlices(service));
-        List<OwnedSlice> slices = free.slices().stream()
-                .map(s -> s.reassigned(s.settleMillis(), context.era()))
-                .toList();
+        List<OwnedSlice> slices = SliceRuns.reassign(
+                free.slices(),
+                context.view().blockSlices(service),
+                context.era(),
+                OwnedSlice::settleMillis,
+                slice -> null);
         Map<MemberId, List<OwnedSlice>> shares = limitMembers(SliceShares.divideEvenly(counts, slices));
         Set<Integer> assignedIndexes = shares.values().stream()
-                .flatMap(share -> share.stream().map(OwnedSlice::index))
+                .flatMap(share -> SliceRuns.indexes(share).stream())
                 .collect(Collectors.toSet());
         SliceOwnershipRow rest = free.minus(assignedIndexes);
         Transaction.Builder transaction = Transaction.builder()
--- a/src/main/java/org/siskindyke/kernel/control/ClusterView.java
+++ b/src/main/java/org/siskindyke/kernel/control/ClusterView.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.function.BiConsumer;
 
 import org.siskindyke.kernel.crash.CrashSuspects;
@@ -14,12 +13,12 @@
 import org.siskindyke.kernel.error.SiskindykeException;
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
-import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.membership.MemberDirectory;
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.ownership.OwnershipMap;
 import org.siskindyke.kernel.ownership.SliceOwnershipRow;
+import org.siskindyke.kernel.ownership.SliceRuns;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -41,6 +40,7 @@
     private final CrashSuspects suspects;
     private BiConsumer<RowPath, SiskindykeException> onIgnored = (path, cause) -> {};
     private final Map<RowPath, DecodedOwnership> decodedOwnerships = new HashMap<>();
+    private final Map<ServiceName, Integer> blockSlices = new HashMap<>();
     private long noticedEra;
 
     private record DecodedOwnership(long revision, SliceOwnershipRow row) {}
@@ -141,16 +141,21 @@
      * There are none of these unless the table has lost rows.
      */
     public List<OwnedSlice> ownedSlices(ServiceName service, MemberId member) {
-        return ownershipRow(service, member).slices().stream()
-                .filter(slice -> !isSuperseded(service, slice, member))
-                .toList();
+        return ownership.withoutSuperseded(
+                service, member, ownershipRow(service, member).slices());
     }
 
-    private boolean isSuperseded(ServiceName service, OwnedSlice slice, MemberId member) {
-        return ownership
-                .owner(new SliceRef(service, slice.index()))
-                .filter(owner -> owner.generation() > slice.generation() && !Objects.equals(member, owner.member()))
-                .isPresent();
+    /** Returns the number of slices of a member that a view knows, runs of adjacent ones counted in full. */
+    int ownedCount(ServiceName service, MemberId member) {
+        return SliceRuns.count(ownershipRow(service, member).slices());
+    }
+
+    /**
+     * Returns the number of adjacent slices of a service that are assigned together while load does not require to
+     * split them; 1 where each slice is assigned by itself.
+     */
+    public int blockSlices(ServiceName service) {
+        return blockSlices.getOrDefault(service, 1);
     }
 
     /** Returns the slices of a service that have no owner, as the replica knows them; empty where there is no row. */
@@ -176,9 +181,7 @@
      * There are some of these where the table was restored from a copy that is older than their present owners.
      */
     public List<OwnedSlice> unassignedSlices(ServiceName service) {
-        return unassigned(service).slices().stream()
-                .filter(slice -> !isSuperseded(service, slice, null))
-                .toList();
+        return ownership.withoutSuperseded(service, null, unassigned(service).slices());
     }
 
     /**
@@ -238,6 +241,19 @@
      * @param nowMillis the current time
      */
     public void acceptDocument(ServiceDocument document, long version, long nowMillis) {
+        acceptDocument(document, 1, version, nowMillis);
+    }
+
+    /**
+     * Accepts a document that is not stored in the table, of a service whose slices are assigned in blocks.
+     *
+     * @param document the document
+     * @param sliceBlock number of adjacent slices that are assigned together; must not change
+     * @param version version of the document, which must never decrease
+     * @param nowMillis the current time
+     */
+    public void acceptDocument(ServiceDocument document, int sliceBlock, long version, long nowMillis) {
+        blockSlices.put(document.service(), sliceBlock);
         documents.accept(new DocumentRow(document, version, "", 0), version);
         addSlices(document, nowMillis);
     }
--- a/src/main/java/org/siskindyke/kernel/control/HandoverController.java
+++ b/src/main/java/org/siskindyke/kernel/control/HandoverController.java
@@ -12,6 +12,7 @@
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.ownership.OwnedSlice;
+import org.siskindyke.kernel.ownership.SliceRuns;
 
 /**
  * Releases all slices of a backend server that accepts no new work, and those of every backend server once this member
@@ -66,17 +67,21 @@
         Map<MemberId, Integer> counts = newOwners.stream()
                 .collect(Collectors.toMap(
                         MemberRow::id,
-                        m -> context.view()
-                                .ownershipRow(service, m.id())
-                                .slices()
-                                .size(),
+                        m -> context.view().ownedCount(service, m.id()),
                         (a, b) -> a,
                         () -> new TreeMap<>(Comparator.naturalOrder())));
-        SliceShares.divideEvenly(counts, owned).forEach((newOwner, slices) -> release(service, slices, newOwner));
+        SliceShares.divideEvenly(counts, wholeBlocks(service, owned))
+                .forEach((newOwner, slices) -> release(service, slices, newOwner));
+    }
+
+    /** Returns the slices as runs of whole blocks, as far as they are, so that pieces of one go to one new owner. */
+    private List<OwnedSlice> wholeBlocks(ServiceName service, List<OwnedSlice> owned) {
+        int blockSlices = context.view().blockSlices(service);
+        return SliceRuns.reassign(owned, blockSlices, context.era(), OwnedSlice::settleMillis, slice -> null);
     }
 
     private void release(ServiceName service, List<OwnedSlice> slices, MemberId newOwner) {
-        List<Integer> indexes = slices.stream().map(OwnedSlice::index).toList();
+        List<Integer> indexes = SliceRuns.indexes(slices);
         releases.start(new PeerMessenger.Release(service, indexes, newOwner, "owner accepts no new work"));
     }
 }
--- a/src/main/java/org/siskindyke/kernel/control/LoadSource.java
+++ b/src/main/java/org/siskindyke/kernel/control/LoadSource.java
@@ -32,4 +32,14 @@
 
     /** Returns the load of each owned slice. */
     List<SliceLoad> sliceLoads(ServiceName service, List<Integer> owned);
+
+    /** Returns the calls per second that have arrived within the last moments for this router's backend server. */
+    default double recentCallsPerSecond(ServiceName service) {
+        return 0;
+    }
+
+    /** Returns the slices to which these calls belong, with the calls per second for each. */
+    default List<SliceLoad> recentSliceLoads(ServiceName service) {
+        return List.of();
+    }
 }
--- a/src/main/java/org/siskindyke/kernel/control/LostSlices.java
+++ b/src/main/java/org/siskindyke/kernel/control/LostSlices.java
@@ -18,6 +18,7 @@
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.ownership.SliceOwner;
 import org.siskindyke.kernel.ownership.SliceOwnershipRow;
+import org.siskindyke.kernel.ownership.SliceRuns;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -104,9 +105,7 @@
 
     private List<Integer> missing(ServiceDocument document, List<Row> rows) {
         BitSet listed = new BitSet();
-        rows.forEach(row -> listed(document.service(), row.path()).stream()
-                .map(OwnedSlice::index)
-                .forEach(listed::set));
+        rows.forEach(row -> listed.or(SliceRuns.bits(listed(document.service(), row.path()))));
         return IntStream.range(0, document.keys().slices())
                 .filter(index -> !listed.get(index))
                 .boxed()
@@ -121,15 +120,15 @@
         List<Row> conditions = listing.subList(0, Math.min(MAX_CONDITIONS, listing.size()));
         Set<Integer> left = listing.stream()
                 .skip(conditions.size())
-                .flatMap(row -> decoded(service, row.path()).slices().stream())
-                .map(OwnedSlice::index)
+                .flatMap(row -> SliceRuns.indexes(decoded(service, row.path()).slices()).stream())
                 .collect(Collectors.toSet());
         long settleMillis = TakeoverPlan.settleMillis(document);
-        List<OwnedSlice> slices = missing.stream()
+        List<OwnedSlice> lost = missing.stream()
                 .filter(index -> !left.contains(index))
                 .map(index -> new OwnedSlice(index, generation(new SliceRef(service, index)), 0))
-                .map(slice -> slice.reassigned(settleMillis, context.era()))
                 .toList();
+        List<OwnedSlice> slices = SliceRuns.reassign(
+                lost, context.view().blockSlices(service), context.era(), slice -> settleMillis, slice -> null);
         Transaction.Builder transaction = Transaction.builder()
                 .replace(
                         unassigned.path(),
@@ -145,7 +144,7 @@
                             service,
                             null,
                             null,
-                            slices.size(),
+                            SliceRuns.count(slices),
                             "slices that no row lists",
                             outcome.committed()));
         });
@@ -153,9 +152,10 @@
 
     /** Returns the rows that list some of the given slices, in any generation and whatever became of their owners. */
     private Stream<Row> rowsThatList(ServiceName service, Set<Integer> indexes) {
+        BitSet searched = SliceRuns.bitsOf(indexes);
         return rowsOf(service)
-                .filter(row -> decoded(service, row.path()).slices().stream()
-                        .anyMatch(slice -> indexes.contains(slice.index())));
+                .filter(row ->
+                        SliceRuns.bits(decoded(service, row.path()).slices()).intersects(searched));
     }
 
     private SliceOwnershipRow decoded(ServiceName service, RowPath path) {
--- a/src/main/java/org/siskindyke/kernel/control/MemberController.java
+++ b/src/main/java/org/siskindyke/kernel/control/MemberController.java
@@ -41,6 +41,7 @@
     private final ReleaseController releases;
     private final AssignmentPlanner planner;
     private final SliceBalancer balancer;
+    private final HotRangeController hotRanges;
     private final HandoverController handover;
     private final LeaveController leave;
     private final SuspectRegistry suspects;
@@ -93,6 +94,7 @@
         this.releases = new ReleaseController(context, sync, writer, traffic);
         this.planner = new AssignmentPlanner(context, sync, writer, registration, recovery::isSettled);
         this.balancer = new SliceBalancer(context, registration, releases, loads, policy);
+        this.hotRanges = new HotRangeController(context, registration, releases, loads);
         this.handover = new HandoverController(context, registration, releases);
         this.suspects = new SuspectRegistry(context, sync, writer);
         sync.observeSuspects(suspects::onReports);
@@ -179,6 +181,7 @@
             }
             if (!leave.isActive() && recovery.isSettled(nowMillis)) {
                 balancer.tick(nowMillis);
+                hotRanges.tick(nowMillis);
             }
         }
         leave.tick(nowMillis);
--- a/src/main/java/org/siskindyke/kernel/control/ReleaseController.java
+++ b/src/main/java/org/siskindyke/kernel/control/ReleaseController.java
@@ -1,10 +1,13 @@
 package org.siskindyke.kernel.control;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.siskindyke.kernel.id.MemberId;
 import org.siskindyke.kernel.id.ServiceName;
@@ -13,6 +16,7 @@
 import org.siskindyke.kernel.membership.MemberState;
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.ownership.SliceOwnershipRow;
+import org.siskindyke.kernel.ownership.SliceRuns;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -58,12 +62,25 @@
      * @param release the slices and their new owner; a null new owner leaves the slices without an owner
      */
     void start(PeerMessenger.Release release) {
-        List<SliceRef> slices = refs(release);
-        SliceOwnershipRow owned = context.view().ownershipRow(release.service(), context.self());
-        boolean ownsAll = ownedSlices(release).size() == release.slices().size();
+        start(List.of(release));
+    }
+
+    /**
+     * Starts releases of slices of one service to different new owners, in one transaction. Refuses all of them where
+     * it would refuse one.
+     *
+     * @param releases the slices and their new owners, at least one; no slice and no new owner is in two of them
+     */
+    void start(List<PeerMessenger.Release> releases) {
+        List<SliceRef> slices = refs(releases);
+        ServiceName service = releases.get(0).service();
+        SliceOwnershipRow owned = context.view().ownershipRow(service, context.self());
+        boolean ownsAll = SliceRuns.count(ownedSlices(releases)) == slices.size();
         boolean noneReleasing = slices.stream().noneMatch(releasing::contains);
-        if (slices.isEmpty() || !ownsAll || !noneReleasing || !newOwnerAccepts(release)) {
-            report(release, PlacementDecision.Kind.MOVE_REFUSED, false);
+        boolean noneEmpty =
+                releases.stream().noneMatch(release -> release.slices().isEmpty());
+        if (!noneEmpty || !ownsAll || !noneReleasing || !newOwnersAccept(releases)) {
+            report(releases, PlacementDecision.Kind.MOVE_REFUSED, false);
             return;
         }
         releasing.addAll(slices);
@@ -73,13 +90,17 @@
             if (failure != null || row.revision() != knownRevision) {
                 releasing.removeAll(slices);
                 sync.refresh();
-                report(release, PlacementDecision.Kind.MOVE_REFUSED, false);
+                report(releases, PlacementDecision.Kind.MOVE_REFUSED, false);
             } else {
-                traffic.pause(slices, () -> commit(release, slices));
+                traffic.pause(slices, () -> commit(releases, slices));
             }
         });
     }
 
+    private boolean newOwnersAccept(List<PeerMessenger.Release> releases) {
+        return releases.stream().allMatch(this::newOwnerAccepts);
+    }
+
     private boolean newOwnerAccepts(PeerMessenger.Release release) {
         if (release.newOwner() == null) {
             return true;
@@ -91,63 +112,75 @@
                         .isPresent();
     }
 
-    private void commit(PeerMessenger.Release release, List<SliceRef> slices) {
-        ServiceName service = release.service();
-        SliceOwnershipRow mine = context.view().ownershipRow(service, context.self());
-        List<OwnedSlice> moving = ownedSlices(release);
+    private void commit(List<PeerMessenger.Release> releases, List<SliceRef> slices) {
+        ServiceName service = releases.get(0).service();
+        List<OwnedSlice> moving = ownedSlices(releases);
         boolean isFirst = EraMoves.isFirst(context.view(), moving);
         boolean known = !isFirst || EraMoves.isComplete(context.view(), service);
-        if (moving.size() != slices.size() || !newOwnerAccepts(release) || !known) {
-            finish(release, slices, false);
+        if (SliceRuns.count(moving) != slices.size() || !newOwnersAccept(releases) || !known) {
+            releases.forEach(release -> finish(release, false));
             return;
         }
-        SliceOwnershipRow rest = mine.minus(new HashSet<>(release.slices()));
-        SliceOwnershipRow theirs = (release.newOwner() == null
-                        ? context.view().unassigned(service)
-                        : context.view().ownershipRow(service, release.newOwner()))
-                .plus(moving.stream().map(s -> forNewOwner(service, s)).toList());
-        Transaction.Builder transaction = Transaction.builder()
-                .replace(rest.path(), context.view().revision(rest.path()), RowCodec.encode(rest))
-                .replace(theirs.path(), context.view().revision(theirs.path()), RowCodec.encode(theirs));
-        if (release.newOwner() != null) {
-            transaction.require(
-                    RowPath.member(release.newOwner()), context.view().members().revision(release.newOwner()));
-            if (isFirst) {
-                EraMoves.rewriteUnassigned(context.view(), service, transaction);
-            }
+        List<SliceOwnershipRow> rows = new ArrayList<>();
+        rows.add(context.view()
+                .ownershipRow(service, context.self())
+                .minus(Set.copyOf(slices.stream().map(SliceRef::index).toList())));
+        releases.forEach(release -> rows.add(rowOfNewOwner(release)));
+        Transaction.Builder transaction = Transaction.builder();
+        rows.forEach(row -> transaction.replace(row.path(), context.view().revision(row.path()), RowCodec.encode(row)));
+        List<MemberId> newOwners = releases.stream()
+                .map(PeerMessenger.Release::newOwner)
+                .filter(Objects::nonNull)
+                .toList();
+        newOwners.forEach(newOwner -> transaction.require(
+                RowPath.member(newOwner), context.view().members().revision(newOwner)));
+        if (isFirst && newOwners.size() == releases.size()) {
+            EraMoves.rewriteUnassigned(context.view(), service, transaction);
         }
         long era = context.era();
         writer.submit(transaction.build(), context.nowMillis(), outcome -> {
             if (outcome.committed()) {
-                applyCommitted(rest, theirs, outcome.version());
-                pushChangesTo(release.newOwner());
+                applyCommitted(rows, outcome.version());
+                newOwners.forEach(this::pushChangesTo);
             }
             sync.refresh();
-            if (outcome.committed() || context.era() == era) {
-                finish(release, slices, outcome.committed());
-            } else {
-                retries.add(() -> finishAfterRead(release, slices, theirs.path()));
+            for (PeerMessenger.Release release : releases) {
+                if (outcome.committed() || context.era() == era) {
+                    finish(release, outcome.committed());
+                } else {
+                    retries.add(() -> finishAfterRead(release));
+                }
             }
         });
     }
 
+    private SliceOwnershipRow rowOfNewOwner(PeerMessenger.Release release) {
+        SliceOwnershipRow before = release.newOwner() == null
+                ? context.view().unassigned(release.service())
+                : context.view().ownershipRow(release.service(), release.newOwner());
+        return before.plus(forNewOwner(release.service(), ownedSlices(List.of(release))));
+    }
+
     /**
      * Ends a release whose outcome is not known since a new era of the table began: the new owner may have seen it
      * committed in the earlier era. Its row says so once it has been written again, or once the new owner is dead.
      */
-    private void finishAfterRead(PeerMessenger.Release release, List<SliceRef> slices, RowPath theirs) {
+    private void finishAfterRead(PeerMessenger.Release release) {
         boolean serving = release.newOwner() != null
                 && context.view().members().serving(release.newOwner()).isPresent();
         if (serving && !context.view().isRecordedInPresentEra(release.newOwner())) {
-            retries.add(() -> finishAfterRead(release, slices, theirs));
+            retries.add(() -> finishAfterRead(release));
             return;
         }
+        RowPath theirs = release.newOwner() == null
+                ? RowPath.unassigned(release.service())
+                : RowPath.sliceOwnership(release.service(), release.newOwner());
         context.whenComplete(context.table().read(theirs), (row, failure) -> {
             if (failure == null) {
                 sync.applyCommitted(List.of(row));
-                finish(release, slices, false);
+                finish(release, false);
             } else {
-                retries.add(() -> finishAfterRead(release, slices, theirs));
+                retries.add(() -> finishAfterRead(release));
             }
         });
     }
@@ -162,23 +195,50 @@
         due.forEach(Runnable::run);
     }
 
-    /** Returns the slice for its next owner, which inherits the settle time unless this member has waited it out. */
-    private OwnedSlice forNewOwner(ServiceName service, OwnedSlice slice) {
-        boolean settled = context.view()
-                .ownership()
-                .owner(new SliceRef(service, slice.index()))
-                .filter(owner -> owner.isUsableBy(context.self(), context.nowMillis()))
-                .isPresent();
-        return slice.reassignedWithHandover(
-                settled ? 0 : slice.settleMillis(),
-                traffic.handoverState(new SliceRef(service, slice.index())),
-                context.era());
+    /** Returns the slices for their next owner, which inherits the settle time unless this member has waited it out. */
+    private List<OwnedSlice> forNewOwner(ServiceName service, List<OwnedSlice> slices) {
+        return SliceRuns.reassign(
+                withOneHandoverEach(service, slices),
+                context.view().blockSlices(service),
+                context.era(),
+                run -> isSettled(service, run) ? 0 : run.settleMillis(),
+                run -> traffic.handoverState(new SliceRef(service, run.index())));
     }
 
-    private void applyCommitted(SliceOwnershipRow rest, SliceOwnershipRow theirs, long version) {
-        sync.applyCommitted(List.of(
-                new Row(rest.path(), version, RowCodec.encode(rest), false),
-                new Row(theirs.path(), version, RowCodec.encode(theirs), false)));
+    private boolean isSettled(ServiceName service, OwnedSlice run) {
+        return IntStream.range(run.index(), run.end())
+                .allMatch(index -> context.view()
+                        .ownership()
+                        .owner(new SliceRef(service, index))
+                        .filter(owner -> owner.isUsableBy(context.self(), context.nowMillis()))
+                        .isPresent());
+    }
+
+    /** Splits runs where the backend server left different handover data for their slices. */
+    private List<OwnedSlice> withOneHandoverEach(ServiceName service, List<OwnedSlice> slices) {
+        List<OwnedSlice> parts = new ArrayList<>();
+        for (OwnedSlice run : slices) {
+            int from = run.index();
+            for (int index = from + 1; index <= run.end(); index++) {
+                if (index == run.end() || !hasSameHandover(service, from, index)) {
+                    parts.add(run.part(from, index));
+                    from = index;
+                }
+            }
+        }
+        return parts;
+    }
+
+    private boolean hasSameHandover(ServiceName service, int index, int other) {
+        return Objects.equals(
+                traffic.handoverState(new SliceRef(service, index)),
+                traffic.handoverState(new SliceRef(service, other)));
+    }
+
+    private void applyCommitted(List<SliceOwnershipRow> rows, long version) {
+        sync.applyCommitted(rows.stream()
+                .map(row -> new Row(row.path(), version, RowCodec.encode(row), false))
+                .toList());
     }
 
     private void pushChangesTo(MemberId newOwner) {
@@ -187,10 +247,15 @@
         }
     }
 
-    private void finish(PeerMessenger.Release release, List<SliceRef> slices, boolean committed) {
-        releasing.removeAll(slices);
+    private void finish(PeerMessenger.Release release, boolean committed) {
+        List<SliceRef> slices = refs(List.of(release));
+        slices.forEach(releasing::remove);
         traffic.resume(slices);
-        report(release, PlacementDecision.Kind.MOVE, committed);
+        report(List.of(release), PlacementDecision.Kind.MOVE, committed);
+    }
+
+    private void report(List<PeerMessenger.Release> releases, PlacementDecision.Kind kind, boolean committed) {
+        releases.forEach(release -> report(release, kind, committed));
     }
 
     private void report(PeerMessenger.Release release, PlacementDecision.Kind kind, boolean committed) {
@@ -205,17 +270,17 @@
                         committed));
     }
 
-    /** Returns those slices of a release that this member owns. */
-    private List<OwnedSlice> ownedSlices(PeerMessenger.Release release) {
-        Set<Integer> wanted = new HashSet<>(release.slices());
-        return context.view().ownedSlices(release.service(), context.self()).stream()
-                .filter(slice -> wanted.contains(slice.index()))
-                .toList();
+    /** Returns those slices of releases that this member owns. */
+    private List<OwnedSlice> ownedSlices(List<PeerMessenger.Release> releases) {
+        BitSet wanted = new BitSet();
+        releases.forEach(release -> wanted.or(SliceRuns.bitsOf(release.slices())));
+        ServiceName service = releases.get(0).service();
+        return SliceRuns.only(context.view().ownedSlices(service, context.self()), wanted);
     }
 
-    private static List<SliceRef> refs(PeerMessenger.Release release) {
-        return release.slices().stream()
-                .map(index -> new SliceRef(release.service(), index))
+    private static List<SliceRef> refs(List<PeerMessenger.Release> releases) {
+        return releases.stream()
+                .flatMap(release -> release.slices().stream().map(index -> new SliceRef(release.service(), index)))
                 .toList();
     }
 }
--- a/src/main/java/org/siskindyke/kernel/control/RowReader.java
+++ b/src/main/java/org/siskindyke/kernel/control/RowReader.java
@@ -107,6 +107,7 @@
     private static boolean isSlice(OwnedSlice slice, int maxIndex) {
         return slice != null
                 && isWithin(slice.index(), 0, maxIndex)
+                && isWithin(slice.count(), 1, maxIndex + 1L - slice.index())
                 && isWithin(slice.generation(), 0, MAX_GENERATION)
                 && isWithin(slice.settleMillis(), 0, MAX_SETTLE_MILLIS)
                 && (slice.handover() == null || slice.handover().length() <= MAX_HANDOVER_LENGTH);
--- a/src/main/java/org/siskindyke/kernel/control/SliceBalancer.java
+++ b/src/main/java/org/siskindyke/kernel/control/SliceBalancer.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.siskindyke.kernel.balance.SliceBalancePolicy;
+import org.siskindyke.kernel.balance.SliceLoad;
 import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.document.DocumentCatalog.AcceptedDocument;
 import org.siskindyke.kernel.document.ServiceDocument;
@@ -13,6 +15,7 @@
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.ownership.OwnedSlice;
+import org.siskindyke.kernel.ownership.SliceRuns;
 
 /**
  * Balances load between pairs of owners: at random intervals a member requests the load of a random other member whose
@@ -21,6 +24,8 @@
  */
 final class SliceBalancer {
     private static final long PAUSE_AFTER_MOVE_MILLIS = 1_500;
+    /** Utilisation by the arrivals of the last moments from which these count in place of the average. */
+    private static final double RISEN_UTILISATION = 0.8;
 
     private final ControlContext context;
     private final MemberRegistration registration;
@@ -54,9 +59,26 @@
         }
     }
 
-    /** Returns the load of this member's backend server of a service; empty where it has none. */
+    /**
+     * Returns the load of this member's backend server of a service; empty where it has none. The number of slices is
+     * that of blocks where slices are assigned in blocks. A rate that has risen lately to near the server's capacity
+     * counts in place of the average, so that others do not move further load to it.
+     */
     Optional<TargetUsage> usage(ServiceName service) {
-        return loads.usage(service, owned(service));
+        double recent = loads.recentCallsPerSecond(service);
+        return averageUsage(service).map(usage -> {
+            boolean risen = recent * usage.utilisationPerCall() >= RISEN_UTILISATION;
+            double rate = risen ? Math.max(recent, usage.callsPerSecond()) : usage.callsPerSecond();
+            return new TargetUsage(rate, usage.millisPerCall(), usage.slots(), usage.sliceCount());
+        });
+    }
+
+    private Optional<TargetUsage> averageUsage(ServiceName service) {
+        List<Integer> slices = SliceRuns.indexes(owned(service));
+        int block = context.view().blockSlices(service);
+        int blocks = (slices.size() + block - 1) / block;
+        return loads.usage(service, slices)
+                .map(usage -> new TargetUsage(usage.callsPerSecond(), usage.millisPerCall(), usage.slots(), blocks));
     }
 
     private void requestUsageFromRandomMember(ServiceName service) {
@@ -77,23 +99,36 @@
 
     private void compare(ServiceDocument document, MemberRow other, TargetUsage theirs) {
         ServiceName service = document.service();
-        Optional<TargetUsage> mine = usage(service);
+        Optional<TargetUsage> mine = averageUsage(service);
         if (mine.isEmpty() || releases.releasingCount() > 0) {
             return;
         }
-        List<Integer> chosen = policy.choose(document, mine.get(), loads.sliceLoads(service, owned(service)), theirs);
+        List<OwnedSlice> owned = owned(service);
+        List<Integer> chosen = policy.choose(document, mine.get(), runLoads(service, owned), theirs);
         if (chosen.isEmpty()) {
             return;
         }
         nextComparisonMillis.put(service, context.nowMillis() + PAUSE_AFTER_MOVE_MILLIS);
         String reason = String.format(
                 "utilisation %.3f, new owner has %.3f", mine.get().weightedUtilisation(), theirs.weightedUtilisation());
-        releases.start(new PeerMessenger.Release(service, chosen, other.id(), reason));
+        Set<Integer> first = Set.copyOf(chosen);
+        List<OwnedSlice> moving =
+                owned.stream().filter(run -> first.contains(run.index())).toList();
+        releases.start(new PeerMessenger.Release(service, SliceRuns.indexes(moving), other.id(), reason));
     }
 
-    private List<Integer> owned(ServiceName service) {
-        return context.view().ownershipRow(service, context.self()).slices().stream()
-                .map(OwnedSlice::index)
+    /** Returns the load of each run of slices, which moves as a whole, by the index of its first slice. */
+    private List<SliceLoad> runLoads(ServiceName service, List<OwnedSlice> owned) {
+        return owned.stream()
+                .map(run -> new SliceLoad(
+                        run.index(),
+                        loads.sliceLoads(service, SliceRuns.indexes(List.of(run))).stream()
+                                .mapToDouble(SliceLoad::callsPerSecond)
+                                .sum()))
                 .toList();
     }
+
+    private List<OwnedSlice> owned(ServiceName service) {
+        return context.view().ownershipRow(service, context.self()).slices();
+    }
 }
--- a/src/main/java/org/siskindyke/kernel/control/SliceShares.java
+++ b/src/main/java/org/siskindyke/kernel/control/SliceShares.java
@@ -20,7 +20,7 @@
      * Divides slices.
      *
      * @param counts the members and the number of slices that each owns already
-     * @param slices the slices to divide
+     * @param slices the slices to divide; a run goes to one member as a whole
      * @return the slices that each member gets; members that get none are left out
      */
     static Map<MemberId, List<OwnedSlice>> divideEvenly(Map<MemberId, Integer> counts, List<OwnedSlice> slices) {
@@ -31,7 +31,7 @@
         for (OwnedSlice slice : slices) {
             Level next = lowest.remove();
             shares.computeIfAbsent(next.member(), m -> new ArrayList<>()).add(slice);
-            lowest.add(new Level(next.count() + 1, next.member()));
+            lowest.add(new Level(next.count() + slice.count(), next.member()));
         }
         return shares;
     }
--- a/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
+++ b/src/main/java/org/siskindyke/kernel/control/TakeoverPlan.java
@@ -16,6 +16,7 @@
 import org.siskindyke.kernel.membership.TargetAnnouncement;
 import org.siskindyke.kernel.ownership.OwnedSlice;
 import org.siskindyke.kernel.ownership.SliceOwnershipRow;
+import org.siskindyke.kernel.ownership.SliceRuns;
 import org.siskindyke.kernel.table.Row;
 import org.siskindyke.kernel.table.RowCodec;
 import org.siskindyke.kernel.table.RowPath;
@@ -93,10 +94,13 @@
         transaction.put(row.path(), RowCodec.encode(new SliceOwnershipRow(service, dead.id(), List.of())));
         long settleMillis = settleMillis(service, dead);
         List<OwnedSlice> before = view.ownedSlices(service, dead.id());
-        List<OwnedSlice> reassigned = before.stream()
-                .map(s -> s.reassigned(Math.max(s.settleMillis(), settleMillis), view.era()))
-                .toList();
-        slices += reassigned.size();
+        List<OwnedSlice> reassigned = SliceRuns.reassign(
+                before,
+                view.blockSlices(service),
+                view.era(),
+                slice -> Math.max(slice.settleMillis(), settleMillis),
+                slice -> null);
+        slices += SliceRuns.count(reassigned);
         List<MemberRow> newOwners = joining != null && joining.targetOf(service).isPresent()
                 ? List.of(joining)
                 : chooseNewOwners(view, service, dead.id(), Optional.of(dead));
@@ -113,9 +117,7 @@
     private void share(ServiceName service, List<OwnedSlice> reassigned, List<MemberRow> newOwners, MemberRow joining) {
         Map<MemberId, Integer> counts = new TreeMap<>();
         for (MemberRow newOwner : newOwners) {
-            counts.put(
-                    newOwner.id(),
-                    view.ownershipRow(service, newOwner.id()).slices().size());
+            counts.put(newOwner.id(), view.ownedCount(service, newOwner.id()));
         }
         Map<MemberId, List<OwnedSlice>> shares = SliceShares.divideEvenly(counts, reassigned);
         shares.forEach((newOwner, share) -> {
@@ -168,8 +170,7 @@
                     candidates.stream().anyMatch(m -> !m.failureDomain().equals(lost.failureDomain()));
             candidates.removeIf(m -> othersExist && m.failureDomain().equals(lost.failureDomain()));
         });
-        candidates.sort(Comparator.comparingInt((MemberRow m) ->
-                        view.ownershipRow(service, m.id()).slices().size())
+        candidates.sort(Comparator.comparingInt((MemberRow m) -> view.ownedCount(service, m.id()))
                 .thenComparing(MemberRow::id));
         return candidates.subList(0, Math.min(MAX_NEW_OWNERS, candidates.size()));
     }
--- a/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
+++ b/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
@@ -3,12 +3,12 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Objects;
 
 import org.siskindyke.kernel.grant.GrantReply.GrantedRange;
 import org.siskindyke.kernel.grant.TargetHeartbeat.ActiveRange;
@@ -16,6 +16,7 @@
 import org.siskindyke.kernel.id.TargetName;
 import org.siskindyke.kernel.ownership.KeyRange;
 import org.siskindyke.kernel.ownership.OwnedSlice;
+import org.siskindyke.kernel.ownership.SliceRuns;
 
 /**
  * Decides which slices the backend server beside this router is granted, in reply to its heartbeats. Confined to the
@@ -38,6 +39,11 @@
      * platform ignores longer ones.
      */
     private static final int MAX_RANGES_WITH_HANDOVER = 40;
+    /**
+     * Number of ranges of an acknowledgement, so that it fits into 4 KiB. Splits stay far below it, see {@link
+     * org.siskindyke.kernel.balance.HotRangePolicy}.
+     */
+    private static final int MAX_RANGES = 128;
 
     private final int sliceCount;
     private final long maxGrantMillis;
@@ -254,39 +260,58 @@
     private List<GrantedRange> ranges(TargetHeartbeat heartbeat, List<OwnedSlice> owned) {
         List<GrantedRange> ranges = new ArrayList<>();
         BitSet next = new BitSet();
-        Set<Integer> ownedIndexes = new HashSet<>();
-        for (OwnedSlice slice : owned) {
-            ownedIndexes.add(slice.index());
-            Revocation revocation = revocations.get(slice.index());
-            if (revocation != null) {
-                revocation.omittedAtSequence = Math.min(revocation.omittedAtSequence, heartbeat.sequence());
-                continue;
+        BitSet ownedIndexes = SliceRuns.bits(owned);
+        for (OwnedSlice run : owned) {
+            for (int index = run.index(); index < run.end(); index++) {
+                Revocation revocation = revocations.get(index);
+                if (revocation != null) {
+                    revocation.omittedAtSequence = Math.min(revocation.omittedAtSequence, heartbeat.sequence());
+                    continue;
+                }
+                next.set(index);
+                appendRange(ranges, run, index, heartbeat);
             }
-            next.set(slice.index());
-            appendRange(ranges, slice, heartbeat);
         }
-        tokens.keySet().retainAll(ownedIndexes);
-        generations.keySet().retainAll(ownedIndexes);
+        tokens.keySet().removeIf(index -> !ownedIndexes.get(index));
+        generations.keySet().removeIf(index -> !ownedIndexes.get(index));
+        omitNarrowest(ranges, next);
         grantedSlices = next;
         return ranges;
     }
 
-    private void appendRange(List<GrantedRange> ranges, OwnedSlice slice, TargetHeartbeat heartbeat) {
-        KeyRange keys = KeyRange.ofSlice(slice.index(), sliceCount);
-        long token = token(slice, keys, heartbeat);
-        boolean isActive = activeToken(keys, heartbeat) == token;
-        String known = handovers.getOrDefault(slice.index(), slice.handover());
-        String handover = isActive || ranges.size() >= MAX_RANGES_WITH_HANDOVER ? null : known;
+    /** Leaves out ranges that an acknowledgement has no room for; their slices are not served until others move. */
+    private void omitNarrowest(List<GrantedRange> ranges, BitSet granted) {
+        if (ranges.size() <= MAX_RANGES) {
+            return;
+        }
+        List<GrantedRange> narrowest = ranges.stream()
+                .sorted(Comparator.comparingInt((GrantedRange range) -> range.last() - range.first())
+                        .thenComparing(GrantedRange::first, Comparator.reverseOrder()))
+                .limit(ranges.size() - MAX_RANGES)
+                .toList();
+        ranges.removeAll(narrowest);
+        for (GrantedRange range : narrowest) {
+            int last = KeyRange.sliceOf(range.last(), sliceCount);
+            granted.clear(KeyRange.sliceOf(range.first(), sliceCount), last + 1);
+        }
+    }
+
+    private void appendRange(List<GrantedRange> ranges, OwnedSlice run, int index, TargetHeartbeat heartbeat) {
+        KeyRange keys = KeyRange.ofSlice(index, sliceCount);
+        long activeToken = activeToken(keys, heartbeat);
+        long token = token(run, index, activeToken);
+        String handover = activeToken == token ? null : handovers.getOrDefault(index, run.handover());
         GrantedRange before = ranges.isEmpty() ? null : ranges.get(ranges.size() - 1);
-        boolean isContiguous = before != null
-                && before.last() + 1 == keys.first()
-                && before.token() == token
-                && before.handover() == null
-                && handover == null;
-        if (isContiguous) {
+        boolean isContiguous = before != null && before.last() + 1 == keys.first() && before.token() == token;
+        boolean hasNone = before != null && before.handover() == null && handover == null;
+        boolean inOneRun = index > run.index() && before != null && Objects.equals(before.handover(), handover);
+        if (isContiguous && (hasNone || inOneRun)) {
+            ranges.set(ranges.size() - 1, new GrantedRange(before.first(), keys.last(), token, before.handover()));
+        } else if (isContiguous && before.handover() == null && ranges.size() >= MAX_RANGES_WITH_HANDOVER) {
             ranges.set(ranges.size() - 1, new GrantedRange(before.first(), keys.last(), token, null));
         } else {
-            ranges.add(new GrantedRange(keys.first(), keys.last(), token, handover));
+            boolean hasRoom = ranges.size() < MAX_RANGES_WITH_HANDOVER;
+            ranges.add(new GrantedRange(keys.first(), keys.last(), token, hasRoom ? handover : null));
         }
     }
 
@@ -294,21 +319,20 @@
      * Returns the token of a slice. An incarnation keeps its token if that is of this generation or the one before: no
      * other backend server was granted the slice in between, for example where only the router restarted.
      */
-    private long token(OwnedSlice slice, KeyRange keys, TargetHeartbeat heartbeat) {
-        Long known = tokens.get(slice.index());
-        if (known != null && slice.generation() == generations.get(slice.index())) {
+    private long token(OwnedSlice slice, int index, long activeToken) {
+        Long known = tokens.get(index);
+        if (known != null && slice.generation() == generations.get(index)) {
             return known;
         }
-        long activeToken = activeToken(keys, heartbeat);
         long activeGeneration = activeToken >> INCARNATION_BITS;
         boolean isReusable = activeGeneration == slice.generation() || activeGeneration == slice.generation() - 1;
         long token =
                 activeToken >= 0 && isReusable ? activeToken : slice.generation() << INCARNATION_BITS | incarnation;
         if (known != null || activeToken < 0) {
-            handovers.remove(slice.index());
+            handovers.remove(index);
         }
-        tokens.put(slice.index(), token);
-        generations.put(slice.index(), slice.generation());
+        tokens.put(index, token);
+        generations.put(index, slice.generation());
         return token;
     }
 
--- a/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
@@ -1,35 +1,64 @@
 package org.siskindyke.kernel.ownership;
 
+import java.io.IOException;
+
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.annotation.JsonSerialize;
 
 /**
- * A slice in a {@link SliceOwnershipRow}; written as a JSON array to keep rows short.
+ * A slice in a {@link SliceOwnershipRow}, or a run of adjacent slices of one generation, settle time and handover;
+ * written as a JSON array to keep rows short.
  *
- * @param index position of the slice in its service
+ * @param index position of the first slice in its service
  * @param generation grows with each change of owner
- * @param settleMillis how long the owner waits, after it has read the row, before it serves the slice, because the
- *     previous owner's backend server may still process calls of it
+ * @param settleMillis how long the owner waits, after it has read the row, before it serves the slices, because the
+ *     previous owner's backend server may still process calls of them
  * @param handover data from the previous owner's backend server with which the next one starts warm; null if none
+ * @param count number of slices; rows that do not give it list single slices
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"index", "generation", "settleMillis", "handover"})
-public record OwnedSlice(int index, long generation, long settleMillis, String handover) {
+@JsonPropertyOrder({"index", "generation", "settleMillis", "handover", "count"})
+@JsonSerialize(using = OwnedSlice.Serializer.class)
+public record OwnedSlice(int index, long generation, long settleMillis, String handover, int count) {
     /** Bits for the changes of owner within one era of the table; the era is in the bits above. */
     private static final int GENERATION_BITS = 20;
 
-    /** Creates a slice without handover data. */
+    /** Replaces a missing count, which is read as 0, by 1. */
+    public OwnedSlice {
+        count = count == 0 ? 1 : count;
+    }
+
+    /** Creates a single slice with handover data. */
+    public OwnedSlice(int index, long generation, long settleMillis, String handover) {
+        this(index, generation, settleMillis, handover, 1);
+    }
+
+    /** Creates a single slice without handover data. */
     public OwnedSlice(int index, long generation, long settleMillis) {
-        this(index, generation, settleMillis, null);
+        this(index, generation, settleMillis, null, 1);
     }
 
-    /** Returns whether the slice got its generation by a change of owner in an era of the table or a later one. */
+    /** Returns the index after that of the last slice. */
+    public int end() {
+        return index + count;
+    }
+
+    /** Returns the part of this run from a slice, included, to another, excluded. */
+    public OwnedSlice part(int from, int to) {
+        return new OwnedSlice(from, generation, settleMillis, handover, to - from);
+    }
+
+    /** Returns whether the slices got their generation by a change of owner in an era of the table or a later one. */
     public boolean isMovedIn(long era) {
         return generation > era << GENERATION_BITS;
     }
 
     /**
-     * Returns the slice for its next owner, without handover data.
+     * Returns the slices for their next owner, without handover data.
      *
      * @param newSettleMillis the settle time
      * @param era the present era of the table; its generations are above those of earlier eras, even where changes of
@@ -39,9 +68,25 @@
         return reassignedWithHandover(newSettleMillis, null, era);
     }
 
-    /** Returns the slice for its next owner, with handover data; otherwise as above. */
+    /** Returns the slices for their next owner, with handover data; otherwise as above. */
     public OwnedSlice reassignedWithHandover(long newSettleMillis, String newHandover, long era) {
         long next = Math.max(generation, era << GENERATION_BITS) + 1;
-        return new OwnedSlice(index, next, newSettleMillis, newHandover);
+        return new OwnedSlice(index, next, newSettleMillis, newHandover, count);
+    }
+
+    /** Writes the count only of runs, so that a single slice is written as by earlier versions. */
+    static final class Serializer extends JsonSerializer<OwnedSlice> {
+        @Override
+        public void serialize(OwnedSlice slice, JsonGenerator json, SerializerProvider provider) throws IOException {
+            json.writeStartArray();
+            json.writeNumber(slice.index);
+            json.writeNumber(slice.generation);
+            json.writeNumber(slice.settleMillis);
+            json.writeString(slice.handover);
+            if (slice.count != 1) {
+                json.writeNumber(slice.count);
+            }
+            json.writeEndArray();
+        }
     }
 }
--- a/src/main/java/org/siskindyke/kernel/ownership/OwnershipMap.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/OwnershipMap.java
@@ -1,7 +1,10 @@
 package org.siskindyke.kernel.ownership;
 
+import java.util.BitSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReferenceArray;
@@ -62,38 +65,65 @@
         checkIndexes(row, owners.length());
         int changed = 0;
         for (OwnedSlice slice : row.slices()) {
-            changed += putIfNewer(owners, row, slice, nowMillis) ? 1 : 0;
+            changed += putIfNewer(owners, row, slice, nowMillis);
         }
         return changed;
     }
 
     private static void checkIndexes(SliceOwnershipRow row, int sliceCount) {
-        if (row.slices().stream().anyMatch(slice -> slice.index() >= sliceCount)) {
+        if (row.slices().stream().anyMatch(slice -> slice.end() > sliceCount)) {
             throw new SiskindykeException(
                     ErrorCode.CORRUPT_ROW, "row " + row.path() + " lists a slice that the service does not have");
         }
     }
 
-    private static boolean putIfNewer(
-            AtomicReferenceArray<SliceOwner> owners, SliceOwnershipRow row, OwnedSlice slice, long nowMillis) {
-        SliceOwner known = owners.get(slice.index());
-        if (known != null && known.generation() >= slice.generation()) {
-            checkSameOwner(known, row, slice);
-            return false;
+    /** Records the owner of those slices of a run that are known in lower generations only; returns their number. */
+    private static int putIfNewer(
+            AtomicReferenceArray<SliceOwner> owners, SliceOwnershipRow row, OwnedSlice run, long nowMillis) {
+        SliceOwner owner = new SliceOwner(row.member(), run.generation(), nowMillis + run.settleMillis());
+        int changed = 0;
+        for (int index = run.index(); index < run.end(); index++) {
+            SliceOwner known = owners.get(index);
+            if (known == null || known.generation() < run.generation()) {
+                owners.set(index, owner);
+                changed++;
+            } else {
+                checkSameOwner(known, row, run, index);
+            }
         }
-        owners.set(slice.index(), new SliceOwner(row.member(), slice.generation(), nowMillis + slice.settleMillis()));
-        return true;
+        return changed;
     }
 
-    private static void checkSameOwner(SliceOwner known, SliceOwnershipRow row, OwnedSlice slice) {
+    private static void checkSameOwner(SliceOwner known, SliceOwnershipRow row, OwnedSlice slice, int index) {
         boolean same =
                 known.member() == null ? row.member() == null : known.member().equals(row.member());
         if (known.generation() == slice.generation() && !same) {
             throw new SiskindykeException(
                     ErrorCode.INVARIANT_VIOLATED,
-                    "slice " + row.service() + "/" + slice.index() + " has two owners in generation "
-                            + slice.generation() + ": " + known.member() + " and " + row.member());
+                    "slice " + row.service() + "/" + index + " has two owners in generation " + slice.generation()
+                            + ": " + known.member() + " and " + row.member());
+        }
+    }
+
+    /**
+     * Returns the parts of runs of a member's row that no row of another member lists in a later generation.
+     *
+     * @param service the service
+     * @param member the member; null for the row of the slices without an owner
+     * @param runs the runs that the row lists
+     */
+    public List<OwnedSlice> withoutSuperseded(ServiceName service, MemberId member, List<OwnedSlice> runs) {
+        AtomicReferenceArray<SliceOwner> owners = services.get(service);
+        BitSet superseded = new BitSet();
+        for (OwnedSlice run : runs) {
+            for (int index = run.index(); owners != null && index < Math.min(run.end(), owners.length()); index++) {
+                SliceOwner owner = owners.get(index);
+                if (owner != null && owner.generation() > run.generation() && !Objects.equals(member, owner.member())) {
+                    superseded.set(index);
+                }
+            }
         }
+        return superseded.isEmpty() ? runs : SliceRuns.except(runs, superseded);
     }
 
     /** Counts the slices of a service by owner; slices without an owner are not counted. */
--- a/src/main/java/org/siskindyke/kernel/ownership/SliceOwnershipRow.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/SliceOwnershipRow.java
@@ -18,7 +18,7 @@
  *
  * @param service the service
  * @param member the owner; null for the slices without an owner
- * @param slices the slices, ordered by index
+ * @param slices the slices, ordered by index; runs of adjacent ones are listed as one
  */
 public record SliceOwnershipRow(ServiceName service, MemberId member, List<OwnedSlice> slices) {
     /** Copies and sorts the list. */
@@ -55,11 +55,8 @@
         return new SliceOwnershipRow(service, member, all);
     }
 
-    /** Returns the row without the slices of the given indexes. */
+    /** Returns the row without the slices of the given indexes, which may be in the middle of a run. */
     public SliceOwnershipRow minus(Set<Integer> indexes) {
-        return new SliceOwnershipRow(
-                service,
-                member,
-                slices.stream().filter(s -> !indexes.contains(s.index())).toList());
+        return new SliceOwnershipRow(service, member, SliceRuns.except(slices, SliceRuns.bitsOf(indexes)));
     }
 }
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -59,10 +59,15 @@
  */
 public final class InstanceRouter {
     /**
-     * Number of slices of a divided service, each a range of adjacent keys; a 4 KiB reply to a heartbeat has room for
-     * this many.
+     * Number of slices of a divided service, each a range of 8 adjacent keys: the smallest part that a range of hot
+     * keys is split into. A block of 60 keys that gets 280 calls a second, with 45 a server, needs parts of about 10.
      */
-    private static final int SLICE_COUNT = 128;
+    private static final int SLICE_COUNT = 8_192;
+    /**
+     * Adjacent slices that are assigned together unless they are split; a 4 KiB reply to a heartbeat has room for the
+     * 128 blocks of a service.
+     */
+    private static final int SLICES_PER_BLOCK = 64;
 
     private static final long TICK_MILLIS = 50;
     /** Delay of metrics after a start, so that setting them up does not delay serving, which begins within 2 s. */
@@ -373,7 +378,7 @@
 
     private void onConfigurationApplied(RoutingConfiguration applied) {
         for (ServiceDocument document : configuration.documents(applied)) {
-            member.view().acceptDocument(document, applied.version(), clock.nowMillis());
+            member.view().acceptDocument(document, SLICES_PER_BLOCK, applied.version(), clock.nowMillis());
         }
         RouteTable routes = new RouteTable(applied);
         traffic.execute(() -> {
--- a/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
+++ b/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 
+import org.siskindyke.kernel.balance.RecentArrivals;
 import org.siskindyke.kernel.balance.SliceLoad;
 import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.control.LoadSource;
@@ -32,6 +33,7 @@
     private final Map<ServiceName, LongAdder> busyNanos = new ConcurrentHashMap<>();
     private final Map<SliceRef, Double> callsPerSecond = new ConcurrentHashMap<>();
     private final Map<ServiceName, Double> millisPerCall = new ConcurrentHashMap<>();
+    private final Map<ServiceName, RecentArrivals> arrivals = new ConcurrentHashMap<>();
     private long lastUpdateMillis;
 
     /**
@@ -46,6 +48,24 @@
         this.lastUpdateMillis = clock.nowMillis();
     }
 
+    /** Records that a call for this router's backend server has arrived, whether or not it is sent there. */
+    public void onArrival(SliceRef slice) {
+        arrivals.computeIfAbsent(slice.service(), s -> new RecentArrivals())
+                .onArrival(slice.index(), clock.nowMillis());
+    }
+
+    @Override
+    public double recentCallsPerSecond(ServiceName service) {
+        RecentArrivals recent = arrivals.get(service);
+        return recent == null ? 0 : recent.callsPerSecond(clock.nowMillis());
+    }
+
+    @Override
+    public List<SliceLoad> recentSliceLoads(ServiceName service) {
+        RecentArrivals recent = arrivals.get(service);
+        return recent == null ? List.of() : recent.sliceLoads(clock.nowMillis());
+    }
+
     /** Records the end of a call that was sent to a backend server, and its duration. */
     public void onCall(SliceRef slice, long tookNanos) {
         calls.computeIfAbsent(slice, s -> new LongAdder()).increment();
--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -291,6 +291,9 @@
      * @return cancels the call; a non-idempotent call that has been sent runs on, but its reply is dropped
      */
     Cancellable submit(Call call, Consumer<Reply> onReply) {
+        if (call.slice() != null) {
+            meter.onArrival(call.slice());
+        }
         DispatchedCall dispatched = new DispatchedCall(call, onReply);
         dispatched.admit();
         admission.admit();
