--- a/src/main/java/org/siskindyke/kernel/balance/HotRangePolicy.java
+++ b/src/main/java/org/siskindyke/kernel/balance/HotRangePolicy.java
@@ -1,6 +1,7 @@
 package org.siskindyke.kernel.balance;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -64,11 +65,16 @@
         return recentCallsPerSecond * windowSeconds > runnable + MIN_DEVIATIONS * Math.sqrt(Math.max(1, runnable));
     }
 
-    /** Returns whether hot ranges account for the excess load of a target, so that splitting them ends it. */
+    /**
+     * Returns whether hot ranges of several slices account for the excess load of a target, so that a split ends it.
+     *
+     * @param usage the target's slots and time per call
+     * @param recent the slices to which calls have arrived within the window, by index
+     */
     public boolean isConcentrated(TargetUsage usage, List<SliceLoad> recent) {
         double excess = sum(recent) - keptCallsPerSecond(usage);
-        return excess > 0
-                && hotRanges(recent).stream().mapToDouble(HotRangePolicy::sum).sum() >= MIN_SHARE_OF_EXCESS * excess;
+        List<SliceLoad> hot = hotRanges(recent).stream().flatMap(List::stream).toList();
+        return hot.size() > 1 && excess > 0 && sum(hot) >= MIN_SHARE_OF_EXCESS * excess;
     }
 
     /**
@@ -131,7 +137,10 @@
         return ranges;
     }
 
-    /** Returns the ranges without that part of the hottest one which the target can serve itself. */
+    /**
+     * Returns the ranges without that part of the hottest one which the target can serve itself. Its hottest slice
+     * stays in any case, or else a slice that asks for more than any target has would move again and again.
+     */
     private static List<List<SliceLoad>> withoutKept(List<List<SliceLoad>> ranges, double keptCallsPerSecond) {
         List<SliceLoad> hottest = ranges.stream()
                 .max(Comparator.comparingDouble(HotRangePolicy::sum))
@@ -151,6 +160,10 @@
                 to = j;
             }
         }
+        if (to == 0) {
+            from = hottest.indexOf(Collections.max(hottest, Comparator.comparingDouble(SliceLoad::callsPerSecond)));
+            to = from + 1;
+        }
         List<List<SliceLoad>> moving = new ArrayList<>();
         for (List<SliceLoad> range : ranges) {
             if (range == hottest) {
--- a/src/main/java/org/siskindyke/kernel/control/ClusterView.java
+++ b/src/main/java/org/siskindyke/kernel/control/ClusterView.java
@@ -253,11 +253,16 @@
      * @param nowMillis the current time
      */
     public void acceptDocument(ServiceDocument document, int sliceBlock, long version, long nowMillis) {
-        blockSlices.put(document.service(), sliceBlock);
+        assignInBlocks(document.service(), sliceBlock);
         documents.accept(new DocumentRow(document, version, "", 0), version);
         addSlices(document, nowMillis);
     }
 
+    /** Sets the number of adjacent slices of a service that are assigned together. */
+    void assignInBlocks(ServiceName service, int sliceBlock) {
+        blockSlices.put(service, sliceBlock);
+    }
+
     private List<Row> interpret(List<Row> rows, long nowMillis) {
         for (Row row : rows) {
             interpret(row, nowMillis);
--- a/src/main/java/org/siskindyke/kernel/control/HotRangeController.java
+++ b/src/main/java/org/siskindyke/kernel/control/HotRangeController.java
@@ -31,15 +31,19 @@
     private static final long ANSWER_WAIT_MILLIS = 120;
     /** Pause after a split or an attempt, so that its effect is measured; covers the moves of a split. */
     private static final long PAUSE_MILLIS = 2_000;
+    /** Least pause between moves of one member that rejoin split blocks. */
+    private static final long REJOIN_INTERVAL_MILLIS = 3_000;
+    /** Utilisation by the calls of the last moments below which pieces of split blocks are handed over. */
+    private static final double CALM_UTILISATION = 0.5;
     /** Members asked; more than get a part, since some have no room. */
     private static final int MAX_ASKED = 24;
     /**
      * Runs of slices in all rows of a service, for each member that accepts work; a member may own several times the
      * average after half of them were lost, and the reply to a heartbeat has room for 128.
      */
-    private static final int MAX_RUNS_PER_MEMBER = 16;
+    private static final int MAX_RUNS_PER_MEMBER = 40;
     /** Runs of slices that one member's row may have for it to get more by a split. */
-    private static final int MAX_RUNS_IN_ROW = 48;
+    private static final int MAX_RUNS_IN_ROW = 64;
     /** Runs beyond the blocks of a service, so that rows and gossip stay small in large deployments, too. */
     private static final int MAX_ADDED_RUNS = 256;
 
@@ -48,6 +52,7 @@
     private final ReleaseController releases;
     private final LoadSource loads;
     private final HotRangePolicy policy = new HotRangePolicy();
+    private final SplitBlocks splitBlocks;
     private final Map<ServiceName, State> states = new HashMap<>();
     private long nextCheckMillis;
 
@@ -57,6 +62,7 @@
         this.registration = registration;
         this.releases = releases;
         this.loads = loads;
+        this.splitBlocks = new SplitBlocks(context);
     }
 
     /** What is known of a possible overload of the target of one service. */
@@ -65,6 +71,7 @@
         private long overloadedSinceMillis = NEVER;
         private long pausedUntilMillis = Long.MIN_VALUE;
         private long planAtMillis = NEVER;
+        private long nextRejoinMillis = Long.MIN_VALUE;
         private Map<MemberId, TargetUsage> answers = new TreeMap<>();
     }
 
@@ -75,13 +82,31 @@
         nextCheckMillis = nowMillis + CHECK_INTERVAL_MILLIS;
         for (TargetAnnouncement target : registration.row().targets()) {
             if (target.accepting() && context.view().blockSlices(target.service()) > 1) {
-                check(target.service(), nowMillis);
+                State state = states.computeIfAbsent(target.service(), s -> new State());
+                check(target.service(), state, nowMillis);
+                rejoin(target.service(), state, nowMillis);
             }
         }
     }
 
-    private void check(ServiceName service, long nowMillis) {
-        State state = states.computeIfAbsent(service, s -> new State());
+    /** Hands over a piece of a split block, or all of them, once the runs are many and this target has little load. */
+    private void rejoin(ServiceName service, State state, long nowMillis) {
+        if (nowMillis < state.nextRejoinMillis || releases.releasingCount() > 0) {
+            return;
+        }
+        state.nextRejoinMillis =
+                nowMillis + REJOIN_INTERVAL_MILLIS + context.random().nextLong(REJOIN_INTERVAL_MILLIS);
+        double recent = loads.recentCallsPerSecond(service);
+        boolean isCalm = loads.usage(service, List.of())
+                .filter(mine -> recent * mine.utilisationPerCall() < CALM_UTILISATION)
+                .isPresent();
+        int added = runs(service) - blocks(service);
+        if (isCalm && added > 0 && added > (maxRuns(service) - blocks(service)) / 2) {
+            splitBlocks.nextMove(service).ifPresent(releases::start);
+        }
+    }
+
+    private void check(ServiceName service, State state, long nowMillis) {
         double recent = loads.recentCallsPerSecond(service);
         if (recent == 0 || nowMillis < state.pausedUntilMillis) {
             return;
@@ -148,15 +173,23 @@
     /** Returns how many parts a split may have; each makes up to two more runs of slices. */
     private int freeRuns(ServiceName service) {
         int mine = context.view().ownershipRow(service, context.self()).slices().size();
-        int members = 0;
+        return Math.min(maxRuns(service) - runs(service), MAX_RUNS_IN_ROW - mine) / 2;
+    }
+
+    private int maxRuns(ServiceName service) {
+        int members = context.view().members().acceptingMembers(service).size();
+        return Math.min(blocks(service) + MAX_ADDED_RUNS, members * MAX_RUNS_PER_MEMBER);
+    }
+
+    private int blocks(ServiceName service) {
+        return context.view().ownership().sliceCount(service) / context.view().blockSlices(service);
+    }
+
+    private int runs(ServiceName service) {
         int runs = 0;
         for (MemberRow member : context.view().members().acceptingMembers(service)) {
-            members++;
             runs += context.view().ownershipRow(service, member.id()).slices().size();
         }
-        int blocks =
-                context.view().ownership().sliceCount(service) / context.view().blockSlices(service);
-        int free = Math.min(blocks + MAX_ADDED_RUNS, members * MAX_RUNS_PER_MEMBER) - runs;
-        return Math.min(free, MAX_RUNS_IN_ROW - mine) / 2;
+        return runs;
     }
 }
--- a/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
@@ -52,6 +52,11 @@
         return new OwnedSlice(from, generation, settleMillis, handover, to - from);
     }
 
+    /** Returns this run without handover data. */
+    OwnedSlice withoutHandover() {
+        return new OwnedSlice(index, generation, settleMillis, null, count);
+    }
+
     /** Returns whether the slices got their generation by a change of owner in an era of the table or a later one. */
     public boolean isMovedIn(long era) {
         return generation > era << GENERATION_BITS;
--- a/src/main/java/org/siskindyke/kernel/ownership/SliceRuns.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/SliceRuns.java
@@ -71,7 +71,8 @@
     /**
      * Returns some slices for their next owner. Adjacent runs of one block with the same handover data, which are
      * pieces of a block that was split, become one run again, in a generation above those of all of them. No slice has
-     * had the generations that it leaves out, so these cannot be confused with a later owner's.
+     * had the generations that it leaves out, so these cannot be confused with a later owner's. Pieces that make up a
+     * whole block are joined also where their handover data differ, and lose them.
      *
      * @param runs the slices; no slice is in two of them
      * @param blockSlices number of slices of a block, which runs do not extend beyond
@@ -97,6 +98,24 @@
                 joined.add(next);
             }
         }
+        return withWholeBlocksJoined(joined, blockSlices);
+    }
+
+    private static List<OwnedSlice> withWholeBlocksJoined(List<OwnedSlice> runs, int blockSlices) {
+        List<OwnedSlice> joined = new ArrayList<>();
+        int i = 0;
+        while (i < runs.size()) {
+            OwnedSlice run = runs.get(i++);
+            int end = (run.index() / blockSlices + 1) * blockSlices;
+            int next = i;
+            OwnedSlice all = run;
+            while (next < runs.size() && all.end() < end && runs.get(next).index() == all.end()) {
+                all = join(all, runs.get(next++)).withoutHandover();
+            }
+            boolean isWhole = next > i && all.count() == blockSlices;
+            joined.add(isWhole ? all : run);
+            i = isWhole ? next : i;
+        }
         return joined;
     }
 
--- a/src/test/java/org/siskindyke/kernel/control/FakeMember.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeMember.java
@@ -1,6 +1,7 @@
 package org.siskindyke.kernel.control;
 
 import java.util.ArrayDeque;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
@@ -27,6 +28,7 @@
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.ownership.SliceRuns;
 
 /**
  * A member with a drifting clock that can be paused, crashed or made to leave. It rejoins after it was declared dead.
@@ -74,15 +76,10 @@
         startCount++;
         pausedSlices.clear();
         table = new FakeTable(world, this, startCount);
+        ClusterView ownView = new ClusterView();
+        ownView.assignInBlocks(FakeWorld.SERVICE, world.blockSlices);
         ControlContext context = new ControlContext(
-                self,
-                SETTINGS,
-                this::clockMillis,
-                new Random(world.random.nextLong()),
-                table,
-                this,
-                this,
-                new ClusterView());
+                self, SETTINGS, this::clockMillis, new Random(world.random.nextLong()), table, this, this, ownView);
         MemberRow template = new MemberRow(
                 self,
                 InstanceName.of(instance),
@@ -324,6 +321,21 @@
         return owned.stream().map(i -> new SliceLoad(i, 1)).toList();
     }
 
+    @Override
+    public double recentCallsPerSecond(ServiceName service) {
+        return recentSliceLoads(service).stream()
+                .mapToDouble(SliceLoad::callsPerSecond)
+                .sum();
+    }
+
+    @Override
+    public List<SliceLoad> recentSliceLoads(ServiceName service) {
+        BitSet hot = world.hotSlices();
+        hot.and(SliceRuns.bits(
+                controller.view().ownedSlices(service, controller.row().id())));
+        return hot.stream().mapToObj(slice -> new SliceLoad(slice, 400)).toList();
+    }
+
     @Override
     public void release(MemberRow to, Release release) {
         send(to, peer -> peer.controller.onRelease(release));
--- a/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
+++ b/src/test/java/org/siskindyke/kernel/control/FakeWorld.java
@@ -1,11 +1,13 @@
 package org.siskindyke.kernel.control;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
@@ -41,7 +43,12 @@
     final FakeTableFaults tableFaults = new FakeTableFaults();
     final LeaseParts parts;
     final int slices;
+    /** Adjacent slices that are assigned together. */
+    final int blockSlices;
+
     final boolean checksGrants;
+    /** Whether a range of slices, elsewhere every two seconds, gets more calls than its owners can run. */
+    boolean hasHotRange;
     /** Whether a member knows that earlier members of its instance have ended. */
     boolean membersFindPredecessors;
 
@@ -109,6 +116,12 @@
 
     /** Creates a cluster without members whose slices are in the table already, or must be created by the planner. */
     FakeWorld(long seed, int slices, boolean checksGrants, LeaseParts parts, boolean slicesExist) {
+        this(seed, slices, 1, checksGrants, parts, slicesExist);
+    }
+
+    /** Creates a cluster as above whose slices are assigned in blocks. */
+    FakeWorld(long seed, int slices, int blockSlices, boolean checksGrants, LeaseParts parts, boolean slicesExist) {
+        this.blockSlices = blockSlices;
         this.random = new Random(seed);
         this.slices = slices;
         this.checksGrants = checksGrants;
@@ -135,8 +148,8 @@
 
     private void putSlices() {
         List<OwnedSlice> all = new ArrayList<>();
-        for (int i = 0; i < slices; i++) {
-            all.add(new OwnedSlice(i, 0, 0));
+        for (int i = 0; i < slices; i += blockSlices) {
+            all.add(new OwnedSlice(i, 0, 0, null, blockSlices));
         }
         table.commit(Transaction.builder()
                 .put(RowPath.unassigned(SERVICE), RowCodec.encode(new SliceOwnershipRow(SERVICE, null, all)))
@@ -212,6 +225,24 @@
         placements.add(nowMillis + " ms " + by + ": " + decision);
     }
 
+    /** Returns the slices of the hot range; empty while there is none. */
+    BitSet hotSlices() {
+        BitSet hot = new BitSet();
+        if (hasHotRange) {
+            // Random numbers of adjacent seeds are alike, so that the range would stay where it is.
+            int first = Math.floorMod(new SplittableRandom(nowMillis / 2_000).nextInt(), slices);
+            hot.set(first, Math.min(slices, first + 12));
+        }
+        return hot;
+    }
+
+    /** Returns the number of moves of parts of a hot range that took effect. */
+    long hotRangeMoves() {
+        return placements.stream()
+                .filter(text -> text.contains("hot range") && text.contains("committed=true"))
+                .count();
+    }
+
     /** Fails if the backend servers of two members may run calls of one slice. */
     void checkOneOwner() {
         for (int i = 0; i < slices; i++) {
--- a/src/test/java/org/siskindyke/kernel/control/RandomFaults.java
+++ b/src/test/java/org/siskindyke/kernel/control/RandomFaults.java
@@ -31,9 +31,20 @@
 
     /** Creates a history of faults, among them, if {@code restores} is true, restores of the table. */
     RandomFaults(long seed, boolean checksGrants, LeaseParts parts, boolean restores) {
+        this(seed, new FakeWorld(seed, 6, checksGrants, parts), restores);
+    }
+
+    /** Creates a history of faults during which ranges of hot slices are split. */
+    static RandomFaults withHotRanges(long seed, boolean checksGrants, boolean restores) {
+        FakeWorld world = new FakeWorld(seed, 24, 6, checksGrants, LeaseParts.REAL, true);
+        world.hasHotRange = true;
+        return new RandomFaults(seed, world, restores);
+    }
+
+    private RandomFaults(long seed, FakeWorld world, boolean restores) {
         this.seed = seed;
         this.restores = restores;
-        this.world = new FakeWorld(seed, 6, checksGrants, parts);
+        this.world = world;
         this.random = new Random(~seed);
         this.size = 2 + random.nextInt(3);
         for (int i = 0; i < size; i++) {
@@ -63,6 +74,10 @@
         return world.ledger.count();
     }
 
+    long hotRangeMoves() {
+        return world.hotRangeMoves();
+    }
+
     private void fault() {
         switch (random.nextInt(40)) {
             case 0 -> pauseOne(random.nextInt(4_000));
--- a/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
+++ b/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
@@ -221,4 +221,47 @@
         GrantReply reply = many.onHeartbeat(heartbeat(1, 1, List.of()), owned, LATE_LEASE_END_MILLIS, 0);
         assertTrue(reply.ranges().stream().filter(r -> r.handover() != null).count() <= 60);
     }
+
+    /** Guards against a run of slices of which a part moves: the rest keeps its token, as two ranges. */
+    @Example
+    void aPartOfARunIsRevokedWhileTheRestStaysGranted() {
+        List<String> released = new ArrayList<>();
+        List<OwnedSlice> run = List.of(new OwnedSlice(0, 5, 0, null, SLICES));
+        GrantReply whole = grants.onHeartbeat(heartbeat(1, 1, List.of()), run, LATE_LEASE_END_MILLIS, 0);
+        assertEquals(1, whole.ranges().size());
+        grants.revoke(List.of(3, 4), 1, () -> released.add("released"));
+        GrantReply rest = grants.onHeartbeat(heartbeat(1, 2, activeRanges(whole)), run, LATE_LEASE_END_MILLIS, 2);
+        long token = whole.ranges().get(0).token();
+        assertEquals(
+                List.of(
+                        new GrantedRange(0, 3 * KEYS_PER_SLICE - 1, token, null),
+                        new GrantedRange(5 * KEYS_PER_SLICE, KeyRange.KEY_COUNT - 1, token, null)),
+                rest.ranges());
+        assertEquals(List.of(), released);
+        grants.onHeartbeat(heartbeat(1, 3, activeRanges(rest)), run, LATE_LEASE_END_MILLIS, 3);
+        assertEquals(List.of("released"), released);
+    }
+
+    /** Guards against a handover that is granted in pieces, slice by slice. */
+    @Example
+    void aRunWithHandoverDataIsOneRange() {
+        List<OwnedSlice> run = List.of(new OwnedSlice(1, 5, 0, "warm", 3));
+        GrantReply reply = grants.onHeartbeat(heartbeat(1, 1, List.of()), run, LATE_LEASE_END_MILLIS, 0);
+        assertEquals(
+                List.of(new GrantedRange(KEYS_PER_SLICE, 4 * KEYS_PER_SLICE - 1, 5 << 10, "warm")), reply.ranges());
+    }
+
+    /** Guards against an acknowledgement of over 4 KiB, which would leave the server without any grant. */
+    @Example
+    void ofTooManyRangesTheNarrowestAreLeftOut() {
+        TargetGrants many = new TargetGrants(1_024, MAX_GRANT_MILLIS, 0);
+        List<OwnedSlice> owned = new ArrayList<>();
+        for (int i = 0; i < 150; i++) {
+            owned.add(new OwnedSlice(4 * i, 100 + i, 0, null, i < 30 ? 1 : 2));
+        }
+        GrantReply reply = many.onHeartbeat(heartbeat(1, 1, List.of()), owned, LATE_LEASE_END_MILLIS, 0);
+        assertEquals(128, reply.ranges().size());
+        assertEquals(8 + 2 * 120, many.grantedSlices().cardinality());
+        assertTrue(many.grantedSlices().get(4 * 149));
+    }
 }
