--- a/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
+++ b/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
@@ -262,6 +262,10 @@
         BitSet next = new BitSet();
         BitSet ownedIndexes = SliceRuns.bits(owned);
         for (OwnedSlice run : owned) {
+            KeyRange runKeys = new KeyRange(
+                    KeyRange.ofSlice(run.index(), sliceCount).first(),
+                    KeyRange.ofSlice(run.end() - 1, sliceCount).last());
+            long activeTokenOfRun = activeToken(runKeys, heartbeat);
             for (int index = run.index(); index < run.end(); index++) {
                 Revocation revocation = revocations.get(index);
                 if (revocation != null) {
@@ -269,7 +273,9 @@
                     continue;
                 }
                 next.set(index);
-                appendRange(ranges, run, index, heartbeat);
+                KeyRange keys = KeyRange.ofSlice(index, sliceCount);
+                long activeToken = activeTokenOfRun >= 0 ? activeTokenOfRun : activeToken(keys, heartbeat);
+                appendRange(ranges, run, index, activeToken);
             }
         }
         tokens.keySet().removeIf(index -> !ownedIndexes.get(index));
@@ -296,9 +302,8 @@
         }
     }
 
-    private void appendRange(List<GrantedRange> ranges, OwnedSlice run, int index, TargetHeartbeat heartbeat) {
+    private void appendRange(List<GrantedRange> ranges, OwnedSlice run, int index, long activeToken) {
         KeyRange keys = KeyRange.ofSlice(index, sliceCount);
-        long activeToken = activeToken(keys, heartbeat);
         long token = token(run, index, activeToken);
         String handover = activeToken == token ? null : handovers.getOrDefault(index, run.handover());
         GrantedRange before = ranges.isEmpty() ? null : ranges.get(ranges.size() - 1);
--- a/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
+++ b/src/main/java/org/siskindyke/kernel/ownership/OwnedSlice.java
@@ -1,12 +1,6 @@
 package org.siskindyke.kernel.ownership;
 
-import java.io.IOException;
-
-import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.annotation.JsonPropertyOrder;
-import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.databind.JsonSerializer;
-import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
 import com.fasterxml.jackson.databind.annotation.JsonSerialize;
 
 /**
@@ -18,20 +12,14 @@
  * @param settleMillis how long the owner waits, after it has read the row, before it serves the slices, because the
  *     previous owner's backend server may still process calls of them
  * @param handover data from the previous owner's backend server with which the next one starts warm; null if none
- * @param count number of slices; rows that do not give it list single slices
+ * @param count number of slices
  */
-@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"index", "generation", "settleMillis", "handover", "count"})
-@JsonSerialize(using = OwnedSlice.Serializer.class)
+@JsonSerialize(using = OwnedSliceJson.Writer.class)
+@JsonDeserialize(using = OwnedSliceJson.Reader.class)
 public record OwnedSlice(int index, long generation, long settleMillis, String handover, int count) {
     /** Bits for the changes of owner within one era of the table; the era is in the bits above. */
     private static final int GENERATION_BITS = 20;
 
-    /** Replaces a missing count, which is read as 0, by 1. */
-    public OwnedSlice {
-        count = count == 0 ? 1 : count;
-    }
-
     /** Creates a single slice with handover data. */
     public OwnedSlice(int index, long generation, long settleMillis, String handover) {
         this(index, generation, settleMillis, handover, 1);
@@ -78,20 +66,4 @@
         long next = Math.max(generation, era << GENERATION_BITS) + 1;
         return new OwnedSlice(index, next, newSettleMillis, newHandover, count);
     }
-
-    /** Writes the count only of runs, so that a single slice is written as by earlier versions. */
-    static final class Serializer extends JsonSerializer<OwnedSlice> {
-        @Override
-        public void serialize(OwnedSlice slice, JsonGenerator json, SerializerProvider provider) throws IOException {
-            json.writeStartArray();
-            json.writeNumber(slice.index);
-            json.writeNumber(slice.generation);
-            json.writeNumber(slice.settleMillis);
-            json.writeString(slice.handover);
-            if (slice.count != 1) {
-                json.writeNumber(slice.count);
-            }
-            json.writeEndArray();
-        }
-    }
 }
--- a/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
+++ b/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
@@ -27,6 +27,9 @@
     private static final long UPDATE_INTERVAL_MILLIS = 1_000;
     private static final double PREVIOUS_AVERAGE_WEIGHT = 0.7;
 
+    /** Rate below which a slice is forgotten, so that the work for each update follows those in use. */
+    private static final double MIN_CALLS_PER_SECOND = 0.001;
+
     private final MonotonicClock clock;
     private final Function<ServiceName, OptionalInt> slots;
     private final Map<SliceRef, LongAdder> calls = new ConcurrentHashMap<>();
@@ -89,6 +92,9 @@
                     rate,
                     (before, now) -> before * PREVIOUS_AVERAGE_WEIGHT + now * (1 - PREVIOUS_AVERAGE_WEIGHT));
         });
+        callsPerSecond
+                .entrySet()
+                .removeIf(slice -> slice.getValue() < MIN_CALLS_PER_SECOND && calls.remove(slice.getKey()) != null);
         busyNanos.forEach((service, adder) -> updateMillisPerCall(service, adder, counts.getOrDefault(service, 0L)));
     }
 
--- a/src/test/java/org/siskindyke/kernel/ownership/SliceRunsTest.java
+++ b/src/test/java/org/siskindyke/kernel/ownership/SliceRunsTest.java
@@ -65,11 +65,15 @@
     /** Guards against rows of earlier versions, whose entries have no count, that are not read. */
     @Example
     void anEntryWithoutACountIsASingleSlice() {
-        String text = "{\"service\":\"haat\",\"slices\":[[3,7,0,null],[4,7,50,\"h\"],[64,1,0,null,64]]}";
+        String text = "{\"service\":\"haat\",\"slices\":[[3,7,0,null],[4,7,50,\"h\"],[64,1,0,64],[128,1,0,\"h\",64]]}";
         SliceOwnershipRow row = SliceOwnershipRow.read(
                 new Row(new SliceOwnershipRow(SERVICE, null, List.of()).path(), 1, text, false), SERVICE, null);
         assertEquals(
-                List.of(new OwnedSlice(3, 7, 0), new OwnedSlice(4, 7, 50, "h"), new OwnedSlice(64, 1, 0, null, 64)),
+                List.of(
+                        new OwnedSlice(3, 7, 0),
+                        new OwnedSlice(4, 7, 50, "h"),
+                        new OwnedSlice(64, 1, 0, null, 64),
+                        new OwnedSlice(128, 1, 0, "h", 64)),
                 row.slices());
         assertEquals(text, RowCodec.encode(row));
     }
