--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -252,16 +252,18 @@
         traffic.scheduleWithFixedDelay(
                 () -> requestLog.flush(traffic.takeMaxDelayMillis()), TimeUnit.SECONDS.toMillis(5));
         traffic.schedule(
-                () -> metrics.start(
-                        backend::slotsUsed,
-                        backend::waiting,
-                        backend::responsesDropped,
-                        log::dropped,
-                        this::convictedRequests,
-                        this::membersServing,
-                        configuration::version,
-                        table::era,
-                        () -> sliceRuns),
+                () -> {
+                    metrics.start(
+                            backend::slotsUsed,
+                            backend::waiting,
+                            backend::responsesDropped,
+                            log::dropped,
+                            this::convictedRequests,
+                            this::membersServing,
+                            configuration::version,
+                            table::era);
+                    metrics.observeSliceRuns(() -> sliceRuns);
+                },
                 METRICS_START_DELAY_MILLIS);
         log.event(
                 "router-started",
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -37,8 +37,7 @@
             Supplier<Number> convictedRequests,
             Supplier<Number> membersServing,
             Supplier<Number> configurationVersion,
-            Supplier<Number> storeEra,
-            Supplier<Number> sliceRuns) {
+            Supplier<Number> storeEra) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         Gauge.builder("siskindyke.slots.used", slotsUsed).register(registry);
@@ -48,10 +47,14 @@
         Gauge.builder("siskindyke.members.serving", membersServing).register(registry);
         Gauge.builder("siskindyke.configuration.version", configurationVersion).register(registry);
         Gauge.builder("siskindyke.store.era", storeEra).register(registry);
-        Gauge.builder("siskindyke.slice.runs", sliceRuns).register(registry);
         Gauge.builder("siskindyke.log.events.dropped", eventsDropped).register(registry);
     }
 
+    /** Registers the gauge of the runs of adjacent slices that this router's member owns; after {@link #start}. */
+    void observeSliceRuns(Supplier<Number> sliceRuns) {
+        Gauge.builder("siskindyke.slice.runs", sliceRuns).register(registry);
+    }
+
     /** Records the result and duration of a request that has ended. */
     void onEnded(CallOutcome outcome) {
         if (registry == null) {
