Keep small pieces of split blocks from balancing by count

A member that owns far fewer slices than another would have got the lightest runs, which are small pieces where blocks were split, and gone on owning few.

--- a/src/main/java/org/siskindyke/kernel/control/SliceBalancer.java
+++ b/src/main/java/org/siskindyke/kernel/control/SliceBalancer.java
@@ -103,7 +103,7 @@
         if (mine.isEmpty() || releases.releasingCount() > 0) {
             return;
         }
-        List<OwnedSlice> owned = owned(service);
+        List<OwnedSlice> owned = movable(service, mine.get(), theirs);
         List<Integer> chosen = policy.choose(document, mine.get(), runLoads(service, owned), theirs);
         if (chosen.isEmpty()) {
             return;
@@ -117,6 +117,18 @@
         releases.start(new PeerMessenger.Release(service, SliceRuns.indexes(moving), other.id(), reason));
     }
 
+    /**
+     * Returns the runs that may move. Where they move because the other member owns far fewer slices, these are no
+     * small pieces of split blocks, or else the other member would go on owning few.
+     */
+    private List<OwnedSlice> movable(ServiceName service, TargetUsage mine, TargetUsage theirs) {
+        boolean ownsFarFewer = theirs.sliceCount() * 4 < mine.sliceCount();
+        int block = context.view().blockSlices(service);
+        return owned(service).stream()
+                .filter(run -> !ownsFarFewer || run.count() * 2 >= block)
+                .toList();
+    }
+
     /** Returns the load of each run of slices, which moves as a whole, by the index of its first slice. */
     private List<SliceLoad> runLoads(ServiceName service, List<OwnedSlice> owned) {
         return owned.stream()
