--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -71,10 +71,15 @@
  */
 public final class InstanceRouter {
     /**
-     * Number of slices of a divided service, each a range of adjacent keys; a 4 KiB reply to a heartbeat has room for
-     * this many.
+     * Number of slices of a divided service, each a range of 8 adjacent keys: the smallest part that a range of hot
+     * keys is split into. A block of 60 keys that gets 280 calls a second, with 45 a server, needs parts of about 10.
      */
-    private static final int SLICE_COUNT = 128;
+    private static final int SLICE_COUNT = 8_192;
+    /**
+     * Adjacent slices that are assigned together unless they are split; a 4 KiB reply to a heartbeat has room for the
+     * 128 blocks of a service.
+     */
+    private static final int SLICES_PER_BLOCK = 64;
 
     private static final long TICK_MILLIS = 50;
     /** Delay of metrics after a start, so that setting them up does not delay serving, which begins within 2 s. */
@@ -137,6 +142,8 @@
     private volatile boolean reader;
     private volatile boolean watchesConfiguration = true;
     private volatile boolean stopping;
+    /** Runs of adjacent slices that this member owns. */
+    private volatile int sliceRuns;
 
     /**
      * Creates a router that does not listen yet.
@@ -301,6 +308,7 @@
                 "siskindyke.evacuated.domains",
                 () -> evacuations.stream().filter(EvacuationOrder::evacuated).count());
         metrics.gauge("siskindyke.target.cold", () -> backend.isCold() ? 1 : 0);
+        metrics.gauge("siskindyke.slice.runs", () -> sliceRuns);
         metrics.registerCallers(callers, traffic.callerMemory());
         if (settings.deployment().rankedAdmission()) {
             metrics.registerAdmission(backend::admissionCounts);
@@ -418,7 +426,7 @@
 
     private void onConfigurationApplied(RoutingConfiguration applied) {
         for (ServiceDocument document : configuration.documents(applied)) {
-            member.view().acceptDocument(document, applied.version(), clock.nowMillis());
+            member.view().acceptDocument(document, SLICES_PER_BLOCK, applied.version(), clock.nowMillis());
         }
         targets.onConfiguration(configuration::settings);
         RouteTable routes = new RouteTable(applied);
@@ -458,6 +466,10 @@
         reader = member.isReader();
         watchesConfiguration = member.watchesConfiguration();
         meter.updateAverages();
+        sliceRuns = member.view()
+                .ownershipRow(settings.service(), member.row().id())
+                .slices()
+                .size();
     }
 
     private void checkSuspension() {
--- a/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
+++ b/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 
+import org.siskindyke.kernel.balance.RecentArrivals;
 import org.siskindyke.kernel.balance.SliceLoad;
 import org.siskindyke.kernel.balance.TargetUsage;
 import org.siskindyke.kernel.control.LoadSource;
@@ -26,12 +27,16 @@
     private static final long UPDATE_INTERVAL_MILLIS = 1_000;
     private static final double PREVIOUS_AVERAGE_WEIGHT = 0.7;
 
+    /** Rate below which a slice is forgotten, so that the work for each update follows those in use. */
+    private static final double MIN_CALLS_PER_SECOND = 0.001;
+
     private final MonotonicClock clock;
     private final Function<ServiceName, OptionalInt> slots;
     private final Map<SliceRef, LongAdder> calls = new ConcurrentHashMap<>();
     private final Map<ServiceName, LongAdder> busyNanos = new ConcurrentHashMap<>();
     private final Map<SliceRef, Double> callsPerSecond = new ConcurrentHashMap<>();
     private final Map<ServiceName, Double> millisPerCall = new ConcurrentHashMap<>();
+    private final Map<ServiceName, RecentArrivals> arrivals = new ConcurrentHashMap<>();
     private long lastUpdateMillis;
 
     /**
@@ -46,6 +51,24 @@
         this.lastUpdateMillis = clock.nowMillis();
     }
 
+    /** Records that a call for this router's backend server has arrived, whether or not it is sent there. */
+    public void onArrival(SliceRef slice) {
+        arrivals.computeIfAbsent(slice.service(), s -> new RecentArrivals())
+                .onArrival(slice.index(), clock.nowMillis());
+    }
+
+    @Override
+    public double recentCallsPerSecond(ServiceName service) {
+        RecentArrivals recent = arrivals.get(service);
+        return recent == null ? 0 : recent.callsPerSecond(clock.nowMillis());
+    }
+
+    @Override
+    public List<SliceLoad> recentSliceLoads(ServiceName service) {
+        RecentArrivals recent = arrivals.get(service);
+        return recent == null ? List.of() : recent.sliceLoads(clock.nowMillis());
+    }
+
     /** Records the end of a call that was sent to a backend server, and its duration. */
     public void onCall(SliceRef slice, long tookNanos) {
         calls.computeIfAbsent(slice, s -> new LongAdder()).increment();
@@ -64,11 +87,13 @@
             long count = adder.sumThenReset();
             counts.merge(slice.service(), count, Long::sum);
             double rate = count * (double) TimeUnit.SECONDS.toMillis(1) / elapsedMillis;
-            callsPerSecond.merge(
-                    slice,
-                    rate,
-                    (before, now) -> before * PREVIOUS_AVERAGE_WEIGHT + now * (1 - PREVIOUS_AVERAGE_WEIGHT));
+            // An average begins at 0: many slices get a call only now and then, and each would count several times.
+            double before = callsPerSecond.getOrDefault(slice, 0.0);
+            callsPerSecond.put(slice, before * PREVIOUS_AVERAGE_WEIGHT + rate * (1 - PREVIOUS_AVERAGE_WEIGHT));
         });
+        callsPerSecond
+                .entrySet()
+                .removeIf(slice -> slice.getValue() < MIN_CALLS_PER_SECOND && calls.remove(slice.getKey()) != null);
         busyNanos.forEach((service, adder) -> updateMillisPerCall(service, adder, counts.getOrDefault(service, 0L)));
     }
 
