Begin the average rate of a slice at 0

The first call of a slice counted in full, so 8,192 slices with a call now and then showed up to 3.3 times the real rate, and slices moved without need.

--- a/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
+++ b/src/main/java/org/siskindyke/runtime/call/SliceMeter.java
@@ -87,10 +87,9 @@
             long count = adder.sumThenReset();
             counts.merge(slice.service(), count, Long::sum);
             double rate = count * (double) TimeUnit.SECONDS.toMillis(1) / elapsedMillis;
-            callsPerSecond.merge(
-                    slice,
-                    rate,
-                    (before, now) -> before * PREVIOUS_AVERAGE_WEIGHT + now * (1 - PREVIOUS_AVERAGE_WEIGHT));
+            // An average begins at 0: many slices get a call only now and then, and each would count several times.
+            double before = callsPerSecond.getOrDefault(slice, 0.0);
+            callsPerSecond.put(slice, before * PREVIOUS_AVERAGE_WEIGHT + rate * (1 - PREVIOUS_AVERAGE_WEIGHT));
         });
         callsPerSecond
                 .entrySet()
