--- a/src/main/java/org/siskindyke/runtime/traffic/CallerMemory.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerMemory.java
@@ -10,8 +10,8 @@
 /**
  * Accounts for the memory that a process holds for callers: connections, header sections, bodies, requests that wait or
  * run, and responses that are not read yet; also for calls that other routers have forwarded, and for responses that
- * backend servers have sent in part. What is counted is an estimate from above of the heap and the direct memory that is
- * held, not the number of bytes received.
+ * backend servers have sent in part. What is counted is an estimate from above of the heap and the direct memory that
+ * is held, not the number of bytes received.
  *
  * <p>Where there is no room, those give way that hold more, and have kept the process waiting for longer, than the one
  * that asks. If they do not free enough, the one that asks gets nothing. A quarter is kept for those that hold little,
