Show orders that go to the old service after watches fell silent

A lost watch is noticed up to 5.3 s later, the rule allows 3 s for a change that was acknowledged right after the connections fell silent.

--- a/review/harness-2/Lab.java
+++ b/review/harness-2/Lab.java
@@ -345,6 +345,12 @@
         volatile long delayMillis = 4;
         private final Lab lab;
         private final Map<String, TreeMap<String, StoredRow>> tables = new TreeMap<>();
+        /** When the store answers the watches of a table that wait, by the other end's address. */
+        private final Map<String, Map<String, Long>> watchEnds = new ConcurrentHashMap<>();
+        /** Connections accepted before this one, by number, are silent. */
+        private volatile int firstThatWorks;
+
+        private volatile int accepted;
         private long version;
 
         private record StoredRow(String value, long version, boolean deleted) {}
@@ -357,12 +363,13 @@
             daemon(() -> {
                 while (true) {
                     Socket socket = server.accept();
-                    daemon(() -> serve(socket));
+                    int number = ++accepted;
+                    daemon(() -> serve(socket, number));
                 }
             });
         }
 
-        private void serve(Socket socket) throws IOException {
+        private void serve(Socket socket, int number) throws IOException {
             try (socket) {
                 socket.setTcpNoDelay(true);
                 InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -370,12 +377,30 @@
                 while (true) {
                     Request request = readRequest(in);
                     sleep(delayMillis);
-                    out.write(answer(request));
+                    byte[] answer = number < firstThatWorks ? null : answer(request, socket);
+                    if (answer == null || number < firstThatWorks) {
+                        in.transferTo(OutputStream.nullOutputStream());
+                        return;
+                    }
+                    out.write(answer);
                     out.flush();
                 }
             }
         }
 
+        /** Lets the connections that are open now go silent for good; new ones work. */
+        synchronized void silenceOpenConnections() {
+            firstThatWorks = accepted + 1;
+            lab.note("the open connections to the store go silent");
+        }
+
+        /** Returns for how long the watch of a table that ends first still waits; 0 if less than {@code count} wait. */
+        long watchesWaitMillis(String table, int count) {
+            Map<String, Long> ends = watchEnds.getOrDefault(table, Map.of());
+            long first = ends.values().stream().mapToLong(end -> end).min().orElse(0);
+            return ends.size() < count ? 0 : first - millis();
+        }
+
         private static Map<String, String> query(String path) {
             Map<String, String> parameters = new LinkedHashMap<>();
             int mark = path.indexOf('?');
@@ -388,12 +413,22 @@
             return parameters;
         }
 
-        private byte[] answer(Request request) throws IOException {
+        private byte[] answer(Request request, Socket socket) throws IOException {
             if (request.path().startsWith("/rows-tx")) {
                 return transact(JSON.readTree(request.body()));
             }
             Map<String, String> query = query(request.path());
-            return request.path().startsWith("/rows-feed") ? feed(query) : get(query);
+            if (!request.path().startsWith("/rows-feed")) {
+                return get(query);
+            }
+            Map<String, Long> ends = watchEnds.computeIfAbsent(query.get("table"), t -> new ConcurrentHashMap<>());
+            String other = String.valueOf(socket.getRemoteSocketAddress());
+            ends.put(other, millis() + Long.parseLong(query.get("wait_ms")));
+            try {
+                return feed(query);
+            } finally {
+                ends.remove(other);
+            }
         }
 
         private static byte[] json(int status, ObjectNode body) {
