Show what crowds of callers still do to a router

The tests fix crowd and bounds before the product changes.

- CrowdedProcess, taken out of CrowdedRouter, samples resident memory and unread bytes (rx_queue of /proc/net/tcp and tcp6) together, as the machine does; bounds as before.
It can freeze the process, so that what the kernel accepts for it does not depend on the speed of the machine; the unread bytes of the crowd are taken for each of the 4,096 connections that one port can hold.
- CallerCrowd sends in turns, so that all connections hold bytes at once.

--- a/src/test/java/org/siskindyke/kernel/call/AdmissionQueueTest.java
+++ b/src/test/java/org/siskindyke/kernel/call/AdmissionQueueTest.java
@@ -1,9 +1,12 @@
 package org.siskindyke.kernel.call;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 
 import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AddLifecycleHook;
+import org.siskindyke.KnownRed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -160,4 +163,31 @@
         limited.admit(100);
         assertEquals(List.of("first", "urgent"), events);
     }
+
+    /** With a call stack that grew with the number of waiting calls, some hundreds of them ended the traffic thread. */
+    @Example
+    @AddLifecycleHook(KnownRed.class)
+    void callsThatGiveTheirSlotsBackAtOnceAreAdmittedOneAfterTheOther() {
+        List<Integer> depths = new ArrayList<>();
+        int[] depth = {0};
+        queue.submit(entry("running", 1, 500, 9_000, false, false), 0);
+        for (int i = 0; i < 10; i++) {
+            queue.submit(
+                    new AdmissionQueue.Entry(
+                            new SchedulingAttributes("k", 1, 9_000, false, false, false),
+                            9_000,
+                            () -> {
+                                depth[0]++;
+                                depths.add(depth[0]);
+                                queue.releaseSlot(10);
+                                depth[0]--;
+                            },
+                            (cause, retryAfterMillis) -> events.add(cause.name())),
+                    0);
+        }
+        queue.releaseSlot(10);
+        assertEquals(Collections.nCopies(10, 1), depths);
+        assertEquals(0, queue.used());
+        assertEquals(List.of("running"), events);
+    }
 }
--- a/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
+++ b/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
@@ -1,8 +1,14 @@
 package org.siskindyke.platform;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 
 import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AddLifecycleHook;
+import org.siskindyke.KnownRed;
+import org.siskindyke.crowd.CallerCrowd;
+import org.siskindyke.crowd.CrowdedProcess;
 
 /**
  * Guards against callers that end a router, or keep it from ever answering again, by what it holds for them. Each crowd
@@ -19,6 +25,12 @@
 
     private static final int SMALL_CHUNKS = 1_020;
     private static final int LARGE_CHUNK_BYTES = 65_000;
+    private static final int LARGE_BODY_BYTES = 1_000_000;
+    private static final int PIPELINED_BODY_BYTES = 16_000;
+    /** Over six megabytes on each connection, as much as kernels receive by default. */
+    private static final int PIPELINED_REQUESTS_WITH_BODIES = 400;
+    /** What a caller sends before the next one has its turn, so that all send at the same time. */
+    private static final int TURN_BYTES = 65_536;
 
     private static final String HEAD =
             "POST /p/crowd HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Siskindyke-Request-Id: crowd\r\n";
@@ -67,12 +79,102 @@
         return (section + "\r\n").repeat(REQUESTS_BEFORE) + section;
     }
 
+    /** What the kernel has received for a router that reads nothing meanwhile, on connections that it has accepted. */
+    @Example
+    @AddLifecycleHook(KnownRed.class)
+    void bytesThatAFrozenRouterHasNotReadFitIntoItsMemory() throws Exception {
+        try (CrowdedRouter router = new CrowdedRouter()) {
+            CrowdedProcess process = router.process();
+            try (CallerCrowd crowd = new CallerCrowd(process.callers(), CONNECTIONS, "P")) {
+                crowd.send();
+                process.awaitAccepted(CONNECTIONS);
+                process.freeze();
+                crowd.sendNext(unfinishedBody(LARGE_BODY_BYTES).substring(1));
+                process.assertRoomForUnreadBytes(CONNECTIONS);
+                process.thaw();
+                process.assertServes();
+            }
+            process.assertServesAsBefore();
+        }
+    }
+
+    /** As above, on connections that wait to be accepted. */
+    @Example
+    @AddLifecycleHook(KnownRed.class)
+    void bytesOnConnectionsThatAreNotAcceptedFitIntoItsMemory() throws Exception {
+        try (CrowdedRouter router = new CrowdedRouter()) {
+            CrowdedProcess process = router.process();
+            process.freeze();
+            try (CallerCrowd crowd =
+                    new CallerCrowd(process.callers(), CONNECTIONS, unfinishedBody(LARGE_BODY_BYTES))) {
+                crowd.send();
+                process.assertRoomForUnreadBytes(CONNECTIONS);
+                process.thaw();
+                process.assertServes();
+            }
+            process.assertServesAsBefore();
+        }
+    }
+
+    /** Requests with bodies behind others that run: the router does not read on, and the kernel receives more. */
+    @Example
+    void pipelinedRequestsWithBodiesLeaveRoomForOrdinaryCallers() throws Exception {
+        String request =
+                HEAD + "Content-Length: " + PIPELINED_BODY_BYTES + "\r\n\r\n" + "x".repeat(PIPELINED_BODY_BYTES);
+        assertOutlives(PIPELINING_CONNECTIONS, request.repeat(PIPELINED_REQUESTS_WITH_BODIES));
+    }
+
+    @Example
+    void largeUnfinishedBodiesLeaveRoomForOrdinaryCallers() throws Exception {
+        assertOutlives(CONNECTIONS, unfinishedBody(LARGE_BODY_BYTES));
+    }
+
+    /** Header sections, bodies whole and in one-byte chunks, and unread responses at the same time. */
+    @Example
+    void aMixedCrowdLeavesRoomForOrdinaryCallers() throws Exception {
+        try (CrowdedRouter router = new CrowdedRouter()) {
+            CrowdedProcess process = router.process();
+            int connections = CONNECTIONS / 3;
+            try (CallerCrowd crowd = new CallerCrowd(process.callers(), connections, headers("a:\r\n"))) {
+                crowd.add(process.callers(), connections, unfinishedBody(LARGE_BODY_BYTES));
+                crowd.add(process.callers(), connections, CHUNKED_HEAD + "1\r\nx\r\n".repeat(SMALL_CHUNKS));
+                crowd.add(process.callers(), PIPELINING_CONNECTIONS, (HEAD + "\r\n").repeat(PIPELINED_REQUESTS));
+                crowd.sendInTurns(TURN_BYTES);
+                process.assertServes();
+            }
+            process.assertServesAsBefore();
+        }
+    }
+
+    /** Messages that stop short of the length that they announce, at the port for other routers. */
+    @Example
+    @AddLifecycleHook(KnownRed.class)
+    void unfinishedMessagesAtThePeersPortLeaveRoomForOrdinaryCallers() throws Exception {
+        String length = new String(
+                ByteBuffer.allocate(Integer.BYTES).putInt(LARGE_BODY_BYTES).array(), StandardCharsets.ISO_8859_1);
+        try (CrowdedRouter router = new CrowdedRouter()) {
+            CrowdedProcess process = router.process();
+            try (CallerCrowd crowd =
+                    new CallerCrowd(router.peers(), CONNECTIONS, length + "x".repeat(LARGE_BODY_BYTES - 1))) {
+                crowd.sendInTurns(TURN_BYTES);
+                process.assertServes();
+            }
+            process.assertServesAsBefore();
+        }
+    }
+
+    private static String unfinishedBody(int bytes) {
+        return HEAD + "Content-Length: " + bytes + "\r\n\r\n" + "x".repeat(bytes - 1);
+    }
+
     private static void assertOutlives(int connections, String sent) throws IOException, InterruptedException {
         try (CrowdedRouter router = new CrowdedRouter()) {
-            try (CallerCrowd crowd = new CallerCrowd(router.callers(), connections, sent)) {
-                router.assertServes();
+            CrowdedProcess process = router.process();
+            try (CallerCrowd crowd = new CallerCrowd(process.callers(), connections, sent)) {
+                crowd.sendInTurns(TURN_BYTES);
+                process.assertServes();
             }
-            router.assertServesAsBefore();
+            process.assertServesAsBefore();
         }
     }
 }
