Drop the header section of a connection that gives way at once

Callers saw: the process ended ("ended with 1", OutOfMemoryError) under 300 unfinished header sections of 16,000 bytes in lines of four, which had arrived before the router read them; heap 32 MB.

Cause: a connection that gives way returned its share of CallerMemory at once, but its decoder, which holds the section, was reachable through the pipeline until the loop had processed the end of the connection, and that is after all connections that are readable in the same turn. A heap dump at the first OutOfMemoryError (of the router command, same server) had 222,867 header fields in 56 sections, 50 of them of connections that had ended, and 8.9 MB counted. The crowds of the existing tests arrive over many turns.

Change: a connection that ends removes its decoder, as a rejected request does.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -246,6 +246,7 @@
         ended = true;
         ignoreInput = true;
         discardPartialRequest();
+        removeDecoder();
         share.end();
     }
 
@@ -518,7 +519,10 @@
         onResponse(exchange, response);
     }
 
-    /** Drops what the decoder holds; further bytes arrive at this handler, which ignores them. */
+    /**
+     * Drops what the decoder holds, which would otherwise stay until the loop has processed the end of the connection,
+     * after all others that are readable now. Further bytes arrive at this handler, which ignores them.
+     */
     private void removeDecoder() {
         if (decoder != null && channel.pipeline().context(decoder) != null) {
             channel.pipeline().remove(decoder);
--- a/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
+++ b/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
@@ -48,6 +48,26 @@
         assertOutlives(CONNECTIONS, headers("!:\r\n~: \t \r\n|:c\r\n`: \u00e9\r\n"));
     }
 
+    /**
+     * The process ended, out of memory, under header sections that arrived at the same time: those that gave way to
+     * others were kept until all connections were read.
+     */
+    @Example
+    void headerSectionsThatArriveAtTheSameTimeLeaveRoomForOrdinaryCallers() throws Exception {
+        try (CrowdedRouter router = new CrowdedRouter()) {
+            CrowdedProcess process = router.process();
+            try (CallerCrowd crowd = new CallerCrowd(process.callers(), CONNECTIONS, "P")) {
+                crowd.send();
+                process.awaitAccepted(CONNECTIONS);
+                process.freeze();
+                crowd.sendNext((HEAD + "a:\r\n".repeat(FIELD_BYTES / 4)).substring(1));
+                process.thaw();
+                process.assertServes();
+            }
+            process.assertServesAsBefore();
+        }
+    }
+
     /** The process ended, or lived on without answering, under bodies in one-byte chunks that stop short of the end. */
     @Example
     void unfinishedBodiesInOneByteChunksLeaveRoomForOrdinaryCallers() throws Exception {
