Serve callers of the router command by HttpListener

Callers saw: `siskindyke router` lived on and never answered again, also after all of them had left, under unfinished header sections, bodies of 1 MB one byte short, or one-byte chunks.

Cause: its callers were served by ServiceTalk's HTTP server, which aggregates each request without any account, limit on header sections or on connections. Out of memory, it lost the callbacks of running requests for good.

Change: RouterProcess listens for callers with HttpListener, so that CallerMemory, the limits on connections and the order in which callers give way are the same as on the users' platform. CallerServer, moved to `runtime`, translates requests and replies; rejected requests get a coded body as before (HttpExchange.Rejections). CallReader reads plain values; a query that cannot be decoded names no key (400). CallerMetrics and CallerLimitsLog serve both routers. A second account for ServiceTalk's server was ruled out: each fix would be needed twice.

--- a/src/main/java/org/siskindyke/kernel/call/Refusal.java
+++ b/src/main/java/org/siskindyke/kernel/call/Refusal.java
@@ -11,6 +11,16 @@
     NO_KEY(400),
     /** The body is longer than the limit. */
     BODY_TOO_LARGE(413),
+    /** The request is not valid HTTP. */
+    MALFORMED_REQUEST(400),
+    /** The body did not arrive in time. */
+    REQUEST_TIMEOUT(408),
+    /** The request line is longer than the limit. */
+    URI_TOO_LONG(414),
+    /** The header section is longer than the limit. */
+    HEADERS_TOO_LARGE(431),
+    /** The router has no memory for the request at present. */
+    NO_MEMORY(503),
     /** The key's slice has no serving owner at present, or a call of a route to a divided service has no key. */
     NO_OWNER(503),
     /** The service has no target at present, or the call's route selects no service. */
--- a/src/main/java/org/siskindyke/runtime/CallerLimitsLog.java
+++ b/src/main/java/org/siskindyke/runtime/CallerLimitsLog.java
@@ -5,14 +5,26 @@
 
 /** Logs how often limits on callers were met since the last line. Confined to the traffic loop. */
 final class CallerLimitsLog {
-    private final EventLog log;
+    private final EventSink log;
     private final HttpListener callers;
     private final CallerMemory memory;
     private long shed;
     private long refused;
     private long connectionsRefused;
 
-    CallerLimitsLog(EventLog log, HttpListener callers, CallerMemory memory) {
+    /** Receives log lines. */
+    @FunctionalInterface
+    interface EventSink {
+        /**
+         * Writes a line.
+         *
+         * @param event name of the event: words joined by hyphens
+         * @param fields names and values alternately
+         */
+        void event(String event, Object... fields);
+    }
+
+    CallerLimitsLog(EventSink log, HttpListener callers, CallerMemory memory) {
         this.log = log;
         this.callers = callers;
         this.memory = memory;
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -279,7 +279,7 @@
         traffic.scheduleWithFixedDelay(
                 () -> requestLog.flush(traffic.takeMaxDelayMillis(), backend.admissionCounts()),
                 TimeUnit.SECONDS.toMillis(5));
-        CallerLimitsLog limitsLog = new CallerLimitsLog(log, callers, traffic.callerMemory());
+        CallerLimitsLog limitsLog = new CallerLimitsLog(log::event, callers, traffic.callerMemory());
         traffic.scheduleWithFixedDelay(limitsLog::flush, TimeUnit.SECONDS.toMillis(5));
         traffic.schedule(this::startMetrics, METRICS_START_DELAY_MILLIS);
         log.event(
--- a/src/main/java/org/siskindyke/runtime/RouterMetrics.java
+++ b/src/main/java/org/siskindyke/runtime/RouterMetrics.java
@@ -75,13 +75,7 @@
 
     /** Registers the gauges of what is held for callers. */
     void registerCallers(HttpListener callers, CallerMemory memory) {
-        Gauge.builder("siskindyke.caller.memory.bytes", memory::usedBytes).register(registry);
-        Gauge.builder("siskindyke.caller.memory.max.bytes", memory::maxBytes).register(registry);
-        Gauge.builder("siskindyke.caller.memory.shed", memory::shed).register(registry);
-        Gauge.builder("siskindyke.caller.memory.refused", memory::refused).register(registry);
-        Gauge.builder("siskindyke.caller.connections", callers::connections).register(registry);
-        Gauge.builder("siskindyke.caller.connections.refused", callers::connectionsRefused)
-                .register(registry);
+        CallerMetrics.register(registry, callers, memory);
     }
 
     /** Records the result and duration of a request that has ended. */
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -1,6 +1,7 @@
 package org.siskindyke.runtime;
 
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import io.servicetalk.http.api.HttpServerContext;
 import org.siskindyke.kernel.balance.SliceBalancePolicy;
 import org.siskindyke.kernel.balance.TargetPolicy;
+import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.control.ClusterView;
 import org.siskindyke.kernel.control.ControlContext;
 import org.siskindyke.kernel.control.ControlListener;
@@ -30,6 +32,7 @@
 import org.siskindyke.kernel.membership.MemberRow;
 import org.siskindyke.kernel.membership.MemberState;
 import org.siskindyke.kernel.membership.TargetAnnouncement;
+import org.siskindyke.kernel.route.CallerLimits;
 import org.siskindyke.kernel.table.RowPath;
 import org.siskindyke.kernel.table.TableService;
 import org.siskindyke.kernel.time.MonotonicClock;
@@ -37,7 +40,6 @@
 import org.siskindyke.runtime.call.CallMetrics;
 import org.siskindyke.runtime.call.CallReader;
 import org.siskindyke.runtime.call.CallRouter;
-import org.siskindyke.runtime.call.CallerServer;
 import org.siskindyke.runtime.call.CrashGuard;
 import org.siskindyke.runtime.call.LocalDispatcher;
 import org.siskindyke.runtime.call.LocalTarget;
@@ -51,6 +53,10 @@
 import org.siskindyke.runtime.peer.PeerClients;
 import org.siskindyke.runtime.peer.PeerForwarder;
 import org.siskindyke.runtime.peer.PeerServer;
+import org.siskindyke.runtime.traffic.Cancellable;
+import org.siskindyke.runtime.traffic.HttpExchange;
+import org.siskindyke.runtime.traffic.HttpListener;
+import org.siskindyke.runtime.traffic.TrafficLoop;
 
 /**
  * A router process: its servers, its control thread and its current incarnation as a member. It is the router of the
@@ -61,6 +67,11 @@
     private static final System.Logger LOGGER = System.getLogger(RouterProcess.class.getName());
     private static final long TICK_MILLIS = 25;
     private static final long REJOIN_DELAY_MILLIS = 200;
+    private static final long LIMITS_LOG_INTERVAL_MILLIS = 5_000;
+    private static final long NOT_READY_RETRY_MILLIS = 1_000;
+    /** Limits on callers; a document has none of its own. */
+    private static final CallerLimits CALLER_LIMITS =
+            new CallerLimits(65_536, CallReader.MAX_BODY_BYTES, 30_000, 120_000);
 
     private final RouterSettings settings;
     private final TableService table;
@@ -77,6 +88,8 @@
     private final SliceMeter meter;
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private final List<HttpServerContext> servers = new ArrayList<>();
+    private final TrafficLoop traffic = new TrafficLoop();
+    private HttpListener callers;
     private volatile Incarnation incarnation;
     private MemberAddress address;
     private boolean leaving;
@@ -122,21 +135,25 @@
                 new PeerForwarder(peers, clock),
                 targetPolicy,
                 () -> control.execute(() -> incarnation.controller().refresh()));
-        CallerServer callers = new CallerServer(new CallReader(clock), router, this::servingState, metrics);
+        CallerServer callerServer =
+                new CallerServer(traffic, new CallReader(clock), router, this::servingState, metrics);
         PeerServer peerServer =
                 new PeerServer(clock, control, () -> incarnation, dispatcher, () -> Json.write(status()));
         RouterAdminOperations adminOperations =
                 new RouterAdminOperations(this, control, clock, table, peers, faults, registry, settings);
-        HttpServerContext callerContext =
-                startServer(settings.callerPort(), Http.Protocol.HTTP_1_1, whenReady(callers::handle));
+        callers = new HttpListener(traffic, clock, () -> CALLER_LIMITS, whenReady(callerServer), callerServer);
+        InetSocketAddress callerAddress = callers.listen(new InetSocketAddress(settings.host(), settings.callerPort()));
         HttpServerContext peerContext =
                 startServer(settings.peerPort(), Http.Protocol.HTTP_2, whenReady(peerServer::handle));
         HttpServerContext adminContext =
                 startServer(settings.adminPort(), Http.Protocol.HTTP_1_1, whenReady(adminOperations.server()::handle));
         address = new MemberAddress(
-                settings.host(), Http.portOf(peerContext), Http.portOf(callerContext), Http.portOf(adminContext));
+                settings.host(), Http.portOf(peerContext), callerAddress.getPort(), Http.portOf(adminContext));
         incarnation = newIncarnation();
         control.scheduleWithFixedDelay(this::tick, TICK_MILLIS);
+        CallerMetrics.register(registry, callers, traffic.callerMemory());
+        CallerLimitsLog limitsLog = new CallerLimitsLog(RouterProcess::logEvent, callers, traffic.callerMemory());
+        traffic.scheduleWithFixedDelay(limitsLog::flush, LIMITS_LOG_INTERVAL_MILLIS);
         LOGGER.log(
                 Level.INFO,
                 "event=router-started instance=" + settings.instance() + " failureDomain=" + settings.failureDomain()
@@ -144,6 +161,14 @@
                         + address.adminPort());
     }
 
+    private static void logEvent(String event, Object... fields) {
+        StringBuilder line = new StringBuilder("event=").append(event);
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+            line.append(' ').append(fields[i]).append('=').append(fields[i + 1]);
+        }
+        LOGGER.log(Level.WARNING, line.toString());
+    }
+
     private HttpServerContext startServer(
             int port, Http.Protocol protocol, io.servicetalk.http.api.HttpService service) {
         HttpServerContext context = Http.serve(settings.host(), port, protocol, service);
@@ -151,6 +176,16 @@
         return context;
     }
 
+    private HttpExchange.Handler whenReady(CallerServer server) {
+        return (request, responder) -> {
+            if (incarnation == null) {
+                responder.respond(server.refuseUnread(Refusal.NO_LEASE, NOT_READY_RETRY_MILLIS));
+                return Cancellable.NONE;
+            }
+            return server.handle(request, responder);
+        };
+    }
+
     private io.servicetalk.http.api.HttpService whenReady(io.servicetalk.http.api.HttpService service) {
         return (context, request, factory) -> incarnation == null
                 ? io.servicetalk.concurrent.api.Single.succeeded(factory.serviceUnavailable())
@@ -215,6 +250,7 @@
     public void close() {
         control.close();
         servers.forEach(context -> context.closeAsync().subscribe());
+        traffic.close();
         dispatcher.targets().forEach(LocalTarget::close);
         peers.close();
         left.complete(null);
--- a/src/main/java/org/siskindyke/runtime/call/CallReader.java
+++ b/src/main/java/org/siskindyke/runtime/call/CallReader.java
@@ -2,11 +2,12 @@
 
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.ServiceLoader;
 import java.util.concurrent.ThreadLocalRandom;
 
-import io.servicetalk.http.api.HttpRequest;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import org.siskindyke.kernel.call.KeyExtractor;
 import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.call.SchedulingAttributes;
@@ -19,13 +20,14 @@
 import org.siskindyke.kernel.id.SliceRef;
 import org.siskindyke.kernel.ownership.KeyHash;
 import org.siskindyke.kernel.time.MonotonicClock;
-import org.siskindyke.runtime.peer.Bytes;
 
 /** Converts callers' HTTP requests to calls. */
 public final class CallReader {
     /** Maximum accepted body size, in bytes. */
     public static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+    private static final String SCHEME_END = "://";
+
     private final MonotonicClock clock;
     private final Map<KeySource, KeyExtractor> extractors = new EnumMap<>(KeySource.class);
 
@@ -35,6 +37,16 @@
         ServiceLoader.load(KeyExtractor.class).forEach(e -> extractors.put(e.source(), e));
     }
 
+    /**
+     * A request of a caller.
+     *
+     * @param method the method
+     * @param target the request target: a path and query, or an absolute URI
+     * @param headers the header fields in order
+     * @param body the whole body
+     */
+    public record Request(String method, String target, List<Header> headers, byte[] body) {}
+
     /**
      * The result of reading a request.
      *
@@ -47,20 +59,20 @@
     /**
      * Reads a request.
      *
-     * @param request the request, with its whole body
+     * @param request the request
      * @param caller who sent the request
      * @param view the replicated state, whose documents decide the service
      * @return the call, or why it is refused; never null
      */
-    public Result read(HttpRequest request, ClientAccount caller, ClusterView view) {
-        String path = request.rawPath();
+    public Result read(Request request, ClientAccount caller, ClusterView view) {
+        String path = pathOf(request.target());
         AcceptedDocument accepted =
                 view.documents().match(hostOf(request), path).orElse(null);
         if (accepted == null) {
             return new Result(null, Refusal.NO_SERVICE, null);
         }
         ServiceDocument document = accepted.document();
-        if (request.payloadBody().readableBytes() > MAX_BODY_BYTES) {
+        if (request.body().length > MAX_BODY_BYTES) {
             return new Result(null, Refusal.BODY_TOO_LARGE, document);
         }
         String key = document.keys().divided() ? keyOf(request, document.keys()) : null;
@@ -70,29 +82,28 @@
         return new Result(toCall(request, caller, document, key, path), null, document);
     }
 
-    private Call toCall(HttpRequest request, ClientAccount caller, ServiceDocument document, String key, String path) {
+    private Call toCall(Request request, ClientAccount caller, ServiceDocument document, String key, String path) {
         SliceRef slice = key == null
                 ? null
                 : new SliceRef(
                         document.service(), KeyHash.sliceOf(key, document.keys().slices()));
-        String method = request.method().name();
-        List<Header> headers = Headers.endToEnd(request.headers());
+        List<Header> headers = Headers.endToEnd(withLowerCaseNames(request.headers()));
         return new Call(
                 newCallId(),
                 caller,
                 document.service(),
                 key,
                 slice,
-                method,
-                request.requestTarget(),
+                request.method(),
+                request.target(),
                 headers,
-                Bytes.of(request.payloadBody()),
+                request.body(),
                 clock.nowMillis() + timeoutMillis(headers, document),
-                document.calls().isIdempotent(method, path),
+                document.calls().isIdempotent(request.method(), path),
                 SchedulingAttributes.DEFAULT);
     }
 
-    private String keyOf(HttpRequest request, KeyRule rule) {
+    private String keyOf(Request request, KeyRule rule) {
         return extractors.get(rule.source()).extract(rule, new RequestParts(request));
     }
 
@@ -105,14 +116,30 @@
         return Math.min(limitMillis, Long.parseLong(requested));
     }
 
-    private static String hostOf(HttpRequest request) {
-        CharSequence host = request.headers().get("host");
+    private static List<Header> withLowerCaseNames(List<Header> headers) {
+        return headers.stream()
+                .map(header -> new Header(header.name().toLowerCase(Locale.ROOT), header.value()))
+                .toList();
+    }
+
+    /** Returns the path of a request target, not decoded; of an absolute URI, the path after its authority. */
+    private static String pathOf(String target) {
+        int scheme = target.indexOf(SCHEME_END);
+        int start = 0;
+        if (!target.startsWith("/") && scheme >= 0) {
+            int slash = target.indexOf('/', scheme + SCHEME_END.length());
+            start = slash < 0 ? target.length() : slash;
+        }
+        return target.substring(start).split("[?#]", 2)[0];
+    }
+
+    private static String hostOf(Request request) {
+        String host = Headers.firstIgnoringCase(request.headers(), "host");
         if (host == null) {
             return null;
         }
-        String text = host.toString();
-        int port = text.lastIndexOf(':');
-        return port < 0 ? text : text.substring(0, port);
+        int port = host.lastIndexOf(':');
+        return port < 0 ? host : host.substring(0, port);
     }
 
     private static String newCallId() {
@@ -120,21 +147,27 @@
         return Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
     }
 
-    private record RequestParts(HttpRequest request) implements KeyExtractor.CallParts {
+    private record RequestParts(Request request) implements KeyExtractor.CallParts {
         @Override
         public String path() {
-            return request.rawPath();
+            return pathOf(request.target());
         }
 
         @Override
         public String header(String name) {
-            CharSequence value = request.headers().get(name);
-            return value == null ? null : value.toString();
+            return Headers.firstIgnoringCase(request.headers(), name);
         }
 
         @Override
         public String queryParameter(String name) {
-            return request.queryParameter(name);
+            try {
+                List<String> values =
+                        new QueryStringDecoder(request.target()).parameters().get(name);
+                return values == null ? null : values.get(0);
+            } catch (IllegalArgumentException e) {
+                // The query has an invalid escape sequence, so it names no key.
+                return null;
+            }
         }
     }
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpExchange.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpExchange.java
@@ -7,6 +7,8 @@
 
 /** Requests and responses of the HTTP servers on the traffic loop; {@link PooledHttpClient} returns responses too. */
 public final class HttpExchange {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private HttpExchange() {}
 
     /**
@@ -47,6 +49,26 @@
         void respond(Response response);
     }
 
+    /** Creates the responses to requests that are rejected before they reach a {@link Handler}; none has run. */
+    @FunctionalInterface
+    public interface Rejections {
+        /** Responses without a body. */
+        Rejections EMPTY = (status, retryAfterMillis) -> retryAfterMillis == 0
+                ? Response.empty(status)
+                : new Response(
+                        status,
+                        List.of(new Header("Retry-After", Double.toString(retryAfterMillis / MILLIS_PER_SECOND))),
+                        Response.NO_BODY);
+
+        /**
+         * Returns a response.
+         *
+         * @param status 400, 408, 413, 414, 431, or 503 for lack of memory
+         * @param retryAfterMillis delay before the caller should retry; 0 if not known
+         */
+        Response create(int status, long retryAfterMillis);
+    }
+
     /** Handles requests. Called on the traffic loop. */
     @FunctionalInterface
     public interface Handler {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -31,6 +31,7 @@
     private final MonotonicClock clock;
     private final HttpExchange.Handler handler;
     private final Supplier<CallerLimits> limits;
+    private final HttpExchange.Rejections rejections;
     private final RequestMemory requestMemory = new RequestMemory();
     private final Set<HttpServerConnection> connections = new HashSet<>();
     private final int maxConnections;
@@ -48,7 +49,17 @@
      */
     public HttpListener(
             TrafficLoop traffic, MonotonicClock clock, Supplier<CallerLimits> limits, HttpExchange.Handler handler) {
-        this(traffic, clock, limits, handler, MaxConnections.OF_PROCESS);
+        this(traffic, clock, limits, handler, HttpExchange.Rejections.EMPTY);
+    }
+
+    /** Creates a server as above that rejects requests with responses of a form of its own. */
+    public HttpListener(
+            TrafficLoop traffic,
+            MonotonicClock clock,
+            Supplier<CallerLimits> limits,
+            HttpExchange.Handler handler,
+            HttpExchange.Rejections rejections) {
+        this(traffic, clock, limits, handler, rejections, MaxConnections.OF_PROCESS);
     }
 
     /** Creates a server as above that accepts a given number of connections. */
@@ -57,20 +68,24 @@
             MonotonicClock clock,
             Supplier<CallerLimits> limits,
             HttpExchange.Handler handler,
+            HttpExchange.Rejections rejections,
             int maxConnections) {
         this.traffic = traffic;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
+        this.rejections = rejections;
         this.maxConnections = maxConnections;
     }
 
     /**
      * Starts to listen. Blocks until the address is bound, so it must not be called on the traffic loop.
      *
+     * @param address the address to bind; port 0 for any free one
+     * @return the address that is bound
      * @throws org.siskindyke.kernel.error.SiskindykeException with code {@code ADDRESS_UNAVAILABLE}
      */
-    public void listen(InetSocketAddress address) {
+    public InetSocketAddress listen(InetSocketAddress address) {
         channel = traffic.listen(address, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel accepted) {
@@ -78,6 +93,7 @@
             }
         });
         traffic.scheduleWithFixedDelay(this::closeSlowConnections, PROGRESS_CHECK_MILLIS);
+        return (InetSocketAddress) channel.localAddress();
     }
 
     private void setUp(Channel accepted) {
@@ -129,6 +145,10 @@
         return requestMemory;
     }
 
+    HttpExchange.Rejections rejections() {
+        return rejections;
+    }
+
     CallerLimits limits() {
         return limits.get();
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -70,9 +70,8 @@
 
     private static final int BAD_REQUEST = 400;
     private static final int UNAVAILABLE = 503;
-    /** Refuses a request for which there is no memory now. */
-    private static final HttpExchange.Response NO_MEMORY =
-            new HttpExchange.Response(UNAVAILABLE, List.of(new Header("Retry-After", "0.5")), new byte[0]);
+    /** Delay after which a request for which there is no memory may be sent again. */
+    private static final long NO_MEMORY_RETRY_MILLIS = 500;
 
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
@@ -227,7 +226,7 @@
         if (isUnread() || exchanges.isEmpty() && head == null) {
             closeForAnother();
         } else {
-            reject(NO_MEMORY);
+            rejectForMemory();
         }
     }
 
@@ -287,7 +286,7 @@
                 end();
                 abort();
             } else if (!ignoreInput) {
-                reject(NO_MEMORY);
+                rejectForMemory();
             }
         } else if (isPaused()) {
             channel.config().setAutoRead(false);
@@ -408,7 +407,7 @@
         }
         bodyMemory = listener.requestMemory().new Reservation();
         if (!bodyMemory.growTo(announcedBytes)) {
-            reject(NO_MEMORY);
+            rejectForMemory();
             return;
         }
         head = request;
@@ -430,7 +429,7 @@
 
     private void reject(DecoderResult result) {
         if (result.cause() instanceof StrictRequestDecoder.NoRoomException) {
-            reject(NO_MEMORY);
+            rejectForMemory();
         } else {
             reject(statusOf(result));
         }
@@ -456,7 +455,7 @@
         }
         int growth = body.capacityWith(bytes.readableBytes()) - body.capacity();
         if (!bodyMemory.growTo(readBytes) || growth > 0 && !share.resize(heldBytes() + growth)) {
-            reject(NO_MEMORY);
+            rejectForMemory();
             return;
         }
         body.append(bytes);
@@ -468,7 +467,7 @@
     private void onRequestComplete() {
         HttpRequest request = head;
         if (!share.resize(heldBytes() + EXCHANGE_BYTES)) {
-            reject(NO_MEMORY);
+            rejectForMemory();
             return;
         }
         byte[] bytes = body.toArray();
@@ -507,7 +506,12 @@
 
     /** Rejects input that is not an acceptable request; responses to requests before it are still sent. */
     private void reject(int status) {
-        reject(HttpExchange.Response.empty(status));
+        reject(listener.rejections().create(status, 0));
+    }
+
+    /** Rejects a request for which there is no memory now. */
+    private void rejectForMemory() {
+        reject(listener.rejections().create(UNAVAILABLE, NO_MEMORY_RETRY_MILLIS));
     }
 
     private void reject(HttpExchange.Response response) {
--- a/src/test/java/org/siskindyke/command/UntrustedCallersOfCommandTest.java
+++ b/src/test/java/org/siskindyke/command/UntrustedCallersOfCommandTest.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.AddLifecycleHook;
-import org.siskindyke.KnownRed;
 import org.siskindyke.crowd.CallerCrowd;
 import org.siskindyke.crowd.CrowdedProcess;
 
@@ -20,7 +18,6 @@
     private static final String CHUNKED_HEAD = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
     @Example
-    @AddLifecycleHook(KnownRed.class)
     void unfinishedHeaderSectionsLeaveRoomForOrdinaryCallers() throws Exception {
         assertOutlives(HEAD + "a:\r\n".repeat(FIELD_BYTES / 4));
     }
@@ -31,13 +28,11 @@
     }
 
     @Example
-    @AddLifecycleHook(KnownRed.class)
     void largeUnfinishedBodiesLeaveRoomForOrdinaryCallers() throws Exception {
         assertOutlives(unfinishedBody(LARGE_BODY_BYTES));
     }
 
     @Example
-    @AddLifecycleHook(KnownRed.class)
     void unfinishedBodiesInOneByteChunksLeaveRoomForOrdinaryCallers() throws Exception {
         assertOutlives(CHUNKED_HEAD + "1\r\nx\r\n".repeat(SMALL_CHUNKS));
     }
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpServerLimitsTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpServerLimitsTest.java
@@ -54,6 +54,7 @@
                     traffic.execute(() -> responder.respond(new HttpExchange.Response(200, List.of(), responseBody)));
                     return Cancellable.NONE;
                 },
+                HttpExchange.Rejections.EMPTY,
                 MAX_CONNECTIONS);
         listener.listen(address);
     }
