Let unfinished bodies give way in the memory for long ones

Callers saw: 503 for each request with a body of over 64 KiB, for as long as others kept unfinished bodies of 1 MB; ten of them are enough at a heap of 32 MB, and 24 at 96 MB.

Cause: RequestMemory reserves a body when it is announced and kept it until the idle and header timeouts had passed, in which a caller may send nothing.

Change: RequestMemory is an account of the same kind as CallerMemory. A body that has been awaited for two seconds gives way (503, Retry-After) to one that asks; the one that is largest for longest goes first. A body that arrives within two seconds is never refused for another, so long bodies of ordinary callers do not end each other.

The test for a body beyond the memory now has such a clock too, since the two seconds could pass in it on a slow machine; its checks are unchanged.

--- a/src/main/java/org/siskindyke/runtime/traffic/CallerMemory.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallerMemory.java
@@ -36,6 +36,9 @@
 
     private final MonotonicClock clock;
     private final long maxBytes;
+    /** Up to this size a share may use all of the account. */
+    private final long lightBytes;
+
     private final Set<Share> shares = new HashSet<>();
     private long usedBytes;
     private long shed;
@@ -48,8 +51,14 @@
 
     /** Creates an account of the given size. */
     CallerMemory(MonotonicClock clock, long maxBytes) {
+        this(clock, maxBytes, LIGHT_BYTES);
+    }
+
+    /** Creates an account as above, all of which may be used by shares of up to {@code lightBytes}. */
+    CallerMemory(MonotonicClock clock, long maxBytes, long lightBytes) {
         this.clock = clock;
         this.maxBytes = maxBytes;
+        this.lightBytes = lightBytes;
     }
 
     /** One that holds memory and can give it up. */
@@ -65,7 +74,7 @@
     }
 
     /** Holds memory that is never given up early. */
-    private static final Holder KEEPS_ALL = new Holder() {
+    static final Holder KEEPS_ALL = new Holder() {
         @Override
         public long sheddableBytes() {
             return 0;
@@ -92,7 +101,7 @@
 
         /** Changes the number of bytes; returns whether there is room, and changes nothing otherwise. */
         boolean resize(long newBytes) {
-            long limitBytes = newBytes > LIGHT_BYTES ? maxBytes - maxBytes / LIGHT_DIVISOR : maxBytes;
+            long limitBytes = newBytes > lightBytes ? maxBytes - maxBytes / LIGHT_DIVISOR : maxBytes;
             if (ended || newBytes > bytes && !makeRoom(this, newBytes - bytes, limitBytes)) {
                 refused++;
                 return false;
--- a/src/main/java/org/siskindyke/runtime/traffic/ConnectionLimits.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ConnectionLimits.java
@@ -17,5 +17,5 @@
             new ConnectionLimits(MaxConnections.OF_PROCESS, 1_024, RECEIVE_BUFFER_BYTES);
 
     /** Limits of a port for the platform, the backend server or operators. */
-    public static final ConnectionLimits INTERNAL = new ConnectionLimits(256, 128, RECEIVE_BUFFER_BYTES);
+    public static final ConnectionLimits INTERNAL = new ConnectionLimits(64, 64, RECEIVE_BUFFER_BYTES);
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -32,7 +32,7 @@
     private final HttpExchange.Handler handler;
     private final Supplier<CallerLimits> limits;
     private final HttpExchange.Rejections rejections;
-    private final RequestMemory requestMemory = new RequestMemory();
+    private final RequestMemory requestMemory;
     private final Set<HttpServerConnection> connections = new HashSet<>();
     private final ConnectionLimits connectionLimits;
     private Channel channel;
@@ -76,6 +76,7 @@
         this.handler = handler;
         this.rejections = rejections;
         this.connectionLimits = connectionLimits;
+        this.requestMemory = new RequestMemory(clock);
     }
 
     /**
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -70,6 +70,9 @@
 
     private static final int BAD_REQUEST = 400;
     private static final int UNAVAILABLE = 503;
+    /** Time after which the memory for a body that has not arrived is given to another one if there is no more. */
+    private static final long SLOW_BODY_MILLIS = 2_000;
+
     /** Delay after which a request for which there is no memory may be sent again. */
     private static final long NO_MEMORY_RETRY_MILLIS = 500;
 
@@ -140,6 +143,27 @@
         return share.resize(heldBytes());
     }
 
+    /** The memory that is reserved for a body which has not arrived in full. It gives way if it takes long. */
+    private final class UnfinishedBody implements CallerMemory.Holder {
+        private final RequestMemory.Reservation reservation = listener.requestMemory().new Reservation(this);
+
+        @Override
+        public long sheddableBytes() {
+            boolean awaited = reservation == bodyMemory && !continueDue;
+            return awaited && clock.nowMillis() - bodyAwaitedSinceMillis >= SLOW_BODY_MILLIS ? reservation.bytes() : 0;
+        }
+
+        @Override
+        public long waitingSinceMillis() {
+            return bodyAwaitedSinceMillis;
+        }
+
+        @Override
+        public void shed() {
+            rejectForMemory();
+        }
+    }
+
     /** A request that was read, and its response once there is one. */
     private static final class Exchange {
         private final boolean keepAlive;
@@ -407,7 +431,7 @@
             reject(TOO_LARGE);
             return;
         }
-        bodyMemory = listener.requestMemory().new Reservation();
+        bodyMemory = new UnfinishedBody().reservation;
         if (!bodyMemory.growTo(announcedBytes)) {
             rejectForMemory();
             return;
@@ -531,7 +555,8 @@
         // What the socket receives is read and dropped from now on.
         enlargedBytes = 0;
         discardPartialRequest();
-        Exchange exchange = new Exchange(false, false, listener.requestMemory().new Reservation(), EXCHANGE_BYTES);
+        Exchange exchange = new Exchange(
+                false, false, listener.requestMemory().new Reservation(CallerMemory.KEEPS_ALL), EXCHANGE_BYTES);
         add(exchange);
         removeDecoder();
         onResponse(exchange, response);
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -41,7 +41,7 @@
     private static final long TIMEOUT_CHECK_MILLIS = 100;
     private static final byte[] EMPTY_PAYLOAD = {};
     /** Accepted connections at a time on which no router has named itself, which takes one round trip. */
-    private static final int MAX_UNNAMED_CONNECTIONS = 512;
+    private static final int MAX_UNNAMED_CONNECTIONS = 256;
 
     /** Delay after which a call that found no memory may be sent again. */
     private static final long NO_MEMORY_RETRY_MILLIS = 500;
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestMemory.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestMemory.java
@@ -1,9 +1,12 @@
 package org.siskindyke.runtime.traffic;
 
+import org.siskindyke.kernel.time.MonotonicClock;
+
 /**
  * Limits the memory that the bodies of the requests at one {@link HttpListener} take, from when they are announced
- * until the requests are answered. Short bodies are not counted here, so that long ones do not keep them out; what has
- * been received of any body is counted in {@link CallerMemory}. Confined to the traffic loop.
+ * until the requests are answered. Where there is no room, unfinished bodies give way as they do in {@link
+ * CallerMemory}. Short bodies are not counted here, so that long ones do not keep them out; what has been received of
+ * any body is counted in {@link CallerMemory}. Confined to the traffic loop.
  */
 final class RequestMemory {
     /** Longest body that fits into a message between routers, with its header fields. */
@@ -13,40 +16,56 @@
     /** A part of the heap, since a body that is forwarded is held in several forms for a moment. */
     private static final long HEAP_DIVISOR = 4;
 
-    private final long maxBytes = Math.max(MAX_BODY_BYTES, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
-    private long usedBytes;
+    private final CallerMemory account;
+
+    RequestMemory(MonotonicClock clock) {
+        long maxBytes = Math.max(MAX_BODY_BYTES, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+        this.account = new CallerMemory(clock, maxBytes, maxBytes);
+    }
 
     /** Returns the memory for all bodies. */
     long maxBytes() {
-        return maxBytes;
+        return account.maxBytes();
     }
 
     long usedBytes() {
-        return usedBytes;
+        return account.usedBytes();
     }
 
     /** The memory that is reserved for one body; none at first. */
     final class Reservation {
-        private long bytes;
+        private final CallerMemory.Holder holder;
+        /** Null while nothing is reserved, as for most requests. */
+        private CallerMemory.Share share;
+
+        /** Creates a reservation that {@code holder} can give up. */
+        Reservation(CallerMemory.Holder holder) {
+            this.holder = holder;
+        }
 
         /** Reserves memory for a body of this length, or one that has grown to it; returns whether there is enough. */
         boolean growTo(long bodyBytes) {
-            if (bodyBytes <= Math.max(bytes, SHORT_BODY_BYTES)) {
+            if (bodyBytes <= Math.max(bytes(), SHORT_BODY_BYTES)) {
                 return true;
             }
-            long moreBytes = bodyBytes - bytes;
-            if (bodyBytes > MAX_BODY_BYTES || usedBytes + moreBytes > maxBytes) {
+            if (bodyBytes > MAX_BODY_BYTES) {
                 return false;
             }
-            usedBytes += moreBytes;
-            bytes = bodyBytes;
-            return true;
+            if (share == null) {
+                share = account.open(holder);
+            }
+            return share.resize(bodyBytes);
+        }
+
+        long bytes() {
+            return share == null ? 0 : share.bytes();
         }
 
         /** Returns the memory. */
         void release() {
-            usedBytes -= bytes;
-            bytes = 0;
+            if (share != null) {
+                share.end();
+            }
         }
     }
 }
--- a/src/test/java/org/siskindyke/crowd/CrowdedProcess.java
+++ b/src/test/java/org/siskindyke/crowd/CrowdedProcess.java
@@ -172,6 +172,12 @@
         assertEquals(0, outOfMemoryErrors(), this::state);
     }
 
+    /** Checks that an ordinary request with a body of this length is answered, besides the above. */
+    public void assertServesBodyOf(int bytes) throws IOException, InterruptedException {
+        awaitAnswer(ANSWER_LIMIT, HttpRequest.BodyPublishers.ofByteArray(new byte[bytes]));
+        assertServes();
+    }
+
     /** Checks that the descriptors of a crowd that has left are returned, besides the above. */
     public void assertServesAsBefore() throws IOException, InterruptedException {
         long endNanos = System.nanoTime() + ANSWER_LIMIT.toNanos();
@@ -183,19 +189,24 @@
     }
 
     private void awaitAnswer(Duration limit) throws IOException, InterruptedException {
+        awaitAnswer(limit, HttpRequest.BodyPublishers.noBody());
+    }
+
+    private void awaitAnswer(Duration limit, HttpRequest.BodyPublisher body) throws IOException, InterruptedException {
         long endNanos = System.nanoTime() + limit.toNanos();
-        while (!isAnswered()) {
+        while (!isAnswered(body)) {
             assertTrue(process.isAlive(), () -> "the process has ended with " + process.exitValue() + "\n" + state());
             assertTrue(System.nanoTime() < endNanos, () -> "no answer\n" + state());
             TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
         }
     }
 
-    private boolean isAnswered() throws InterruptedException {
+    private boolean isAnswered(HttpRequest.BodyPublisher body) throws InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(
                         URI.create("http://" + callers.getHostString() + ":" + callers.getPort() + "/p/ordinary"))
                 .header("X-Siskindyke-Request-Id", "ordinary" + System.nanoTime())
                 .timeout(RESPONSE_TIMEOUT)
+                .method("GET", body)
                 .build();
         try {
             return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == OK;
--- a/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
+++ b/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
@@ -145,6 +145,20 @@
         assertOutlives(CONNECTIONS, unfinishedBody(LARGE_BODY_BYTES));
     }
 
+    /** A caller with a long body, beside bodies that have taken the memory for such ones and do not go on. */
+    @Example
+    void unfinishedBodiesLeaveRoomForAnOrdinaryCallerWithALongOne() throws Exception {
+        try (CrowdedRouter router = new CrowdedRouter()) {
+            CrowdedProcess process = router.process();
+            try (CallerCrowd crowd =
+                    new CallerCrowd(process.callers(), PIPELINING_CONNECTIONS, unfinishedBody(LARGE_BODY_BYTES))) {
+                crowd.sendInTurns(TURN_BYTES);
+                process.assertServesBodyOf(LARGE_BODY_BYTES);
+            }
+            process.assertServesAsBefore();
+        }
+    }
+
     /** Header sections, bodies whole and in one-byte chunks, and unread responses at the same time. */
     @Example
     void aMixedCrowdLeavesRoomForOrdinaryCallers() throws Exception {
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -318,10 +318,11 @@
      */
     @Example
     void aBodyBeyondTheMemoryForBodiesIsRefusedAndOneAfterItIsRead() throws Exception {
+        clock = () -> 0;
         long bodyBytes = RequestMemory.MAX_BODY_BYTES;
         limits = LARGE_BODIES;
         try (Socket leaving = connect()) {
-            long room = new RequestMemory().maxBytes() / bodyBytes;
+            long room = new RequestMemory(clock).maxBytes() / bodyBytes;
             List<Socket> reading = new ArrayList<>();
             for (int i = 0; i < room; i++) {
                 Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
@@ -346,6 +347,37 @@
         }
     }
 
+    /** Guards against callers that keep others with long bodies out by bodies of which they send a part only. */
+    @Example
+    void aBodyThatTakesLongGivesWayToAnotherOne() throws Exception {
+        AtomicLong nowMillis = new AtomicLong();
+        clock = nowMillis::get;
+        long bodyBytes = RequestMemory.MAX_BODY_BYTES;
+        limits = LARGE_BODIES;
+        try (Socket stalled = connect()) {
+            send(stalled, largeRequest("/0", bodyBytes));
+            long room = new RequestMemory(clock).maxBytes() / bodyBytes;
+            List<Socket> others = new ArrayList<>();
+            awaitUsedBytes(bodyBytes);
+            nowMillis.addAndGet(1_000);
+            for (int i = 1; i < room; i++) {
+                Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                others.add(socket);
+                send(socket, largeRequest("/" + i, bodyBytes));
+            }
+            awaitUsedBytes(room * bodyBytes);
+            nowMillis.addAndGet(1_000);
+            try (Socket next = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                send(next, largeRequest("/next", bodyBytes) + "x".repeat((int) bodyBytes));
+                assertNotNull(started.poll(WAIT_SECONDS, TimeUnit.SECONDS), "no body gives way");
+            }
+            assertEquals("HTTP/1.1 503 Service Unavailable", statusLine(stalled));
+            for (Socket socket : others) {
+                socket.close();
+            }
+        }
+    }
+
     /** Guards against a body that no other router accepts in a message, which ends the connection between them. */
     @Example
     void aBodyTooLongForAMessageBetweenRoutersIsRefused() throws Exception {
