Bound what the kernel receives at the peers' port

Callers saw: nothing; like at the callers' port, connections that wait to be accepted held 125 KB each, which is 128 MB for the 1,024 that can wait there.

Change: the port has the receive buffer and the limits of the others (ConnectionLimits.PEERS). Once a router has named itself its buffer is enlarged to 256 KiB, so that long bodies from other regions are not slowed.

--- a/src/main/java/org/siskindyke/runtime/traffic/ConnectionLimits.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ConnectionLimits.java
@@ -18,4 +18,7 @@
 
     /** Limits of a port for the platform, the backend server or operators. */
     public static final ConnectionLimits INTERNAL = new ConnectionLimits(64, 64, RECEIVE_BUFFER_BYTES);
+
+    /** Limits of the port for other routers, until they have named themselves, which takes one round trip. */
+    static final ConnectionLimits PEERS = new ConnectionLimits(256, 1_024, RECEIVE_BUFFER_BYTES);
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -496,7 +496,7 @@
     private void enlargeReceiveWindow() {
         if (enlargedBytes == 0 && share.addIfFree(ReceiveWindow.MAX_UNREAD_BYTES)) {
             enlargedBytes = ReceiveWindow.MAX_UNREAD_BYTES;
-            ReceiveWindow.enlarge(channel);
+            ReceiveWindow.enlarge(channel, ReceiveWindow.CALLER_BUFFER_BYTES);
         }
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -40,8 +40,6 @@
 
     private static final long TIMEOUT_CHECK_MILLIS = 100;
     private static final byte[] EMPTY_PAYLOAD = {};
-    /** Accepted connections at a time on which no router has named itself, which takes one round trip. */
-    private static final int MAX_UNNAMED_CONNECTIONS = 256;
 
     /** Delay after which a call that found no memory may be sent again. */
     private static final long NO_MEMORY_RETRY_MILLIS = 500;
@@ -56,7 +54,7 @@
     private final List<PeerLink> exhausted = new ArrayList<>();
 
     private final InboundSessions sessions;
-    private final UnnamedConnections unnamed = new UnnamedConnections(MAX_UNNAMED_CONNECTIONS);
+    private final UnnamedConnections unnamed = new UnnamedConnections(ConnectionLimits.PEERS.accepted());
     private MemberController controller;
 
     /** Creates the network; {@link #attach} and {@link #listen} complete it. */
@@ -85,13 +83,14 @@
      * @throws SiskindykeException with code {@code ADDRESS_UNAVAILABLE}
      */
     public void listen(InetSocketAddress address) {
-        traffic.listen(address, new ChannelInitializer<Channel>() {
+        ChannelInitializer<Channel> initializer = new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 InboundHandler handler = new InboundHandler(channel);
                 channel.pipeline().addLast(handler.codec, handler);
             }
-        });
+        };
+        traffic.listen(address, initializer, ConnectionLimits.PEERS);
         traffic.scheduleWithFixedDelay(
                 () -> {
                     long nowMillis = clock.nowMillis();
@@ -345,6 +344,7 @@
             unnamed.remove(channel);
             incomplete.end();
             codec.onNamed();
+            ReceiveWindow.enlarge(channel, ReceiveWindow.PEER_BUFFER_BYTES);
             session = sessions.open(WireCodec.decode(frame.payload(), new LinkState()), context.channel());
         }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/ReceiveWindow.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ReceiveWindow.java
@@ -10,10 +10,13 @@
 
 /** Enlarges the receive buffer of a connection, and with it what the other end may send at a time. */
 final class ReceiveWindow {
-    /** Most bytes that an enlarged connection has received and not read, see {@link ConnectionLimits}. */
+    /** Buffer of a caller's connection. */
+    static final int CALLER_BUFFER_BYTES = 65_536;
+    /** Most bytes that a caller's connection has received and not read then, see {@link ConnectionLimits}. */
     static final int MAX_UNREAD_BYTES = 98_304;
+    /** Buffer of another router's connection, on which bodies of calls arrive from other regions too. */
+    static final int PEER_BUFFER_BYTES = 262_144;
 
-    private static final int BUFFER_BYTES = 65_536;
     private static final int IPPROTO_TCP = 6;
     private static final int TCP_WINDOW_CLAMP = 10;
     /** Up to Linux 6.10 a larger buffer alone leaves the largest window as it was when the connection was accepted. */
@@ -24,12 +27,12 @@
 
     private ReceiveWindow() {}
 
-    /** Enlarges the buffer. Where the system does not allow that, long bodies only take longer to arrive. */
-    static void enlarge(Channel channel) {
+    /** Enlarges the buffer. Where the system does not allow that, long messages only take longer to arrive. */
+    static void enlarge(Channel channel, int bufferBytes) {
         try {
-            channel.config().setOption(ChannelOption.SO_RCVBUF, BUFFER_BYTES);
+            channel.config().setOption(ChannelOption.SO_RCVBUF, bufferBytes);
             if (channel instanceof EpollSocketChannel) {
-                channel.config().setOption(WINDOW_CLAMP, BUFFER_BYTES);
+                channel.config().setOption(WINDOW_CLAMP, bufferBytes);
             }
         } catch (ChannelException e) {
             LOGGER.log(Level.DEBUG, "event=receive-window-not-enlarged", e);
--- a/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/TrafficLoop.java
@@ -49,7 +49,6 @@
 
     private static final String OUT_OF_MEMORY = "event=out-of-memory during a periodic task of the traffic loop";
 
-    private static final int BACKLOG = 1_024;
     /** Times that a connection is read before others get their turn; Netty's own default for sockets. */
     private static final int MESSAGES_PER_READ = 16;
     /**
@@ -162,28 +161,26 @@
      *
      * @param address the address to bind
      * @param handler sets up each connection
+     * @param limits what the kernel holds for the socket; the number of accepted connections is up to {@code handler}
      * @return the listening channel
      * @throws SiskindykeException with code {@code ADDRESS_UNAVAILABLE}
      */
-    public Channel listen(InetSocketAddress address, ChannelHandler handler) {
-        return bind(address, newServer(handler));
-    }
-
-    /** Opens a listening socket as above, for connections that the kernel limits too. */
     Channel listen(InetSocketAddress address, ChannelHandler handler, ConnectionLimits limits) {
-        // A window that was announced stays, so the buffer is set before connections are accepted.
-        return bind(
-                address,
-                newServer(handler)
-                        .option(ChannelOption.SO_BACKLOG, limits.waiting())
-                        .option(ChannelOption.SO_RCVBUF, limits.receiveBufferBytes()));
+        ServerBootstrap bootstrap = newServer(handler)
+                .option(ChannelOption.SO_BACKLOG, limits.waiting())
+                // A window that was announced stays, so the buffer is set before connections are accepted.
+                .option(ChannelOption.SO_RCVBUF, limits.receiveBufferBytes());
+        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "cannot listen at " + address, bound.cause());
+        }
+        return bound.channel();
     }
 
     private ServerBootstrap newServer(ChannelHandler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(usesEpoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
@@ -193,14 +190,6 @@
         return bootstrap;
     }
 
-    private static Channel bind(InetSocketAddress address, ServerBootstrap bootstrap) {
-        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new SiskindykeException(ErrorCode.ADDRESS_UNAVAILABLE, "cannot listen at " + address, bound.cause());
-        }
-        return bound.channel();
-    }
-
     /**
      * Opens a connection. May be called on any thread; listeners of the returned future run on the loop.
      *
--- a/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
+++ b/src/test/java/org/siskindyke/platform/UntrustedCallersTest.java
@@ -1,6 +1,7 @@
 package org.siskindyke.platform;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
@@ -119,17 +120,28 @@
     @Example
     void bytesOnConnectionsThatAreNotAcceptedFitIntoItsMemory() throws Exception {
         try (CrowdedRouter router = new CrowdedRouter()) {
-            CrowdedProcess process = router.process();
-            process.freeze();
-            try (CallerCrowd crowd =
-                    new CallerCrowd(process.callers(), CONNECTIONS, unfinishedBody(LARGE_BODY_BYTES))) {
-                crowd.send();
-                process.assertRoomForUnreadBytes(CONNECTIONS);
-                process.thaw();
-                process.assertServes();
-            }
-            process.assertServesAsBefore();
+            assertRoomForUnreadBytes(router, router.process().callers());
+        }
+    }
+
+    /** As above, at the port for other routers. */
+    @Example
+    void bytesOnConnectionsThatAreNotAcceptedAtThePeersPortFitIntoItsMemory() throws Exception {
+        try (CrowdedRouter router = new CrowdedRouter()) {
+            assertRoomForUnreadBytes(router, router.peers());
+        }
+    }
+
+    private static void assertRoomForUnreadBytes(CrowdedRouter router, InetSocketAddress address) throws Exception {
+        CrowdedProcess process = router.process();
+        process.freeze();
+        try (CallerCrowd crowd = new CallerCrowd(address, CONNECTIONS, unfinishedBody(LARGE_BODY_BYTES))) {
+            crowd.send();
+            process.assertRoomForUnreadBytes(CONNECTIONS);
+            process.thaw();
+            process.assertServes();
         }
+        process.assertServesAsBefore();
     }
 
     /** Requests with bodies behind others that run: the router does not read on, and the kernel receives more. */
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
@@ -142,17 +142,20 @@
     }
 
     private void start() throws InterruptedException {
-        Channel listening = loop.listen(new InetSocketAddress("127.0.0.1", 0), new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel accepted) {
-                if (closesConnections) {
-                    closedConnections.incrementAndGet();
-                    accepted.close();
-                } else {
-                    accepted.pipeline().addLast(new PeerFrameCodec(), new Silencer(), new Peer());
-                }
-            }
-        });
+        Channel listening = loop.listen(
+                new InetSocketAddress("127.0.0.1", 0),
+                new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel accepted) {
+                        if (closesConnections) {
+                            closedConnections.incrementAndGet();
+                            accepted.close();
+                        } else {
+                            accepted.pipeline().addLast(new PeerFrameCodec(), new Silencer(), new Peer());
+                        }
+                    }
+                },
+                ConnectionLimits.PEERS);
         link = new PeerLink(loop, SystemMonotonicClock.INSTANCE, (InetSocketAddress) listening.localAddress(), log);
         loop.scheduleWithFixedDelay(() -> link.checkTimeouts(SystemMonotonicClock.INSTANCE.nowMillis()), 20);
         send("first");
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerRepliesTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerRepliesTest.java
@@ -174,12 +174,15 @@
     @Example
     void aReplyReachesOnlyTheAttemptThatItAnswersWhateverHappensToRoutersAndConnections() throws Exception {
         sessions = newSessions();
-        Channel listening = loop.listen(new InetSocketAddress("127.0.0.1", 0), new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel accepted) {
-                accepted.pipeline().addLast(new PeerFrameCodec(), new Wire(), new Peer());
-            }
-        });
+        Channel listening = loop.listen(
+                new InetSocketAddress("127.0.0.1", 0),
+                new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel accepted) {
+                        accepted.pipeline().addLast(new PeerFrameCodec(), new Wire(), new Peer());
+                    }
+                },
+                ConnectionLimits.PEERS);
         address = (InetSocketAddress) listening.localAddress();
         loop.scheduleWithFixedDelay(() -> link.checkTimeouts(nowMillis()), 20);
         for (long seed = 0; seed < SEEDS; seed++) {
