Bound the long replies that wait for a router which stands still

Cause: replies are handed to Netty, which encodes them into direct memory, and are in no account.

Change: a reply of 16 KiB or more has a share of CallerMemory until it is sent. While less than 1 MiB waits on the connection it is always sent. Beyond that it needs room, and callers give way for it as for a request; without room the other router is told that the answer is lost, for this call alone.

--- a/src/main/java/org/siskindyke/runtime/traffic/InboundSession.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/InboundSession.java
@@ -10,9 +10,11 @@
 import java.util.Set;
 
 import io.netty.channel.Channel;
+import org.siskindyke.kernel.call.Refusal;
 import org.siskindyke.kernel.link.LinkAnswer;
 import org.siskindyke.kernel.link.LinkQuestion;
 import org.siskindyke.kernel.link.ReceivedCalls;
+import org.siskindyke.runtime.call.Reply;
 
 /**
  * The requests of another router, on its connection to this one and on those that replace it. What has arrived is
@@ -23,18 +25,25 @@
     private static final long KEEP_REPLY_MILLIS = 2_000;
     /** Bytes of replies that are kept; the oldest are dropped beyond that. */
     private static final int MAX_KEPT_BYTES = 128 * 1024;
+    /** Replies from this length on are counted until they are sent. */
+    private static final int COUNTED_BYTES = 16 * 1024;
+    /** Bytes that wait on a connection from which on its other end is taken for one that does not read. */
+    private static final long STALLED_BYTES = 1 << 20;
 
     private final ReceivedCalls received = new ReceivedCalls();
     private final Map<Long, Cancellable> running = new HashMap<>();
     private final Deque<SentReply> sentReplies = new ArrayDeque<>();
+    private final CallerMemory memory;
     private int keptBytes;
     private Channel channel;
     private long endedMillis;
 
     private record SentReply(PeerFrame frame, long sentMillis) {}
 
-    InboundSession(Channel channel) {
+    /** Creates a session on a connection, null for none yet; counts replies that wait for the other router. */
+    InboundSession(Channel channel, CallerMemory memory) {
         this.channel = channel;
+        this.memory = memory;
     }
 
     /** Returns whether requests on a connection are processed: those on a replaced one are not. */
@@ -95,13 +104,38 @@
         }
     }
 
-    /** Sends the reply to a call, and keeps it for a while. */
+    /**
+     * Sends the reply to a call, and keeps it for a while. In place of a long one for which there is no memory, as the
+     * other router does not read, it says that the answer is lost.
+     */
     void reply(PeerFrame frame, long nowMillis) {
         running.remove(frame.id());
-        sentReplies.addLast(new SentReply(frame, nowMillis));
-        keptBytes += frame.payload().length;
+        if (frame.payload().length < COUNTED_BYTES) {
+            keep(frame, nowMillis);
+            send(frame);
+            return;
+        }
+        CallerMemory.Share share = memory.open();
+        PeerFrame reply = reserve(share, frame.payload().length)
+                ? frame
+                : ForwardFrames.reply(frame.id(), null, Reply.mayHaveRun(Refusal.ANSWER_LOST));
+        keep(reply, nowMillis);
+        channel.writeAndFlush(reply).addListener(sent -> share.end());
+    }
+
+    private void keep(PeerFrame reply, long nowMillis) {
+        sentReplies.addLast(new SentReply(reply, nowMillis));
+        keptBytes += reply.payload().length;
         dropOldReplies(nowMillis);
-        send(frame);
+    }
+
+    private boolean reserve(CallerMemory.Share share, int bytes) {
+        var waiting = channel.unsafe().outboundBuffer();
+        if (waiting != null && waiting.totalPendingWriteBytes() >= STALLED_BYTES) {
+            return share.resize(bytes);
+        }
+        share.force(bytes);
+        return true;
     }
 
     void send(PeerFrame frame) {
--- a/src/main/java/org/siskindyke/runtime/traffic/InboundSessions.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/InboundSessions.java
@@ -46,17 +46,18 @@
     InboundSession open(LinkState ask, Channel channel) {
         if (!ask.isSetLink()) {
             // A router of an earlier version takes this answer for one that settles nothing.
-            InboundSession session = new InboundSession(channel);
+            InboundSession session = new InboundSession(channel, traffic.callerMemory());
             session.send(new PeerFrame(PeerFrame.Kind.PONG, 0, WireCodec.encode(new LinkState(ask.getSession()))));
             return session;
         }
-        InboundSession session = sessions.computeIfAbsent(ask.getLink(), link -> new InboundSession(null));
+        InboundSession session =
+                sessions.computeIfAbsent(ask.getLink(), link -> new InboundSession(null, traffic.callerMemory()));
         Optional<LinkAnswer> answer =
                 session.continueOn(channel, new LinkQuestion(ask.getConnection(), ask.getPending()));
         if (answer.isEmpty()) {
             log.event("link-connection-superseded", "peer", channel.remoteAddress(), "connection", ask.getConnection());
             channel.close();
-            return new InboundSession(null);
+            return new InboundSession(null, traffic.callerMemory());
         }
         session.send(new PeerFrame(PeerFrame.Kind.PONG, 0, WireCodec.encode(toWire(ask, answer.get()))));
         // A cancellation that was sent on an earlier connection may not have arrived.
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerNetwork.java
@@ -283,7 +283,7 @@
 
         private InboundHandler(Channel channel) {
             this.channel = channel;
-            this.session = new InboundSession(channel);
+            this.session = new InboundSession(channel, traffic.callerMemory());
         }
 
         @Override
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerLinkTest.java
@@ -98,7 +98,7 @@
 
     /** Runs each call for a while and replies with its payload. */
     private final class Peer extends SimpleChannelInboundHandler<PeerFrame> {
-        private InboundSession session = new InboundSession(null);
+        private InboundSession session = new InboundSession(null, loop.callerMemory());
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerRepliesTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerRepliesTest.java
@@ -127,7 +127,7 @@
     /** Runs each request for a while and replies with its payload. */
     private final class Peer extends SimpleChannelInboundHandler<PeerFrame> {
         private final InboundSessions process = sessions;
-        private InboundSession session = new InboundSession(null);
+        private InboundSession session = new InboundSession(null, loop.callerMemory());
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
