Count an enlarged receive buffer until its connection ends

Cause: a rejected request returned the share of its enlarged buffer at once, so that the next connection got one, while the rejected one still received into its own for as long as its remaining input is read and dropped.

Change: the bytes are counted until the connection ends. What a connection gives up when its unfinished request is rejected no longer includes the connection itself, which stays until its response is sent.

Measured: anEnlargedReceiveBufferIsCountedUntilItsConnectionEnds.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -99,7 +99,10 @@
     private int longestLine;
     /** Size of the decoder's buffer for bytes that are not decoded yet. */
     private int undecodedBytes;
-    /** Bytes that may wait in the socket beyond those of every connection, since its receive buffer is enlarged. */
+    /**
+     * Bytes that may wait in the socket beyond those of every connection, since its receive buffer is enlarged. Counted
+     * until the connection ends, as a window that was announced stays.
+     */
     private int enlargedBytes;
     /** Memory for the requests and responses in {@link #exchanges}. */
     private long exchangesBytes;
@@ -229,7 +232,7 @@
         if (ended) {
             return 0;
         }
-        if (exchanges.isEmpty() || isUnread()) {
+        if (isClosedToShed()) {
             return share.bytes();
         }
         return ignoreInput ? 0 : unfinishedBytes();
@@ -249,13 +252,18 @@
      */
     @Override
     public void shed() {
-        if (isUnread() || exchanges.isEmpty() && head == null) {
+        if (isClosedToShed()) {
             closeForAnother();
         } else {
             rejectForMemory();
         }
     }
 
+    /** Returns whether the connection itself is given up, and not only an unfinished request on it. */
+    private boolean isClosedToShed() {
+        return isUnread() || exchanges.isEmpty() && head == null;
+    }
+
     /** Closes a connection that is idle, and resets it otherwise. */
     void closeForAnother() {
         boolean idle = exchanges.isEmpty() && begunMillis < 0 && unsentBytes() == 0;
@@ -552,8 +560,6 @@
 
     private void reject(HttpExchange.Response response) {
         ignoreInput = true;
-        // What the socket receives is read and dropped from now on.
-        enlargedBytes = 0;
         discardPartialRequest();
         Exchange exchange = new Exchange(
                 false, false, listener.requestMemory().new Reservation(CallerMemory.KEEPS_ALL), EXCHANGE_BYTES);
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -378,6 +378,27 @@
         }
     }
 
+    /** Guards against connections that are rejected one after the other, and all still receive into large buffers. */
+    @Example
+    void anEnlargedReceiveBufferIsCountedUntilItsConnectionEnds() throws Exception {
+        try (Socket socket = connect()) {
+            send(
+                    socket,
+                    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + "1000\r\n" + "x".repeat(0x1000)
+                            + "\r\n4000\r\n" + "x".repeat(0x4000) + "\r\nno length\r\n");
+            assertEquals("HTTP/1.1 400 Bad Request", statusLine(socket));
+            AtomicLong usedBytes = new AtomicLong();
+            runOnLoop(() -> usedBytes.set(traffic.callerMemory().usedBytes()));
+            assertTrue(usedBytes.get() >= ReceiveWindow.MAX_UNREAD_BYTES, () -> usedBytes + " bytes are counted");
+        }
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        AtomicLong usedBytes = new AtomicLong(-1);
+        while (usedBytes.get() != 0) {
+            assertTrue(System.nanoTime() < endNanos, () -> usedBytes + " bytes are used");
+            runOnLoop(() -> usedBytes.set(traffic.callerMemory().usedBytes()));
+        }
+    }
+
     /** Guards against a body that no other router accepts in a message, which ends the connection between them. */
     @Example
     void aBodyTooLongForAMessageBetweenRoutersIsRefused() throws Exception {
