Take a response that a second copy of itself completes for lost

Cause: HttpClientConnection took a response for whole as soon as as many bytes as announced had come.

Change: EmbeddedResponse looks for a status line in the body; the response is lost (BAD_RESPONSE, may have run) if the fields behind it name the request, or if they are cut by the end of the body and more bytes follow. Judging by the bytes behind alone was ruled out: servers may send stray ones after a complete response. A body that quotes the response of another request is delivered.

The new test breaks a response off at each place that leaves at least 18 bytes missing; the status line of the second copy is cut by the end of the body where fewer are missing, and such a response is still taken for whole.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -332,9 +332,12 @@
         }
         List<Header> headers = headers(response);
         if (exchange.requestId() != null) {
-            String namedId = dialect.answeredRequestId(headers);
-            if (!exchange.requestId().equals(namedId)) {
-                onOtherResponse(namedId, status);
+            if (!namesAwaited(headers)) {
+                onOtherResponse(dialect.answeredRequestId(headers), status);
+                return;
+            }
+            if (EmbeddedResponse.isIn(bytes, hasBytesBehind, this::namesAwaited)) {
+                fail(ResponseLoss.BAD_RESPONSE, "the response broke off and another one fills its body");
                 return;
             }
             reusable &= !carried.isFull();
@@ -349,6 +352,10 @@
         ended.listener().onResponse(status, headers, bytes, !channel.isActive());
     }
 
+    private boolean namesAwaited(List<Header> headers) {
+        return exchange.requestId().equals(dialect.answeredRequestId(headers));
+    }
+
     private void onOtherResponse(String namedId, int status) {
         observer.onResponseDropped(state(), namedId, status);
         reusable = false;
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -518,4 +518,29 @@
         }
         assertEquals(List.of(), wrong);
     }
+
+    /** Guards against a body of which a part is another response, as its length is right. */
+    @Example
+    void aResponseThatBreaksOffAndIsWrittenOnceMoreIsLostWhereverItBreaksOff() {
+        String body = "0123456789".repeat(20);
+        String whole = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 200\r\n\r\n" + body;
+        int headLength = whole.length() - body.length();
+        // From 18 missing bytes on, the status line of the second response is in the body of the first.
+        for (int missing = 18; missing <= body.length(); missing++) {
+            open();
+            send("a");
+            receive(whole.substring(0, headLength + body.length() - missing) + whole);
+            assertEquals(List.of("lost BAD_RESPONSE"), outcomes, missing + " bytes missing");
+            assertFalse(connection.isUsable());
+        }
+    }
+
+    @Example
+    void aBodyThatQuotesAnotherResponseIsDelivered() {
+        String quoted = "HTTP/1.1 200 OK\r\nId: b\r\n\r\nquoted";
+        send("a");
+        receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: " + quoted.length() + "\r\n\r\n" + quoted);
+        assertEquals(List.of("200 " + quoted), outcomes);
+        assertTrue(connection.isUsable());
+    }
 }
