Start no request behind an unanswered one on a router that stops

Cause: responses are sent in the order of the requests, and a router that stops still started each request that it read.

Change: once it stops, HttpServerConnection does not start a request behind an unanswered one. The response before it closes the connection, so the caller counts it as not read and sends it again, whatever its kind. Ending the longer request early was ruled out: its target is at work.

The new test of HttpListenerTest passes; it was not run on the code before.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -509,6 +509,13 @@
     }
 
     private void onRequestComplete() {
+        if (listener.isClosing() && !exchanges.isEmpty()) {
+            // Its response could not be sent before those to requests that may run until the process ends. The caller
+            // sends it again, since the response before it closes the connection.
+            ignoreInput = true;
+            discardPartialRequest();
+            return;
+        }
         HttpRequest request = head;
         if (!share.resize(heldBytes() + EXCHANGE_BYTES)) {
             rejectForMemory();
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -378,6 +378,22 @@
         }
     }
 
+    /** Guards against a response that is ready, but waits for a longer request before it until the process ends. */
+    @Example
+    void aStoppingServerDoesNotStartARequestBehindAnUnansweredOne() throws Exception {
+        try (Socket socket = connect()) {
+            runOnLoop(listener::startClosing);
+            send(socket, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+            HttpExchange.Responder first = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            runOnLoop(() -> first.respond(HttpExchange.Response.empty(201)));
+            String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(all.startsWith("HTTP/1.1 201 "), all);
+            assertTrue(all.contains("connection: close"), all);
+            assertEquals(-1, all.indexOf("HTTP/1.1", 1), all);
+            assertTrue(started.isEmpty(), "the second request was started");
+        }
+    }
+
     /** Guards against connections that are rejected one after the other, and all still receive into large buffers. */
     @Example
     void anEnlargedReceiveBufferIsCountedUntilItsConnectionEnds() throws Exception {
