--- a/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
@@ -1,5 +1,6 @@
 package org.siskindyke.runtime.traffic;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 
@@ -20,6 +21,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class PeerFrameCodecTest {
@@ -39,6 +41,28 @@
         assertArrayEquals(payload, frame.payload());
     }
 
+    /** Guards against connections that anybody may open and that collect long frames without end. */
+    @Example
+    void anAcceptedConnectionTakesLongFramesOnlyOnceItIsNamed() {
+        PeerFrame longFrame = new PeerFrame(PeerFrame.Kind.FORWARD, 1, new byte[100_000]);
+        EmbeddedChannel out = new EmbeddedChannel(new PeerFrameCodec());
+        out.writeOutbound(longFrame, longFrame);
+        ByteBuf first = out.readOutbound();
+        EmbeddedChannel unnamed = new EmbeddedChannel(PeerFrameCodec.ofAccepted(bytes -> {}));
+        assertThrows(DecoderException.class, () -> unnamed.writeInbound(first));
+        List<Integer> held = new ArrayList<>();
+        PeerFrameCodec codec = PeerFrameCodec.ofAccepted(held::add);
+        EmbeddedChannel named = new EmbeddedChannel(codec);
+        codec.onNamed();
+        ByteBuf second = out.readOutbound();
+        named.writeInbound(second.readRetainedSlice(90_000));
+        assertTrue(held.get(held.size() - 1) >= 90_000, held.toString());
+        named.writeInbound(second);
+        assertEquals(0, held.get(held.size() - 1));
+        PeerFrame frame = named.readInbound();
+        assertEquals(100_000, frame.payload().length);
+    }
+
     @Example
     void fieldsArriveInTheirOrderAndSpelling() {
         List<Header> fields = List.of(
