Do not take the run of an attempt that the soak's end left open for that of a failed one

Its events: attempt 0 got 502 (its link was lost, it did not run), attempt 1 got 503, attempt 2 was sent 1.6 s later and its run began; the soak ended before its answer. The only run is that of attempt 2.

Cause: SoakInvariants.mayHaveRun compared the runs without an answer with the attempts whose callers left, and forgot those that are open at the end.

Change: both kinds of attempts are counted. A run more than that is a violation as before, which the test also checks.

--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -297,7 +297,8 @@
 
     /**
      * Returns whether a failed attempt may have run, given that its request has: not where all runs that began after
-     * it was sent are those that answers to other attempts name, or may be those of an attempt whose caller left.
+     * it was sent are those that answers to other attempts name, or may be those of an attempt whose caller left or
+     * that is unanswered at the end of the soak.
      */
     private static boolean mayHaveRun(List<SoakEvent> events, SoakEvent failed) {
         List<SoakEvent> ofRequest = events.stream()
@@ -313,9 +314,12 @@
                 .filter(event -> event.what() == What.RUN && event.atMillis() >= sentMillis)
                 .filter(event -> !answers.containsKey(event.run()))
                 .count();
-        long left =
-                ofRequest.stream().filter(event -> event.what() == What.LEFT).count();
-        return unanswered > left;
+        long answered = ofRequest.stream()
+                .filter(event -> event.what() == What.ANSWERED)
+                .map(Attempt::of)
+                .distinct()
+                .count();
+        return unanswered > attempts.size() - answered;
     }
 
     /** A stopping router is ended at the end of its grace period, so requests that come late must not begin to run. */
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -77,6 +77,20 @@
         assertEquals(List.of(), violations(invariant, events));
     }
 
+    /** Guards against the same violation for a run of a later attempt, which is unanswered as the soak ends. */
+    @Example
+    void aRunOfAnAttemptThatIsUnansweredAtTheEndIsNotThatOfTheFailedOne() {
+        SoakPlan planned = new SoakPlan(List.of(), true, false);
+        String invariant = "planned work cuts no request";
+        asked(0, "/s/1400");
+        events.add(SoakEvent.answered(900, ROUTER, "c1", 0, null, 502, null));
+        events.add(SoakEvent.asked(1_000, ROUTER, "c1", 1, -1, "/s/1400"));
+        events.add(SoakEvent.run(1_010, "t0-n0", "c1", "r1", 1, 1));
+        assertEquals(List.of(), violations(invariant, events, planned));
+        events.add(SoakEvent.run(1_020, "t0-n1", "c1", "r2", 1, 1));
+        assertEquals(1, violations(invariant, events, planned).size());
+    }
+
     /** Guards against a check of limits that cannot fail. */
     @Example
     void aLimitedServerThatRunsTooManyRequestsIsFound() {
