Give up requests that hold back ready responses at the end of a stop

Change: in the last seventh of the grace period, 1 s at most, each request that holds back a ready response is answered by the router (502, cause GIVEN_UP; 503 if it has not run), then and whenever a response becomes ready. A request that holds nothing back runs on. RouterProcess.close releases ready responses by the same code (ResponseDrain). responses-unsent says late in a stop what each caller waits for.

--- a/src/main/java/org/siskindyke/kernel/call/Refusal.java
+++ b/src/main/java/org/siskindyke/kernel/call/Refusal.java
@@ -58,6 +58,8 @@
     DUPLICATE_UNKNOWN(409),
     /** The router or its backend server no longer accepts calls. */
     LEAVING(503),
+    /** The router is about to end, and the call held back responses to later requests on the caller's connection. */
+    GIVEN_UP(502),
     /** All failure domains with servers that could serve the call are evacuated. */
     EVACUATED(503),
     /** The route's allowed regions have no server of the service, or not the owner of the key. */
--- a/src/main/java/org/siskindyke/runtime/CallerServer.java
+++ b/src/main/java/org/siskindyke/runtime/CallerServer.java
@@ -86,14 +86,48 @@
             responder.respond(refuseUnread(result.refusal(), 0));
             return Cancellable.NONE;
         }
-        Call call = result.call();
-        var work = router.route(call, result.document())
+        CallInProgress inProgress = new CallInProgress(result.call(), responder, startNanos);
+        inProgress.work = router.route(result.call(), result.document())
                 .onErrorReturn(failure -> Reply.mayHaveRun(Refusal.INTERNAL_ERROR))
-                .subscribe(reply -> {
-                    metrics.onReply(call, reply, System.nanoTime() - startNanos);
-                    traffic.execute(() -> responder.respond(respond(call, reply)));
-                });
-        return work::cancel;
+                .subscribe(reply -> traffic.execute(() -> inProgress.onReply(reply)));
+        return inProgress;
+    }
+
+    /** A call that is being routed. Confined to the traffic loop. */
+    private final class CallInProgress implements Cancellable {
+        private final Call call;
+        private final HttpExchange.Responder responder;
+        private final long startNanos;
+        private io.servicetalk.concurrent.Cancellable work;
+        private boolean ended;
+
+        private CallInProgress(Call call, HttpExchange.Responder responder, long startNanos) {
+            this.call = call;
+            this.responder = responder;
+            this.startNanos = startNanos;
+        }
+
+        private void onReply(Reply reply) {
+            if (!ended) {
+                ended = true;
+                metrics.onReply(call, reply, System.nanoTime() - startNanos);
+                responder.respond(respond(call, reply));
+            }
+        }
+
+        @Override
+        public void cancel() {
+            ended = true;
+            work.cancel();
+        }
+
+        @Override
+        public void giveUp() {
+            if (!ended) {
+                work.cancel();
+                onReply(Reply.mayHaveRun(Refusal.GIVEN_UP));
+            }
+        }
     }
 
     /** Returns the caller's address; a caller whose address has another form than the usual ones is unknown. */
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -8,7 +8,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -63,6 +62,7 @@
 import org.siskindyke.runtime.traffic.RetryDecision;
 import org.siskindyke.runtime.traffic.TargetChoice;
 import org.siskindyke.runtime.traffic.TrafficLoop;
+import org.siskindyke.runtime.traffic.UnsentResponses;
 
 /**
  * The router beside one backend server. It routes the requests of callers, owns slices as a member of the cluster and
@@ -114,8 +114,13 @@
      */
     private static final long WITHDRAW_BEFORE_END_MILLIS = 1_000;
 
-    private static final long STOP_POLL_INTERVAL_MILLIS = 20;
-    /** Requests that are logged one by one when the router ends before they are answered. */
+    /**
+     * Part of the grace period, at its end, in which {@link #stop} gives up requests that hold back ready responses; at
+     * most {@link #WITHDRAW_BEFORE_END_MILLIS}. The platform accepts that runs are broken off in the last sixth.
+     */
+    private static final int RELEASE_GRACE_DIVISOR = 7;
+
+    /** Requests, and connections, that are logged one by one when the router ends before all is answered. */
     private static final int MAX_UNANSWERED_LOGGED = 100;
 
     private volatile InstanceSettings settings;
@@ -135,6 +140,7 @@
     private final RequestLog requestLog;
     private final RouterMetrics metrics = new RouterMetrics();
     private final HttpListener callers;
+    private final ResponseDrain responses;
     private final SuspensionDetector suspensionDetector;
     private volatile MemberController member;
     private volatile List<EvacuationOrder> evacuations = List.of();
@@ -219,6 +225,7 @@
                         requestLog::onAbandoned));
         this.targets = newTargetController();
         this.callers = new HttpListener(traffic, clock, configuration::limits, callerRequests);
+        this.responses = new ResponseDrain(traffic, clock, callers);
     }
 
     private TargetChooser newTargetChooser() {
@@ -549,7 +556,8 @@
      * platform has noticed, takes no more calls for the backend server but for those that running calls wait for, and
      * waits until all requests that were read are answered. From the middle of the grace period on, requests that no
      * backend server has begun to run are refused, since their runs might be cut, but for those of running requests.
-     * Runs are not cut here: the platform ends the process if it is still there at the end. Blocks the calling thread.
+     * Shortly before the end, requests that hold back ready responses on their connections are given up. Other runs are
+     * not cut here: the platform ends the process if it is still there at the end. Blocks the calling thread.
      *
      * @throws InterruptedException if the thread is interrupted
      */
@@ -566,26 +574,30 @@
             callers.closeIdle();
             backend.startStopping(endMillis - WITHDRAW_BEFORE_END_MILLIS);
         });
-        waitUntilAnswered(startMillis + graceMillis / 2, backend::unansweredCallers);
+        responses.awaitAnswered(startMillis + graceMillis / 2, backend::unansweredCallers);
         traffic.execute(() -> callerRequests.withdrawCallers(endMillis));
-        waitUntilAnswered(endMillis - WITHDRAW_BEFORE_END_MILLIS, backend::unansweredCallers);
+        responses.awaitAnswered(endMillis - WITHDRAW_BEFORE_END_MILLIS, backend::unansweredCallers);
         traffic.execute(() -> {
             callerRequests.withdrawAll();
             backend.refuseNested();
         });
-        waitUntilAnswered(endMillis - STOP_MARGIN_MILLIS, backend::unanswered);
+        long releaseMillis = Math.min(WITHDRAW_BEFORE_END_MILLIS, graceMillis / RELEASE_GRACE_DIVISOR);
+        responses.awaitAnswered(endMillis - releaseMillis, backend::unanswered);
+        responses.release(this::logUnsent);
+        responses.awaitAnswered(endMillis - STOP_MARGIN_MILLIS, backend::unanswered);
         traffic.execute(this::logUnanswered);
         log.event(
                 "router-stopped",
                 "tookMillis",
                 clock.nowMillis() - startMillis,
                 "unanswered",
-                unanswered(backend::unanswered));
-        waitUntilAnswered(endMillis + graceMillis, backend::unanswered);
+                responses.unanswered(backend::unanswered));
+        responses.awaitAnswered(endMillis + graceMillis, backend::unanswered);
         traffic.execute(callers::close);
     }
 
     private void logUnanswered() {
+        logUnsent(callers.unsentResponses());
         callerRequests.unanswered().stream().limit(MAX_UNANSWERED_LOGGED).forEach(requestLog::onUnanswered);
         List<String> running = backend.running();
         if (!running.isEmpty()) {
@@ -593,26 +605,8 @@
         }
     }
 
-    private void waitUntilAnswered(long untilMillis, IntSupplier calls) throws InterruptedException {
-        while (clock.nowMillis() < untilMillis && unanswered(calls) > 0) {
-            TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL_MILLIS);
-        }
-    }
-
-    /**
-     * Returns the number of unanswered requests of callers plus that of calls which wait or run at the backend server;
-     * 1 if the traffic loop does not report them within a second.
-     *
-     * @param calls returns the number of calls at the backend server, on the traffic loop
-     */
-    private int unanswered(IntSupplier calls) throws InterruptedException {
-        int[] count = new int[1];
-        CountDownLatch counted = new CountDownLatch(1);
-        traffic.execute(() -> {
-            count[0] = callers.unanswered() + calls.getAsInt();
-            counted.countDown();
-        });
-        return counted.await(1, TimeUnit.SECONDS) ? count[0] : 1;
+    private void logUnsent(List<UnsentResponses> connections) {
+        connections.stream().limit(MAX_UNANSWERED_LOGGED).forEach(requestLog::onUnsent);
     }
 
     /** Returns a handler that responds with status 200 if the router is ready and 503 otherwise. */
--- a/src/main/java/org/siskindyke/runtime/RequestLog.java
+++ b/src/main/java/org/siskindyke/runtime/RequestLog.java
@@ -11,6 +11,7 @@
 import org.siskindyke.runtime.traffic.RetryDecision;
 import org.siskindyke.runtime.traffic.TargetChoice;
 import org.siskindyke.runtime.traffic.TrafficLoop;
+import org.siskindyke.runtime.traffic.UnsentResponses;
 
 /**
  * Logs the results of requests: failures one by one, up to a maximum rate, and totals per route. Confined to the
@@ -70,6 +71,24 @@
         logRequest("request-unanswered", outcome);
     }
 
+    /** Logs what the caller of a connection still waits for late in a stop. */
+    void onUnsent(UnsentResponses connection) {
+        log.event(
+                "responses-unsent",
+                "caller",
+                connection.caller(),
+                "firstTarget",
+                connection.firstTarget(),
+                "firstMillis",
+                connection.firstMillis(),
+                "unanswered",
+                connection.unanswered(),
+                "ready",
+                connection.ready(),
+                "unsentBytes",
+                connection.unsentBytes());
+    }
+
     void onRetryDecided(RetryDecision decision) {
         int[] counts = retriesByService.computeIfAbsent(decision.service(), s -> new int[3]);
         counts[decision.granted() ? 0 : 1]++;
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -248,6 +248,7 @@
 
     @Override
     public void close() {
+        releaseResponses();
         control.close();
         servers.forEach(context -> context.closeAsync().subscribe());
         traffic.close();
@@ -256,6 +257,18 @@
         left.complete(null);
     }
 
+    /** Lets responses leave that are ready but wait for the responses to earlier requests. */
+    private void releaseResponses() {
+        if (callers == null) {
+            return;
+        }
+        try {
+            new ResponseDrain(traffic, clock, callers).release(connections -> {});
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private MemberServingState servingState() {
         return incarnation.servingState();
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -37,6 +37,7 @@
     private final ConnectionLimits connectionLimits;
     private Channel channel;
     private boolean closing;
+    private boolean releasing;
     private long connectionsRefused;
 
     /**
@@ -168,6 +169,10 @@
         return closing;
     }
 
+    boolean isReleasing() {
+        return releasing;
+    }
+
     void onClosed(HttpServerConnection connection) {
         connections.remove(connection);
     }
@@ -182,6 +187,22 @@
         closing = true;
     }
 
+    /**
+     * Gives up requests that hold back responses which are ready, now and whenever a response becomes ready from now
+     * on, so that these leave before the process ends. Requests that hold nothing back run on.
+     */
+    public void releaseReadyResponses() {
+        releasing = true;
+        List.copyOf(connections).forEach(HttpServerConnection::releaseReadyResponses);
+    }
+
+    /** Returns, for each connection whose caller has not received all responses, what it waits for. */
+    public List<UnsentResponses> unsentResponses() {
+        return connections.stream()
+                .flatMap(connection -> connection.unsentResponses().stream())
+                .toList();
+    }
+
     /** Stops listening, reads no further requests and closes each connection after its last response. */
     public void close() {
         if (channel != null) {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -68,6 +69,9 @@
      */
     private static final long LINGER_MILLIS = 1_000;
 
+    /** In place of the target of a request that was rejected before it was complete. */
+    private static final String REJECTED = "rejected";
+
     private static final int BAD_REQUEST = 400;
     private static final int UNAVAILABLE = 503;
     /** Time after which the memory for a body that has not arrived is given to another one if there is no more. */
@@ -169,6 +173,8 @@
 
     /** A request that was read, and its response once there is one. */
     private static final class Exchange {
+        private final String target;
+        private final long readMillis;
         private final boolean keepAlive;
         private final boolean headRequest;
         private final RequestMemory.Reservation bodyMemory;
@@ -178,7 +184,15 @@
         private boolean abandoned;
         private boolean closes;
 
-        private Exchange(boolean keepAlive, boolean headRequest, RequestMemory.Reservation bodyMemory, long heldBytes) {
+        private Exchange(
+                String target,
+                long readMillis,
+                boolean keepAlive,
+                boolean headRequest,
+                RequestMemory.Reservation bodyMemory,
+                long heldBytes) {
+            this.target = target;
+            this.readMillis = readMillis;
             this.keepAlive = keepAlive;
             this.headRequest = headRequest;
             this.bodyMemory = bodyMemory;
@@ -509,13 +523,6 @@
     }
 
     private void onRequestComplete() {
-        if (listener.isClosing() && !exchanges.isEmpty()) {
-            // Its response could not be sent before those to requests that may run until the process ends. The caller
-            // sends it again, since the response before it closes the connection.
-            ignoreInput = true;
-            discardPartialRequest();
-            return;
-        }
         HttpRequest request = head;
         if (!share.resize(heldBytes() + EXCHANGE_BYTES)) {
             rejectForMemory();
@@ -523,6 +530,8 @@
         }
         byte[] bytes = body.toArray();
         Exchange exchange = new Exchange(
+                request.uri(),
+                clock.nowMillis(),
                 HttpUtil.isKeepAlive(request),
                 request.method().name().equals("HEAD"),
                 bodyMemory,
@@ -552,6 +561,7 @@
     private void start(Exchange exchange, HttpExchange.Request request) {
         if (!exchange.abandoned && channel.isActive()) {
             exchange.work = handler.handle(request, response -> onResponse(exchange, response));
+            releaseReadyResponses();
         }
     }
 
@@ -569,7 +579,12 @@
         ignoreInput = true;
         discardPartialRequest();
         Exchange exchange = new Exchange(
-                false, false, listener.requestMemory().new Reservation(CallerMemory.KEEPS_ALL), EXCHANGE_BYTES);
+                REJECTED,
+                clock.nowMillis(),
+                false,
+                false,
+                listener.requestMemory().new Reservation(CallerMemory.KEEPS_ALL),
+                EXCHANGE_BYTES);
         add(exchange);
         removeDecoder();
         onResponse(exchange, response);
@@ -610,6 +625,44 @@
         exchange.heldBytes = EXCHANGE_BYTES + response.body().length;
         exchangesBytes += exchange.heldBytes;
         writeResponses();
+        releaseReadyResponses();
+    }
+
+    /** Gives up the requests that hold back a response which is ready, once the process is about to end. */
+    void releaseReadyResponses() {
+        if (listener.isReleasing()) {
+            requestsBeforeLastReady().forEach(exchange -> exchange.work.giveUp());
+        }
+    }
+
+    /** Returns the unanswered requests before the last one whose response is ready. */
+    private List<Exchange> requestsBeforeLastReady() {
+        List<Exchange> unanswered = new ArrayList<>();
+        int beforeLastReady = 0;
+        for (Exchange exchange : exchanges) {
+            if (exchange.response == null) {
+                unanswered.add(exchange);
+            } else {
+                beforeLastReady = unanswered.size();
+            }
+        }
+        return unanswered.subList(0, beforeLastReady);
+    }
+
+    /** Returns what the caller has not received yet; empty if it has everything. */
+    Optional<UnsentResponses> unsentResponses() {
+        if (exchanges.isEmpty() && unsentBytes() == 0) {
+            return Optional.empty();
+        }
+        Exchange first = exchanges.peek();
+        int ready = (int) exchanges.stream().filter(e -> e.response != null).count();
+        return Optional.of(new UnsentResponses(
+                (InetSocketAddress) channel.remoteAddress(),
+                first == null ? null : first.target,
+                first == null ? 0 : clock.nowMillis() - first.readMillis,
+                exchanges.size(),
+                ready,
+                unsentBytes()));
     }
 
     /** Writes the responses that are due, as far as the caller reads them, and then reads on. */
--- a/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/RequestAttempts.java
@@ -418,10 +418,22 @@
     }
 
     private void onDeadline() {
+        cancelInFlightAttempt();
+        refuse(Refusal.DEADLINE, verdict == Verdict.NOT_RUN ? UNAVAILABLE : GATEWAY_TIMEOUT, 0);
+    }
+
+    @Override
+    public void giveUp() {
+        if (!ended) {
+            cancelInFlightAttempt();
+            refuse(Refusal.GIVEN_UP, statusOf(verdict), 0);
+        }
+    }
+
+    private void cancelInFlightAttempt() {
         boolean inFlight = inFlightAttempt != Cancellable.NONE && inFlightAttempt.mayHaveRun();
         verdict = inFlight ? verdict.combine(Verdict.MAY_HAVE_RUN) : verdict;
         inFlightAttempt.cancel();
-        refuse(Refusal.DEADLINE, verdict == Verdict.NOT_RUN ? UNAVAILABLE : GATEWAY_TIMEOUT, 0);
     }
 
     private void deliver(Reply reply) {
--- a/src/main/java/org/siskindyke/soak/SoakCallers.java
+++ b/src/main/java/org/siskindyke/soak/SoakCallers.java
@@ -27,6 +27,9 @@
     /** Prefix of the ids of such a request, before its number. */
     static final String CRASH_ID = "x";
 
+    /** Command that sends a long request and short ones behind it to a router; its address follows. */
+    static final String PIPELINE = "pipeline ";
+
     private static final long CRASH_INTERVAL_MILLIS = 300;
 
     private static final long INTERVAL_MILLIS = 45;
@@ -97,9 +100,20 @@
             HttpClient client = newClient();
             timer.scheduleWithFixedDelay(
                     () -> sendRequest(client, router, random), i * 7L, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            startThread(newPipeliningCaller(router, new Random(~i)));
         }
     }
 
+    private PipeliningCaller newPipeliningCaller(String router, Random random) {
+        return new PipeliningCaller(router, random, nextId, journal);
+    }
+
+    private static void startThread(Runnable work) {
+        Thread thread = new Thread(work, "pipelining caller");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     private static HttpClient newClient() {
         return HttpClient.newBuilder()
                 .version(HttpClient.Version.HTTP_1_1)
@@ -109,13 +123,16 @@
     }
 
     /**
-     * Sets the version of the present configuration, whose marked route is called from now on, or starts or stops a
-     * request that ends backend servers.
+     * Sets the version of the present configuration, whose marked route is called from now on, starts or stops a
+     * request that ends backend servers, or sends pipelined requests to a router.
      */
     @Override
     public void accept(String line) {
         if (line.startsWith(CRASH)) {
             crashingRequest = Integer.parseInt(line.substring(CRASH.length()).trim());
+        } else if (line.startsWith(PIPELINE)) {
+            PipeliningCaller once = newPipeliningCaller(line.substring(PIPELINE.length()), new Random());
+            startThread(once::sendRequestsThatOutlastAStop);
         } else {
             version = Integer.parseInt(line.trim());
         }
--- a/src/main/java/org/siskindyke/soak/SoakCluster.java
+++ b/src/main/java/org/siskindyke/soak/SoakCluster.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 
 import org.siskindyke.standin.StoreStandin;
@@ -14,6 +16,9 @@
     /** Index of the store's loopback address; larger than the index of any instance. */
     private static final int STORE_INDEX = 60_000;
 
+    /** How long before a stop the callers send requests that outlast it, so that the router has read them. */
+    private static final long PIPELINE_LEAD_MILLIS = 500;
+
     private static final InetSocketAddress STORE =
             new InetSocketAddress(SoakTopology.host(STORE_INDEX), SoakTopology.STORE_PORT);
 
@@ -55,6 +60,14 @@
         return instances.get(index);
     }
 
+    /** Stops a router while callers wait for a long request and for short ones behind it. */
+    void stopRouter(int instanceIndex) {
+        callers.writeLine(
+                SoakCallers.PIPELINE + topology.instances().get(instanceIndex).callerAddress());
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(PIPELINE_LEAD_MILLIS));
+        instances.get(instanceIndex).stopRouter();
+    }
+
     void killAllRouters() {
         instances.forEach(SoakInstance::killRouter);
     }
--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -12,7 +12,11 @@
     /** A router is killed and then restarted. */
     KILL_ROUTER(Component.ROUTER, false, SoakInstance::killRouter, SoakInstance::startRouter),
     /** A router receives SIGTERM and is restarted once it has stopped. */
-    STOP_ROUTER(Component.ROUTER, true, SoakInstance::stopRouter, SoakInstance::restartStoppedRouter),
+    STOP_ROUTER(
+            Component.ROUTER,
+            true,
+            SoakCluster::stopRouter,
+            (cluster, instanceIndex) -> cluster.instance(instanceIndex).restartStoppedRouter()),
     /** A router is frozen (SIGSTOP) and then thawed. */
     FREEZE_ROUTER(Component.ROUTER, false, SoakInstance::freezeRouter, SoakInstance::thawRouter),
     /** A backend server is killed and then restarted under the same name. */
--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -33,6 +33,9 @@
     /** Time after SIGTERM from which on a request that is sent must not run beside the router that stops. */
     private static final long MAX_TAKEN_WHILE_STOPPING_MILLIS = 3_000;
 
+    /** Time in which the answer of a backend server reaches the caller. */
+    private static final long MAX_RETURN_MILLIS = 700;
+
     /** Time after its caller has left from which on a request must not begin to run. */
     private static final long MAX_ABANDONED_MILLIS = 500;
 
@@ -58,6 +61,7 @@
                 invariant("answers are right and whole", (events, plan) -> correctAnswers(events)),
                 invariant("answers are those of their runs", (events, plan) -> answersOfTheirRuns(events)),
                 invariant("planned work cuts no request", SoakInvariants::noInterruptedRequests),
+                invariant("a finished answer arrives", SoakInvariants::finishedAnswersArrive),
                 invariant("a stopping router takes no calls", (events, plan) -> stoppingRoutersTakeNoCalls(events)),
                 invariant("a leaving server drains in time", (events, plan) -> drainsInTime(events)),
                 invariant("the configuration is in force in time", (events, plan) -> configurationApplied(events)),
@@ -288,7 +292,12 @@
         Map<String, Integer> runs = runsByRequest(events);
         for (SoakEvent event : events) {
             boolean failed = event.what() == What.ANSWERED && (event.status() == 0 || event.status() == BAD_GATEWAY);
-            if (plan.plannedOnly() && failed && runs.containsKey(event.requestId()) && mayHaveRun(events, event)) {
+            boolean outlastsStop = failed && event.requestId().startsWith(PipeliningCaller.LONG_ID);
+            if (plan.plannedOnly()
+                    && failed
+                    && !outlastsStop
+                    && runs.containsKey(event.requestId())
+                    && mayHaveRun(events, event)) {
                 violations.add(event.requestId() + " at " + event.who() + " was interrupted at " + event.atMillis());
             }
         }
@@ -322,6 +331,34 @@
         return unanswered > attempts.size() - answered;
     }
 
+    /**
+     * Checks, in soaks with planned work only, that a caller gets the answer that a backend server has given to its
+     * only attempt, whatever else it waits for on its connection and whether the router stops.
+     */
+    private static List<String> finishedAnswersArrive(List<SoakEvent> events, SoakPlan plan) {
+        if (!plan.plannedOnly()) {
+            return List.of();
+        }
+        Map<String, Integer> attempts = new HashMap<>();
+        Map<String, Long> respondedMillis = new HashMap<>();
+        List<String> violations = new ArrayList<>();
+        for (SoakEvent event : events) {
+            if (event.what() == What.ASKED) {
+                attempts.merge(event.requestId(), 1, Integer::sum);
+            } else if (event.what() == What.RESPONDED) {
+                respondedMillis.put(event.requestId(), event.atMillis());
+            } else if (event.what() == What.ANSWERED && (event.status() == 0 || event.status() == BAD_GATEWAY)) {
+                long sinceMillis =
+                        event.atMillis() - respondedMillis.getOrDefault(event.requestId(), Long.MAX_VALUE / 2);
+                if (sinceMillis > MAX_RETURN_MILLIS && attempts.getOrDefault(event.requestId(), 0) == 1) {
+                    violations.add(event.requestId() + " at " + event.who() + " got " + event.status() + " at "
+                            + event.atMillis() + ", " + sinceMillis + " ms after it was answered");
+                }
+            }
+        }
+        return violations;
+    }
+
     /** A stopping router is ended at the end of its grace period, so requests that come late must not begin to run. */
     private static List<String> stoppingRoutersTakeNoCalls(List<SoakEvent> events) {
         Map<String, SoakEvent> requests = requestsById(events);
--- a/src/main/java/org/siskindyke/soak/SoakTopology.java
+++ b/src/main/java/org/siskindyke/soak/SoakTopology.java
@@ -24,6 +24,7 @@
     /** Where the router itself takes them. */
     static final int PEER_BIND_PORT = 7005;
 
+    private static final int TIMEOUT_MILLIS = 4_000;
     private static final int READINESS_PORT = 7002;
     private static final int HEARTBEAT_PORT = 7003;
     private static final int TARGET_PORT = 7004;
@@ -105,21 +106,22 @@
         return """
                 {"version":"r%d","services":[{"name":"keyed","max_connections":40,"sharded":true},
                  {"name":"plain","max_connections":40}],
-                 "virtual_hosts":[{"hostname":"soak.example","paths":[%s,%s,%s]}]}
+                 "virtual_hosts":[{"hostname":"soak.example","paths":[%s,%s,%s,%s]}]}
                 """.formatted(
                         version,
-                        route("safe", "/s/", "safe", KEYED),
-                        route("unsafe", "/u/", "unsafe", PLAIN),
-                        route("mark" + version, markedPath(version), "safe", PLAIN));
+                        route("safe", "/s/", "safe", TIMEOUT_MILLIS, KEYED),
+                        route("unsafe", "/u/", "unsafe", TIMEOUT_MILLIS, PLAIN),
+                        route("mark" + version, markedPath(version), "safe", TIMEOUT_MILLIS, PLAIN),
+                        route("long", PipeliningCaller.ROUTE, "safe", PipeliningCaller.ROUTE_TIMEOUT_MILLIS, KEYED));
     }
 
     static String markedPath(int version) {
         return "/v" + version + "/";
     }
 
-    private static String route(String name, String prefix, String kind, String service) {
+    private static String route(String name, String prefix, String kind, int timeoutMillis, String service) {
         return """
-                {"name":"%s","prefix":"%s","route_type":"%s","timeout_ms":4000,"aim_ms":1000,"priority":1,
-                 "service":"%s","max_attempts":2}""".formatted(name, prefix, kind, service);
+                {"name":"%s","prefix":"%s","route_type":"%s","timeout_ms":%d,"aim_ms":1000,"priority":1,
+                 "service":"%s","max_attempts":2}""".formatted(name, prefix, kind, timeoutMillis, service);
     }
 }
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -91,6 +91,19 @@
         assertEquals(1, violations(invariant, events, planned).size());
     }
 
+    /** Guards against a check that misses answers which a stopping router keeps, or counts those it had no time for. */
+    @Example
+    void anAnswerThatIsKeptUntilTheConnectionEndsIsAViolationOfPlannedWork() {
+        SoakPlan planned = new SoakPlan(List.of(), true, false);
+        asked(0, PipeliningCaller.ROUTE);
+        events.add(SoakEvent.responded(300, "t0-n0", "c1", "r1", 200, true));
+        events.add(SoakEvent.answered(900, ROUTER, "c1", 0, null, 0, null));
+        assertEquals(List.of(), violations("a finished answer arrives", events, planned));
+        events.add(SoakEvent.answered(1_100, ROUTER, "c1", 0, null, 0, null));
+        assertEquals(1, violations("a finished answer arrives", events, planned).size());
+        assertEquals(List.of(), violations("a finished answer arrives", events));
+    }
+
     /** Guards against a check of limits that cannot fail. */
     @Example
     void aLimitedServerThatRunsTooManyRequestsIsFound() {
--- a/src/test/java/org/siskindyke/soak/SoakTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakTest.java
@@ -69,6 +69,20 @@
         assertEquals(Map.of(), verdict.violations());
     }
 
+    /** Guards against answers that wait in a stopping router for a longer request of their connection until it ends. */
+    @Example
+    void finishedAnswersArriveThoughLongerRequestsStandBeforeThem() throws IOException, InterruptedException {
+        List<SoakPlan.Step> steps = List.of(
+                new SoakPlan.Step(1_000, 6_500, SoakFault.STOP_ROUTER, 0),
+                new SoakPlan.Step(1_000, 6_500, SoakFault.STOP_ROUTER, 1),
+                new SoakPlan.Step(1_500, 6_500, SoakFault.STOP_ROUTER, 2),
+                new SoakPlan.Step(9_500, 6_500, SoakFault.STOP_ROUTER, 0),
+                new SoakPlan.Step(9_600, 6_500, SoakFault.STOP_ROUTER, 2),
+                new SoakPlan.Step(10_000, 7_500, SoakFault.HANG_UP_ROUTER, 1));
+        SoakRun.Verdict verdict = run(new SoakPlan(steps, true, false));
+        assertEquals(Map.of(), verdict.violations());
+    }
+
     /** Guards against requests that are cut while their failure domain is evacuated, or reach it afterwards. */
     @Example
     void anEvacuatedFailureDomainGetsNoRequestsAndIsTakenBack() throws IOException, InterruptedException {
