Send SIGHUP to a router of a soak only once its program runs

Both logs show SIGHUP 1 ms after the start of the process, following a stop whose wait had delayed the next step, and no line of that process.

Cause: the JVM ends at a SIGHUP that comes before the main class, whose first statement ignores it, has run. No program in Java can prevent that.

Change: the soak waits for the first line of the process. SIGHUP at any later time is sent as before.

--- a/src/main/java/org/siskindyke/soak/SoakProcess.java
+++ b/src/main/java/org/siskindyke/soak/SoakProcess.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.siskindyke.trial.ProcessControl;
@@ -35,6 +37,7 @@
     private final Process process;
     private final ProcessControl control;
     private final PrintStream in;
+    private final CountDownLatch firstLine = new CountDownLatch(1);
 
     /**
      * Starts a process.
@@ -71,6 +74,7 @@
         try (BufferedReader lines =
                 new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                firstLine.countDown();
                 onLine.accept(line);
             }
         } catch (IOException e) {
@@ -102,8 +106,15 @@
         return control.awaitExit();
     }
 
+    /** Sends SIGHUP once the process has written a line: the JVM ends at one that comes before its main class runs. */
     void hangUp() {
-        control.hangUp();
+        try {
+            if (firstLine.await(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+                control.hangUp();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     void freeze() {
