Answer the callers of a router command that leaves before it ends

Callers saw: a request that the router had forwarded to another router's backend server ended without an answer when the router got SIGTERM.

Cause: RouterProcess.leave completed once no call ran at the backend servers beside it; requests of its callers that ran elsewhere were not counted.

Change: once the member has left, the router reads no further requests, closes each connection after its last response, and ends when all that it read is answered.

--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -202,7 +202,10 @@
         return invariants.violations();
     }
 
-    /** Returns a future that completes when the router has left, was declared dead while leaving, or was closed. */
+    /**
+     * Returns a future that completes when the router has left, or was declared dead while leaving, and has answered
+     * the requests that it read until then; or when it was closed.
+     */
     public CompletableFuture<Void> left() {
         return left;
     }
@@ -233,7 +236,7 @@
     }
 
     /**
-     * Hands all slices over and leaves the cluster without interrupting calls in progress.
+     * Hands all slices over, leaves the cluster and answers the requests that callers have sent until then.
      *
      * @return the future of {@link #left()}
      */
@@ -257,6 +260,22 @@
         left.complete(null);
     }
 
+    /** Reads no further requests, and completes {@link #left} once those that were read are answered. */
+    private void answerCallers() {
+        traffic.execute(() -> {
+            callers.close();
+            completeOnceAnswered();
+        });
+    }
+
+    private void completeOnceAnswered() {
+        if (callers.unanswered() == 0) {
+            left.complete(null);
+        } else {
+            traffic.schedule(this::completeOnceAnswered, TICK_MILLIS);
+        }
+    }
+
     /** Lets responses leave that are ready but wait for the responses to earlier requests. */
     private void releaseResponses() {
         if (callers == null) {
@@ -413,14 +432,14 @@
             if (!leaving) {
                 control.schedule(() -> incarnation = newIncarnation(), REJOIN_DELAY_MILLIS);
             } else {
-                left.complete(null);
+                answerCallers();
             }
         }
 
         @Override
         public void onLeft() {
             LOGGER.log(Level.INFO, "event=left member=" + self);
-            left.complete(null);
+            answerCallers();
         }
 
         @Override
