Close a connection only once its responses are sent

Cause: a response counted as sent once its last part was handed to Netty. closeIfIdle and closeAfterResponses closed such a connection, which drops what Netty holds, and the count of unanswered requests, by which a stop ends the process, left it out.

Change: a connection with unsent bytes counts as one with an unanswered request and is not idle; closeAfterResponses shuts it down after the last byte.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -341,8 +341,9 @@
         }
     }
 
+    /** Returns the number of requests without a response, or whose response the transport has not sent in full. */
     int unanswered() {
-        return exchanges.size();
+        return exchanges.isEmpty() && unsentBytes() > 0 ? 1 : exchanges.size();
     }
 
     /** Reads no further request and closes the connection after the responses to those that were read. */
@@ -350,14 +351,17 @@
         ignoreInput = true;
         closeAfterLastResponse = true;
         discardPartialRequest();
-        if (exchanges.isEmpty()) {
+        if (exchanges.isEmpty() && unsentBytes() == 0) {
             channel.close();
+        } else if (exchanges.isEmpty()) {
+            // An empty write ends after those before it; closing at once would drop what the transport holds.
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> shutDownOutput());
         }
     }
 
-    /** Closes the connection if no request on it was begun. */
+    /** Closes the connection if all responses have been sent and no further request was begun. */
     void closeIfIdle() {
-        if (exchanges.isEmpty() && head == null) {
+        if (exchanges.isEmpty() && head == null && unsentBytes() == 0) {
             channel.close();
         }
     }
