Take a caller whose socket still sends for one that reads

Cause: the idle time of a caller that reads was counted from when Netty last took bytes, which for a large socket buffer happens once a third of it is free, every 8 s at 100 KB a second.

Change: before the reset, SendProgress asks the socket when it last sent data (tcpi_last_data_sent of TCP_INFO). Ruled out: a small send buffer, which shows progress sooner but leaves less for the kernel to deliver when the process ends. On Java's selector nothing changes.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -93,6 +93,7 @@
     private final Channel channel;
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
     private final CallerMemory.Share share;
+    private final SendProgress sendProgress;
     private StrictRequestDecoder decoder;
     private HttpRequest head;
     private BodyBytes body;
@@ -112,7 +113,7 @@
     private long exchangesBytes;
     /** When the first bytes of the partly read request came; -1 while there is none. */
     private long begunMillis = -1;
-    /** When bytes of a response were last accepted by the transport. */
+    /** When bytes of a response were last accepted by the transport, or sent to a caller that reads slowly. */
     private long writtenMillis;
     /** Position in the body of the response that is partly written; -1 while none is. */
     private int partlyWritten = -1;
@@ -138,6 +139,7 @@
         this.bodyAwaitedSinceMillis = idleSinceMillis;
         this.writtenMillis = idleSinceMillis;
         this.share = listener.callerMemory().open(this);
+        this.sendProgress = SendProgress.of(channel);
     }
 
     /** Sets the decoder in front of this handler. */
@@ -407,18 +409,20 @@
      */
     void closeIfTooSlow(long nowMillis) {
         count();
-        if (isUnread() && nowMillis - writtenMillis > listener.limits().idleTimeoutMillis()) {
-            end();
-            abort();
+        long idleTimeoutMillis = listener.limits().idleTimeoutMillis();
+        if (isUnread()) {
+            writtenMillis = Math.max(writtenMillis, sendProgress.lastSentMillis(nowMillis));
+            if (nowMillis - writtenMillis > idleTimeoutMillis) {
+                end();
+                abort();
+            }
             return;
         }
         if (!exchanges.isEmpty() || ignoreInput) {
             return;
         }
         boolean reading = head != null;
-        long allowedMillis = reading
-                ? listener.limits().headerTimeoutMillis() + listener.limits().idleTimeoutMillis()
-                : listener.limits().idleTimeoutMillis();
+        long allowedMillis = reading ? listener.limits().headerTimeoutMillis() + idleTimeoutMillis : idleTimeoutMillis;
         long sinceMillis = reading ? bodyAwaitedSinceMillis : idleSinceMillis;
         if (nowMillis - sinceMillis > allowedMillis) {
             if (reading) {
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpListenerTest.java
@@ -37,6 +37,9 @@
     private static final int SEEDS = 50;
     private static final int MAX_PIPELINED = 8;
     private static final int FIRST_STATUS = 400;
+    /** More than sockets hold. */
+    private static final int UNREAD_BYTES = 16 << 20;
+
     /** Status of the response to a request that was given up. */
     private static final String GIVEN_UP = "502";
 
@@ -439,6 +442,21 @@
         }
     }
 
+    /** Guards against responses that are kept for a caller which does not read, as probes count as progress. */
+    @Example
+    void aCallerThatDoesNotReadIsReset() throws Exception {
+        limits = new CallerLimits(16_384, 1 << 20, 300, 300);
+        try (Socket socket = connect()) {
+            send(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            HttpExchange.Responder responder = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            runOnLoop(() -> responder.respond(new HttpExchange.Response(200, List.of(), new byte[UNREAD_BYTES])));
+            long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+            while (unanswered() > 0) {
+                assertTrue(System.nanoTime() < endNanos, "the response is kept");
+            }
+        }
+    }
+
     private void sendPipelined(Socket socket, int count) throws IOException {
         for (int i = 1; i <= count; i++) {
             send(socket, "GET /" + i + " HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpServerLimitsTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpServerLimitsTest.java
@@ -1,11 +1,15 @@
 package org.siskindyke.runtime.traffic;
 
+import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +36,10 @@
     /** More than the transport holds for a caller that does not read. */
     private static final int LONG_BYTES = 3_000_000;
 
+    private static final int SMALL_BUFFER_BYTES = 16_384;
+    /** Reads that last longer than the idle timeout and free less of the socket than makes it writable. */
+    private static final int SLOW_READS = 4;
+
     private static final String GET = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
     private final TrafficLoop traffic = new TrafficLoop();
@@ -103,6 +111,46 @@
         awaitUsedBytes(0);
     }
 
+    /** Guards against a caller that reads all the time, and is taken for one that does not read. */
+    @Example
+    void aCallerThatReadsSlowlyIsNotReset() throws Exception {
+        if (!traffic.transport().equals("epoll")) {
+            return;
+        }
+        listen();
+        responseBody = new byte[LONG_BYTES * 3];
+        new Random(7).nextBytes(responseBody);
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            socket.connect(address);
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+            send(socket, GET);
+            InputStream in = socket.getInputStream();
+            byte[] start = new byte[0];
+            for (int i = 0; i < SLOW_READS; i++) {
+                byte[] part = in.readNBytes(4 * SMALL_BUFFER_BYTES);
+                start = ByteBuffer.allocate(start.length + part.length)
+                        .put(start)
+                        .put(part)
+                        .array();
+                nowMillis.addAndGet(CallerLimits.DEFAULT.idleTimeoutMillis() - 1_000);
+                runOnLoop(listener::closeSlowConnections);
+            }
+            DataInputStream all = new DataInputStream(new SequenceInputStream(new ByteArrayInputStream(start), in));
+            assertArrayEquals(responseBody, readResponse(all));
+        }
+        awaitUsedBytes(0);
+    }
+
+    private void runOnLoop(Runnable action) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        traffic.execute(() -> {
+            action.run();
+            done.countDown();
+        });
+        assertTrue(done.await(WAIT_SECONDS, TimeUnit.SECONDS));
+    }
+
     /** Guards against a limit that a single request inside the configured limits meets. */
     @Example
     void aRequestWithAsManyLinesAsItsHeaderSectionMayHaveIsServed() throws Exception {
