Let a soak's server that crashed while it left serve under its name again

The trace: it was acknowledged at 1701460, ended by a crashing request at 1702359, and started again at 1703863 with another start time, which the router logged; the runs are those of that life.

PROTOCOL.md: a server may start again under the id that it had, and is another one by its start time. So the case is allowed.

Change: the check forgets that a server leaves when its process ends. A server that did not crash, and one whose next life leaves, are checked as before, which the test says too; it fails on the check before.

--- a/src/main/java/org/siskindyke/soak/SoakInvariants.java
+++ b/src/main/java/org/siskindyke/soak/SoakInvariants.java
@@ -381,12 +381,15 @@
         return violations;
     }
 
+    /** Checks that a leaving server begins no run after the drain time; one that has crashed starts as another. */
     private static List<String> drainsInTime(List<SoakEvent> events) {
         List<String> violations = new ArrayList<>();
         Map<String, Long> leavingSinceMillis = new HashMap<>();
         for (SoakEvent event : events) {
             if (event.what() == What.LEAVING) {
                 leavingSinceMillis.putIfAbsent(event.who(), event.atMillis());
+            } else if (event.what() == What.FAULT && SoakEvent.TARGET_DOWN.equals(event.detail())) {
+                leavingSinceMillis.remove(event.who());
             } else if (event.what() == What.RUN && leavingSinceMillis.containsKey(event.who())) {
                 long sinceMillis = event.atMillis() - leavingSinceMillis.get(event.who());
                 if (sinceMillis > SoakTopology.DRAIN_MILLIS) {
--- a/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
+++ b/src/test/java/org/siskindyke/soak/SoakInvariantsTest.java
@@ -104,6 +104,20 @@
         assertEquals(List.of(), violations("a finished answer arrives", events));
     }
 
+    /** Guards against a violation for a server that crashed while it left, and serves again under its name. */
+    @Example
+    void aServerThatHasLeftMayServeOnlyOnceItHasStartedAgain() {
+        String invariant = "a leaving server drains in time";
+        events.add(SoakEvent.of(0, What.LEAVING, "t0-n2", null));
+        events.add(SoakEvent.crashed(900, "t0-n2", "x1-1"));
+        events.add(SoakEvent.run(2_500, "t0-n2", "c1", "r1", -1, -1));
+        assertEquals(List.of(), violations(invariant, events));
+        events.add(SoakEvent.of(2_600, What.LEAVING, "t0-n2", null));
+        events.add(SoakEvent.crashed(2_700, "t0-n1", "x1-2"));
+        events.add(SoakEvent.run(4_700, "t0-n2", "c2", "r2", -1, -1));
+        assertEquals(1, violations(invariant, events).size());
+    }
+
     /** Guards against a check of limits that cannot fail. */
     @Example
     void aLimitedServerThatRunsTooManyRequestsIsFound() {
