Let the steps of a soak last as long as planned

The trace: a server was told to leave at 1879301, acknowledged at 1879532 and killed at 1880073, 541 ms later, though the step is to last 3.5 s.

Cause: the step before waited until a stopped router had ended, up to 6 s. The next one then began late and ended at the time planned.

Change: a step ends as long after its actual beginning as planned, and a stop lasts at least as long as the grace period, so that nothing waits for its end.

--- a/src/main/java/org/siskindyke/soak/SoakFault.java
+++ b/src/main/java/org/siskindyke/soak/SoakFault.java
@@ -108,7 +108,7 @@
     /** The time within which an evacuation must be in force, and as long again. */
     private static final long MIN_EVACUATED_MILLIS = 2 * SoakInvariants.MAX_EVACUATION_MILLIS;
 
-    /** Longest time that a router takes to stop if it wrongly treats SIGHUP as a request to stop. */
+    /** Longest time that a router takes to stop, also if it wrongly treats SIGHUP as a request to do so. */
     private static final long MAX_STOP_MILLIS = SoakTopology.GRACE_SECONDS * 1_000L + 1_500;
 
     private final Component component;
@@ -215,7 +215,7 @@
             case CRASHING_REQUEST -> Math.max(MIN_CRASHING_MILLIS, drawnMillis);
             case LIMIT_TARGET -> Math.max(MIN_LIMITED_MILLIS, drawnMillis);
             case EVACUATE_DOMAIN -> Math.max(MIN_EVACUATED_MILLIS, drawnMillis);
-            case HANG_UP_ROUTER -> Math.max(MAX_STOP_MILLIS, drawnMillis);
+            case STOP_ROUTER, HANG_UP_ROUTER -> Math.max(MAX_STOP_MILLIS, drawnMillis);
             default -> drawnMillis;
         };
     }
--- a/src/main/java/org/siskindyke/soak/SoakRun.java
+++ b/src/main/java/org/siskindyke/soak/SoakRun.java
@@ -1,11 +1,12 @@
 package org.siskindyke.soak;
 
 import java.io.File;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -85,18 +86,22 @@
         return checkInvariants();
     }
 
+    /** Runs the steps. One that begins late, as another has taken long, lasts as long as planned. */
     private void runSteps(SoakCluster cluster) throws InterruptedException {
-        List<Action> actions = new ArrayList<>();
+        Queue<Action> actions = new PriorityQueue<>(Comparator.comparingLong(Action::atMillis));
+        long startMillis = SoakJournal.nowMillis();
         for (SoakPlan.Step step : plan.steps()) {
-            actions.add(new Action(step.atMillis(), () -> begin(cluster, step)));
-            actions.add(new Action(step.atMillis() + step.durationMillis(), () -> end(cluster, step)));
+            actions.add(new Action(step.atMillis(), () -> {
+                long beginMillis = SoakJournal.nowMillis() - startMillis;
+                begin(cluster, step);
+                actions.add(new Action(beginMillis + step.durationMillis(), () -> end(cluster, step)));
+            }));
         }
-        actions.sort(Comparator.comparingLong(Action::atMillis));
-        long startMillis = SoakJournal.nowMillis();
-        for (Action action : actions) {
-            long remainingMillis = startMillis + action.atMillis() - SoakJournal.nowMillis();
+        while (!actions.isEmpty()) {
+            Action next = actions.remove();
+            long remainingMillis = startMillis + next.atMillis() - SoakJournal.nowMillis();
             TimeUnit.MILLISECONDS.sleep(Math.max(0, remainingMillis));
-            action.work().run();
+            next.work().run();
         }
     }
 
