Keep only the start of a request's target for the log of a stop

A target of up to 8 KB stayed with its request until the caller had read the response, and was not counted then in what is held for callers.

Change: 128 characters are kept, which the estimate for each request covers.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -69,6 +69,9 @@
      */
     private static final long LINGER_MILLIS = 1_000;
 
+    /** Characters of a request's target that are kept for logs until it is answered. */
+    private static final int LOGGED_TARGET_LENGTH = 128;
+
     /** In place of the target of a request that was rejected before it was complete. */
     private static final String REJECTED = "rejected";
 
@@ -193,7 +196,7 @@
                 boolean headRequest,
                 RequestMemory.Reservation bodyMemory,
                 long heldBytes) {
-            this.target = target;
+            this.target = target.length() <= LOGGED_TARGET_LENGTH ? target : target.substring(0, LOGGED_TARGET_LENGTH);
             this.readMillis = readMillis;
             this.keepAlive = keepAlive;
             this.headRequest = headRequest;
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpServerConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpServerConnectionTest.java
@@ -69,10 +69,14 @@
     }
 
     private void receiveRequest() {
-        StrictRequestDecoder decoder = new StrictRequestDecoder(new HttpDecoderConfig(), connection);
-        connection.setDecoder(decoder);
-        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
-        String request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        receiveRequest(connection, "/");
+    }
+
+    private void receiveRequest(HttpServerConnection receiver, String target) {
+        StrictRequestDecoder decoder = new StrictRequestDecoder(new HttpDecoderConfig(), receiver);
+        receiver.setDecoder(decoder);
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), receiver);
+        String request = "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
         channel.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
     }
 
@@ -104,6 +108,20 @@
         assertFalse(channel.isOpen());
     }
 
+    /** Guards against memory for long targets that is not counted while their callers do not read the responses. */
+    @Example
+    void onlyTheStartOfALongTargetIsKept() {
+        HttpServerConnection unanswered =
+                new HttpServerConnection(listener, nowMillis::get, (request, responder) -> Cancellable.NONE, channel);
+        receiveRequest(unanswered, "/" + "x".repeat(3_000));
+        nowMillis.addAndGet(70);
+        UnsentResponses unsent = unanswered.unsentResponses().orElseThrow();
+        assertEquals("/" + "x".repeat(127), unsent.firstTarget());
+        assertEquals(70, unsent.firstMillis());
+        assertEquals(1, unsent.unanswered());
+        assertEquals(0, unsent.ready());
+    }
+
     @AfterTry
     void closeLoop() {
         channel.close();
