Review case 14: a copy that completes a response short of 17 bytes

Cause: EmbeddedResponse looks for a whole status line in the body, so a copy of which only the first bytes fall into the announced length is not noticed, although more bytes wait behind the body.

Change: a case with its script.

--- a/review/harness-3/Cases.java
+++ b/review/harness-3/Cases.java
@@ -29,6 +29,7 @@
                 case "padded-body" -> paddedBody(root, work, record);
                 case "beat-without-lists" -> beatWithoutLists(root, work, record);
                 case "late-answer-in-body" -> lateAnswerInBody(root, work, record);
+                case "copy-of-few-bytes" -> copyOfFewBytes(root, work, record);
                 case "header-limit" -> headerLimit(root, work, record);
                 default -> NOT_RUN;
             };
@@ -270,6 +271,53 @@
         }
     }
 
+    /** An answer breaks off 17 bytes before its end, and is written once more on its connection. */
+    private static int copyOfFewBytes(Path root, Path work, PrintStream record) throws Exception {
+        int missing = 17;
+        try (Lab lab = new Lab(root, work, record)) {
+            Map<String, byte[]> whole = new ConcurrentHashMap<>();
+            AtomicInteger spoiled = new AtomicInteger();
+            AtomicInteger count = new AtomicInteger();
+            Lab.Answerer answerer = (request, out) -> {
+                lab.log("target runs " + request.id() + " on connection " + request.connection);
+                byte[] body = ("body of " + request.id() + ";").repeat(120).getBytes(StandardCharsets.ISO_8859_1);
+                whole.put(request.id(), body);
+                byte[] head = Lab.head(200, Lab.answerHeaders(request), body.length);
+                out.write(head);
+                if (TROUBLE && count.incrementAndGet() % 2 == 0) {
+                    out.write(body, 0, body.length - missing);
+                    out.write(head);
+                    spoiled.incrementAndGet();
+                }
+                out.write(body);
+                out.flush();
+            };
+            Lab.Router first = lab.router("sidecar-kalna-1", "kalna", "bhati");
+            Lab.Router second = lab.router("sidecar-katwa-1", "katwa", "bhati");
+            lab.new Target("i-first", first, false, answerer);
+            lab.new Target("i-second", second, false, answerer);
+            lab.configure(7, "bhati", false, 2_500);
+            if (!Lab.await(20_000, () -> first.isReady() && second.isReady())) {
+                return NOT_RUN;
+            }
+            Lab.pause(4_000);
+            int mixed = 0;
+            for (int i = 0; i < 20; i++) {
+                String id = String.format("r%05d", i);
+                Lab.Response response = Lab.call((i % 2 == 0 ? first : second).outbound, "GET", "/safe/" + id,
+                        Lab.requestHeaders(id, 4_000, -1), new byte[0], 6_000);
+                boolean wrong = response.status == 200 && !Arrays.equals(response.body, whole.get(id));
+                mixed += wrong ? 1 : 0;
+                String text = new String(response.body, StandardCharsets.ISO_8859_1);
+                lab.log("client gets " + response.status + " for " + id
+                        + (wrong ? "; MIXED, its body ends with: " + text.substring(text.length() - 40) : ""));
+                Lab.pause(50);
+            }
+            lab.log("answers spoiled " + spoiled + ", delivered as successes with a wrong body " + mixed);
+            return mixed > 0 ? BROKEN : HELD;
+        }
+    }
+
     /** A configuration allows longer header sections; clients use them on connections that they have kept. */
     private static int headerLimit(Path root, Path work, PrintStream record) throws Exception {
         try (Lab lab = new Lab(root, work, record)) {
