Review: show that one request hangs both routers of a service

Cause: a router whose link to the hanging one falls silent sends a safe request to the other target, whose answer hangs that one's router as well.

Change: case 11 has three routers, and the request comes from the third. The scripts record what was sent and what the targets ran, and an exception is reported as "could not run".

--- a/review/harness-3/Cases.java
+++ b/review/harness-3/Cases.java
@@ -19,7 +19,7 @@
 
     private Cases() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) throws IOException {
         Path work = Files.createTempDirectory("review-3-");
         int result = NOT_RUN;
         try (PrintStream record = new PrintStream(Path.of(arguments[2]).toFile(), StandardCharsets.UTF_8)) {
@@ -34,6 +34,9 @@
                 default -> NOT_RUN;
             };
             record.println("result " + result);
+        } catch (IOException | RuntimeException | InterruptedException e) {
+            System.err.println("could not run: " + e);
+            result = NOT_RUN;
         } finally {
             if (System.getenv("KEEP") == null) {
                 try (var files = Files.walk(work)) {
@@ -47,23 +50,25 @@
     }
 
     /** One answer whose body holds a line like the first of a response, then a field name and blanks. */
-    private static int paddedBody(Path root, Path work, PrintStream record) throws Exception {
-        int timeoutMillis = 1_500;
+    private static int paddedBody(Path root, Path work, PrintStream record)
+            throws IOException, InterruptedException {
+        int timeoutMillis = 2_500;
         String text = (TROUBLE ? "HTTP/1.1 200 OK" : "KILN/7.1 100 OK") + "\r\nnote:";
         byte[] padded = (text + " ".repeat(4_000 - text.length())).getBytes(StandardCharsets.ISO_8859_1);
         try (Lab lab = new Lab(root, work, record)) {
             Lab.Answerer answerer = (request, out) -> {
-                lab.log("target runs " + request.id() + " " + request.path);
                 Thread.sleep(30);
                 Lab.write(out, 200, Lab.answerHeaders(request),
                         request.path.contains("padded") ? padded : ("ok " + request.id()).getBytes(StandardCharsets.UTF_8));
             };
             Lab.Router first = lab.router("sidecar-kalna-1", "kalna", "bhati");
             Lab.Router second = lab.router("sidecar-katwa-1", "katwa", "bhati");
+            Lab.Router third = lab.router("sidecar-katwa-2", "katwa", "haat");
             lab.new Target("i-first", first, false, answerer);
             lab.new Target("i-second", second, false, answerer);
+            lab.new Target("i-third", third, false, answerer);
             lab.configure(7, "bhati", false, timeoutMillis);
-            if (!Lab.await(20_000, () -> first.isReady() && second.isReady())) {
+            if (!Lab.await(20_000, () -> first.isReady() && second.isReady() && third.isReady())) {
                 return NOT_RUN;
             }
             Lab.pause(5_000);
@@ -73,7 +78,7 @@
             long paddedAtMillis = lab.millis() + 5_000;
             Lab.thread(() -> {
                 Lab.pause(5_000);
-                sendPadded(lab, first);
+                sendPadded(lab, third);
             });
             for (int i = 0; i < 150; i++) {
                 String id = String.format("r%05d", i);
@@ -82,8 +87,8 @@
                         lab, router, id, timeoutMillis, sent, unansweredAtTimeout, stillUnanswered));
                 Lab.pause(100);
             }
-            Lab.pause(2_500);
-            lab.log("routers ready: " + first.isReady() + " " + second.isReady());
+            Lab.pause(4_000);
+            lab.log("routers ready: " + first.isReady() + " " + second.isReady() + " " + third.isReady());
             lab.log("padded1 asked for at " + paddedAtMillis + "; small requests sent " + sent + ", unanswered at timeout_ms "
                     + unansweredAtTimeout + ", of these without an answer 500 ms later " + stillUnanswered);
             boolean broken = stillUnanswered.get() * 2 > unansweredAtTimeout.get() && stillUnanswered.get() >= 10;
@@ -93,6 +98,7 @@
 
     private static void sendPadded(Lab lab, Lab.Router router) {
         try {
+            lab.log("client sends padded1 to " + router.name);
             Lab.Response response =
                     Lab.call(router.outbound, "GET", "/safe/padded", Lab.requestHeaders("padded1", 8_000, -1), new byte[0], 60_000);
             lab.log("client gets " + response.status + " with " + response.body.length + " bytes for padded1");
@@ -128,7 +134,8 @@
     }
 
     /** While a target drains and still works on a key, a heartbeat arrives that lacks the lists of keys. */
-    private static int beatWithoutLists(Path root, Path work, PrintStream record) throws Exception {
+    private static int beatWithoutLists(Path root, Path work, PrintStream record)
+            throws IOException, InterruptedException {
         int workMillis = 2_350;
         Map<String, long[]> atWork = new ConcurrentHashMap<>();
         AtomicInteger broken = new AtomicInteger();
@@ -151,7 +158,6 @@
                 boolean slow = request.path.contains("long");
                 Lab.Target first = firstTarget.get();
                 if (slow) {
-                    lab.log("i-first begins " + request.id() + " on key " + request.key());
                     atWork.put(request.id(), new long[] {request.key(), Long.MAX_VALUE});
                 }
                 long endMillis = lab.millis() + (slow ? workMillis : 20);
@@ -165,7 +171,7 @@
                 }
                 atWork.remove(request.id());
                 if (slow) {
-                    lab.log("i-first ends " + request.id());
+                    lab.log("i-first ends its work on " + request.id());
                 }
                 Lab.write(out, 200, Lab.answerHeaders(request), "done".getBytes(StandardCharsets.UTF_8));
             };
@@ -218,13 +224,13 @@
     }
 
     /** An answer breaks off in its body, and a late extra answer to an earlier request fills the rest of its length. */
-    private static int lateAnswerInBody(Path root, Path work, PrintStream record) throws Exception {
+    private static int lateAnswerInBody(Path root, Path work, PrintStream record)
+            throws IOException, InterruptedException {
         try (Lab lab = new Lab(root, work, record)) {
             Map<Long, Lab.Request> earlier = new ConcurrentHashMap<>();
             Map<String, byte[]> whole = new ConcurrentHashMap<>();
             AtomicInteger spoiled = new AtomicInteger();
             Lab.Answerer answerer = (request, out) -> {
-                lab.log("target runs " + request.id() + " on connection " + request.connection);
                 byte[] body = ("body of " + request.id() + ";").repeat(120).getBytes(StandardCharsets.ISO_8859_1);
                 whole.put(request.id(), body);
                 Lab.Request before = earlier.put(request.connection, request);
@@ -256,6 +262,7 @@
             int mixed = 0;
             for (int i = 0; i < 20; i++) {
                 String id = String.format("r%05d", i);
+                lab.log("client sends " + id);
                 Lab.Response response = Lab.call(first.outbound, "GET", "/safe/" + id,
                         Lab.requestHeaders(id, 4_000, -1), new byte[0], 6_000);
                 boolean wrong = response.status == 200 && !Arrays.equals(response.body, whole.get(id));
@@ -272,14 +279,14 @@
     }
 
     /** An answer breaks off 17 bytes before its end, and is written once more on its connection. */
-    private static int copyOfFewBytes(Path root, Path work, PrintStream record) throws Exception {
+    private static int copyOfFewBytes(Path root, Path work, PrintStream record)
+            throws IOException, InterruptedException {
         int missing = 17;
         try (Lab lab = new Lab(root, work, record)) {
             Map<String, byte[]> whole = new ConcurrentHashMap<>();
             AtomicInteger spoiled = new AtomicInteger();
             AtomicInteger count = new AtomicInteger();
             Lab.Answerer answerer = (request, out) -> {
-                lab.log("target runs " + request.id() + " on connection " + request.connection);
                 byte[] body = ("body of " + request.id() + ";").repeat(120).getBytes(StandardCharsets.ISO_8859_1);
                 whole.put(request.id(), body);
                 byte[] head = Lab.head(200, Lab.answerHeaders(request), body.length);
@@ -304,6 +311,7 @@
             int mixed = 0;
             for (int i = 0; i < 20; i++) {
                 String id = String.format("r%05d", i);
+                lab.log("client sends " + id);
                 Lab.Response response = Lab.call((i % 2 == 0 ? first : second).outbound, "GET", "/safe/" + id,
                         Lab.requestHeaders(id, 4_000, -1), new byte[0], 6_000);
                 boolean wrong = response.status == 200 && !Arrays.equals(response.body, whole.get(id));
@@ -319,7 +327,8 @@
     }
 
     /** A configuration allows longer header sections; clients use them on connections that they have kept. */
-    private static int headerLimit(Path root, Path work, PrintStream record) throws Exception {
+    private static int headerLimit(Path root, Path work, PrintStream record)
+            throws IOException, InterruptedException {
         try (Lab lab = new Lab(root, work, record)) {
             Lab.Answerer answerer = (request, out) ->
                     Lab.write(out, 200, Lab.answerHeaders(request), "done".getBytes(StandardCharsets.UTF_8));
@@ -338,14 +347,14 @@
                 socket.setSoTimeout(4_000);
                 socket.connect((i % 2 == 0 ? first : second).outbound, 1_000);
                 kept.add(socket);
-                lab.log("kept connection " + i + ", short: " + send(socket, "s" + i, 10));
+                lab.log("kept connection " + i + ", short: " + send(lab, socket, "s" + i, 0));
             }
             lab.configure(8, "bayna", false, 1_500, 32_768);
             lab.log("version r8 is acknowledged, max_header_bytes 32768");
             Lab.pause(5_000);
             int denied = 0;
             for (int i = 0; i < 20; i++) {
-                int status = send(kept.get(i), "l" + i, 20_000);
+                int status = send(lab, kept.get(i), "l" + i, 20_000);
                 denied += status / 100 == 4 && status != 408 && status != 421 && status != 429 ? 1 : 0;
                 lab.log("kept connection " + i + ", 20,000 bytes of fields: " + status);
                 kept.get(i).close();
@@ -355,8 +364,9 @@
                 try (java.net.Socket socket = new java.net.Socket()) {
                     socket.setSoTimeout(4_000);
                     socket.connect((i % 2 == 0 ? first : second).outbound, 1_000);
-                    int status = send(socket, "n" + i, 20_000);
+                    int status = send(lab, socket, "n" + i, 20_000);
                     deniedOnNew += status / 100 == 4 ? 1 : 0;
+                    lab.log("new connection, 20,000 bytes of fields: " + status);
                 }
             }
             lab.log("denied " + denied + " of 20 on kept connections, " + deniedOnNew + " of 20 on new ones; 60 requests");
@@ -364,7 +374,8 @@
         }
     }
 
-    private static int send(java.net.Socket socket, String id, int fieldBytes) throws IOException {
+    private static int send(Lab lab, java.net.Socket socket, String id, int fieldBytes) throws IOException {
+        lab.log("client sends order " + id + " with " + fieldBytes + " bytes of fields");
         Map<String, String> headers = Lab.requestHeaders(id, 4_000, -1);
         for (int i = 0; i < fieldBytes / 1_000; i++) {
             headers.put("X-Field-" + i, "v".repeat(980));
--- a/review/harness-3/Lab.java
+++ b/review/harness-3/Lab.java
@@ -301,6 +301,8 @@
                         workTokens.put(request.id(), tokenOf(request.key()));
                         working.put(request.id(), request.key());
                     }
+                    log("target " + id + " runs " + request.id() + " " + request.method + " " + request.path
+                            + (divided ? " key " + request.key() : "") + " on connection " + connection);
                     answerer.answer(request, out);
                     working.remove(request.id());
                 }
