Review: exit with 2 whenever a script could not run

Cause: an Error, a JVM that does not start, the time limit or no temporary folder ended a script with another code, and a run whose disruption did not come about counted as held.

Change: results are told apart from a failed JVM; labs claim their addresses and draw different ports; the routers' last lines are recorded.

--- a/review/harness-3/Cases.java
+++ b/review/harness-3/Cases.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -15,17 +16,27 @@
     private static final int BROKEN = 1;
     private static final int HELD = 0;
     private static final int NOT_RUN = 2;
+    private static final int FIRST_EXIT_CODE = 10;
     private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
     private Cases() {}
 
-    public static void main(String[] arguments) throws IOException {
-        Path work = Files.createTempDirectory("review-3-");
+    /** Exits with 10 and more, so that run-case can tell a result from a JVM that has failed. */
+    public static void main(String[] arguments) {
         int result = NOT_RUN;
-        try (PrintStream record = new PrintStream(Path.of(arguments[2]).toFile(), StandardCharsets.UTF_8)) {
-            Path root = Path.of(arguments[1]).toAbsolutePath();
-            record.println("case " + arguments[0] + ", TROUBLE=" + (TROUBLE ? 1 : 0) + "; times in ms");
-            result = switch (arguments[0]) {
+        try {
+            result = run(arguments[0], Path.of(arguments[1]).toAbsolutePath(), Path.of(arguments[2]));
+        } catch (Throwable e) {
+            System.err.println("could not run: " + e);
+        }
+        System.exit(FIRST_EXIT_CODE + result);
+    }
+
+    private static int run(String name, Path root, Path recordFile) throws IOException, InterruptedException {
+        Path work = Files.createTempDirectory("review-3-");
+        try (PrintStream record = new PrintStream(recordFile.toFile(), StandardCharsets.UTF_8)) {
+            record.println("case " + name + ", TROUBLE=" + (TROUBLE ? 1 : 0) + "; times in ms");
+            int result = switch (name) {
                 case "padded-body" -> paddedBody(root, work, record);
                 case "beat-without-lists" -> beatWithoutLists(root, work, record);
                 case "late-answer-in-body" -> lateAnswerInBody(root, work, record);
@@ -34,9 +45,7 @@
                 default -> NOT_RUN;
             };
             record.println("result " + result);
-        } catch (IOException | RuntimeException | InterruptedException e) {
-            System.err.println("could not run: " + e);
-            result = NOT_RUN;
+            return result;
         } finally {
             if (System.getenv("KEEP") == null) {
                 try (var files = Files.walk(work)) {
@@ -46,7 +55,6 @@
                 System.err.println("logs in " + work);
             }
         }
-        System.exit(result);
     }
 
     /** One answer whose body holds a line like the first of a response, then a field name and blanks. */
@@ -56,8 +64,12 @@
         String text = (TROUBLE ? "HTTP/1.1 200 OK" : "KILN/7.1 100 OK") + "\r\nnote:";
         byte[] padded = (text + " ".repeat(4_000 - text.length())).getBytes(StandardCharsets.ISO_8859_1);
         try (Lab lab = new Lab(root, work, record)) {
+            AtomicBoolean paddedRan = new AtomicBoolean();
             Lab.Answerer answerer = (request, out) -> {
                 Thread.sleep(30);
+                if (request.path.contains("padded")) {
+                    paddedRan.set(true);
+                }
                 Lab.write(out, 200, Lab.answerHeaders(request),
                         request.path.contains("padded") ? padded : ("ok " + request.id()).getBytes(StandardCharsets.UTF_8));
             };
@@ -69,10 +81,12 @@
             lab.new Target("i-third", third, false, answerer);
             lab.configure(7, "bhati", false, timeoutMillis);
             if (!Lab.await(20_000, () -> first.isReady() && second.isReady() && third.isReady())) {
+                lab.logRouters();
                 return NOT_RUN;
             }
             Lab.pause(5_000);
             AtomicInteger sent = new AtomicInteger();
+            AtomicInteger served = new AtomicInteger();
             AtomicInteger unansweredAtTimeout = new AtomicInteger();
             AtomicInteger stillUnanswered = new AtomicInteger();
             long paddedAtMillis = lab.millis() + 5_000;
@@ -84,10 +98,17 @@
                 String id = String.format("r%05d", i);
                 Lab.Router router = i % 2 == 0 ? first : second;
                 Lab.thread(() -> sendSmall(
-                        lab, router, id, timeoutMillis, sent, unansweredAtTimeout, stillUnanswered));
+                        lab, router, id, timeoutMillis, sent, served, unansweredAtTimeout, stillUnanswered));
                 Lab.pause(100);
+                if (i == 45 && served.get() < 40) {
+                    lab.log("served before only " + served);
+                    return NOT_RUN;
+                }
             }
             Lab.pause(4_000);
+            if (!paddedRan.get()) {
+                return NOT_RUN;
+            }
             lab.log("routers ready: " + first.isReady() + " " + second.isReady() + " " + third.isReady());
             lab.log("padded1 asked for at " + paddedAtMillis + "; small requests sent " + sent + ", unanswered at timeout_ms "
                     + unansweredAtTimeout + ", of these without an answer 500 ms later " + stillUnanswered);
@@ -108,8 +129,8 @@
     }
 
     private static void sendSmall(
-            Lab lab, Lab.Router router, String id, int timeoutMillis, AtomicInteger sent, AtomicInteger atTimeout,
-            AtomicInteger later) {
+            Lab lab, Lab.Router router, String id, int timeoutMillis, AtomicInteger sent, AtomicInteger served,
+            AtomicInteger atTimeout, AtomicInteger later) {
         sent.incrementAndGet();
         AtomicReference<String> outcome = new AtomicReference<>();
         lab.log("client sends " + id + " to " + router.name);
@@ -118,6 +139,7 @@
                 Lab.Response response = Lab.call(router.outbound, "GET", "/safe/" + id,
                         Lab.requestHeaders(id, 8_000, -1), new byte[0], 20_000);
                 outcome.set(Integer.toString(response.status));
+                served.addAndGet(response.status == 200 ? 1 : 0);
             } catch (IOException e) {
                 outcome.set("failed: " + e.getMessage());
             }
@@ -182,6 +204,7 @@
             lab.configure(7, "haat", true, 4_000);
             Lab.Target target = firstTarget.get();
             if (!Lab.await(30_000, () -> !target.held.isEmpty() && !other.held.isEmpty())) {
+                lab.logRouters();
                 return NOT_RUN;
             }
             Lab.pause(4_000);
@@ -256,10 +279,12 @@
             lab.new Target("i-first", first, false, answerer);
             lab.configure(7, "bhati", false, 2_500);
             if (!Lab.await(20_000, first::isReady)) {
+                lab.logRouters();
                 return NOT_RUN;
             }
             Lab.pause(4_000);
             int mixed = 0;
+            int right = 0;
             for (int i = 0; i < 20; i++) {
                 String id = String.format("r%05d", i);
                 lab.log("client sends " + id);
@@ -267,6 +292,7 @@
                         Lab.requestHeaders(id, 4_000, -1), new byte[0], 6_000);
                 boolean wrong = response.status == 200 && !Arrays.equals(response.body, whole.get(id));
                 mixed += wrong ? 1 : 0;
+                right += response.status == 200 && !wrong ? 1 : 0;
                 lab.log("client gets " + response.status + " signature "
                         + response.headers.get("x-siskindyke-response-signature") + " for " + id
                         + (wrong ? "; MIXED, its body holds: "
@@ -274,6 +300,9 @@
                 Lab.pause(50);
             }
             lab.log("answers spoiled " + spoiled + ", answers with foreign bytes delivered as successes " + mixed);
+            if (TROUBLE && spoiled.get() == 0 || right < 8) {
+                return NOT_RUN;
+            }
             return mixed > 0 ? BROKEN : HELD;
         }
     }
@@ -305,10 +334,12 @@
             lab.new Target("i-second", second, false, answerer);
             lab.configure(7, "bhati", false, 2_500);
             if (!Lab.await(20_000, () -> first.isReady() && second.isReady())) {
+                lab.logRouters();
                 return NOT_RUN;
             }
             Lab.pause(4_000);
             int mixed = 0;
+            int right = 0;
             for (int i = 0; i < 20; i++) {
                 String id = String.format("r%05d", i);
                 lab.log("client sends " + id);
@@ -316,12 +347,16 @@
                         Lab.requestHeaders(id, 4_000, -1), new byte[0], 6_000);
                 boolean wrong = response.status == 200 && !Arrays.equals(response.body, whole.get(id));
                 mixed += wrong ? 1 : 0;
+                right += response.status == 200 && !wrong ? 1 : 0;
                 String text = new String(response.body, StandardCharsets.ISO_8859_1);
                 lab.log("client gets " + response.status + " for " + id
                         + (wrong ? "; MIXED, its body ends with: " + text.substring(text.length() - 40) : ""));
                 Lab.pause(50);
             }
             lab.log("answers spoiled " + spoiled + ", delivered as successes with a wrong body " + mixed);
+            if (TROUBLE && spoiled.get() == 0 || right < 8) {
+                return NOT_RUN;
+            }
             return mixed > 0 ? BROKEN : HELD;
         }
     }
@@ -338,6 +373,7 @@
             lab.new Target("i-second", second, false, answerer);
             lab.configure(7, "bayna", false, 1_500, TROUBLE ? 16_384 : 32_768);
             if (!Lab.await(20_000, () -> first.isReady() && second.isReady())) {
+                lab.logRouters();
                 return NOT_RUN;
             }
             Lab.pause(4_000);
@@ -347,14 +383,18 @@
                 socket.setSoTimeout(4_000);
                 socket.connect((i % 2 == 0 ? first : second).outbound, 1_000);
                 kept.add(socket);
-                lab.log("kept connection " + i + ", short: " + send(lab, socket, "s" + i, 0));
+                int status = send(lab, socket, "s" + i, 0);
+                lab.log("kept connection " + i + ", short: " + status);
+                if (status != 200) {
+                    return NOT_RUN;
+                }
             }
             lab.configure(8, "bayna", false, 1_500, 32_768);
             lab.log("version r8 is acknowledged, max_header_bytes 32768");
             Lab.pause(5_000);
             int denied = 0;
             for (int i = 0; i < 20; i++) {
-                int status = send(lab, kept.get(i), "l" + i, 20_000);
+                int status = sendOnKept(lab, kept.get(i), (i % 2 == 0 ? first : second), "l" + i);
                 denied += status / 100 == 4 && status != 408 && status != 421 && status != 429 ? 1 : 0;
                 lab.log("kept connection " + i + ", 20,000 bytes of fields: " + status);
                 kept.get(i).close();
@@ -367,6 +407,9 @@
                     int status = send(lab, socket, "n" + i, 20_000);
                     deniedOnNew += status / 100 == 4 ? 1 : 0;
                     lab.log("new connection, 20,000 bytes of fields: " + status);
+                    if (status != 200) {
+                        return NOT_RUN;
+                    }
                 }
             }
             lab.log("denied " + denied + " of 20 on kept connections, " + deniedOnNew + " of 20 on new ones; 60 requests");
@@ -374,6 +417,20 @@
         }
     }
 
+    /** Sends an order on a kept connection, or on a new one if the router has closed that. */
+    private static int sendOnKept(Lab lab, java.net.Socket socket, Lab.Router router, String id) throws IOException {
+        try {
+            return send(lab, socket, id, 20_000);
+        } catch (IOException e) {
+            lab.log("kept connection of " + id + " was closed: " + e.getMessage());
+        }
+        try (java.net.Socket other = new java.net.Socket()) {
+            other.setSoTimeout(4_000);
+            other.connect(router.outbound, 1_000);
+            return send(lab, other, id + "-again", 20_000);
+        }
+    }
+
     private static int send(Lab lab, java.net.Socket socket, String id, int fieldBytes) throws IOException {
         lab.log("client sends order " + id + " with " + fieldBytes + " bytes of fields");
         Map<String, String> headers = Lab.requestHeaders(id, 4_000, -1);
--- a/review/harness-3/Lab.java
+++ b/review/harness-3/Lab.java
@@ -46,12 +46,16 @@
     final List<Target> targets = new ArrayList<>();
     private final TrafficLoop traffic = new TrafficLoop();
     private final Random random = new Random();
-    private final int net = 16 + random.nextInt(200);
+    /** Held open while the lab runs, so that no other one uses the same addresses; routers listen on 9464, too. */
+    private final ServerSocket claim;
+    private final int net;
 
     Lab(Path root, Path work, PrintStream record) throws IOException {
         this.root = root;
         this.work = work;
         this.record = record;
+        this.claim = claimNet();
+        this.net = claim.getInetAddress().getAddress()[1] & 0xff;
         this.store = new StoreStandin(traffic, SystemMonotonicClock.INSTANCE);
         this.storeAddress = free("127." + net + ".0.2");
         InetSocketAddress behind = free("127." + net + ".0.3");
@@ -127,6 +131,46 @@
         }
     }
 
+    private ServerSocket claimNet() throws IOException {
+        for (int attempt = 0; attempt < 50; attempt++) {
+            try {
+                return new ServerSocket(9_464, 1, InetAddress.getByName("127." + (16 + random.nextInt(200)) + ".0.9"));
+            } catch (IOException e) {
+                // Another lab uses these addresses.
+            }
+        }
+        throw new IOException("no free addresses");
+    }
+
+    /** Returns different free ports of a host; one drawn after another was closed might be the same. */
+    static List<InetSocketAddress> free(String host, int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets.add(new ServerSocket(0, 1, InetAddress.getByName(host)));
+                addresses.add((InetSocketAddress) sockets.get(i).getLocalSocketAddress());
+            }
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+        return addresses;
+    }
+
+    /** Records the last lines of the routers' logs, for a case that could not run. */
+    void logRouters() {
+        for (Router router : routers) {
+            try {
+                List<String> lines = Files.readAllLines(work.resolve(router.name + ".log"));
+                lines.subList(Math.max(0, lines.size() - 5), lines.size()).forEach(line -> log(router.name + ": " + line));
+            } catch (IOException e) {
+                log(router.name + ": no log");
+            }
+        }
+    }
+
     static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
@@ -154,11 +198,12 @@
             this.name = name;
             this.zone = zone;
             this.service = service;
-            outbound = free(host);
-            inbound = free(host);
-            ready = free(host);
-            control = free(host);
-            app = free(host);
+            List<InetSocketAddress> free = free(host, 5);
+            outbound = free.get(0);
+            inbound = free.get(1);
+            ready = free.get(2);
+            control = free.get(3);
+            app = free.get(4);
         }
 
         void start() throws IOException {
@@ -595,5 +640,10 @@
                 Thread.currentThread().interrupt();
             }
         }
+        try {
+            claim.close();
+        } catch (IOException e) {
+            // It is closed.
+        }
     }
 }
