Log a thread that stays in one task, with its stack

Change: the control thread and the traffic loop watch each other. After 1, 2, 4 s and so on without a tick the other one writes thread-stalled with the stack, and siskindyke_traffic_stalls or siskindyke_control_stalls counts. Time counts only as far as the watching thread has run itself, so that a frozen or starved machine is no stall. The router command has the same watch.

Ruled out: a thread of its own (wakes up 20 times a second for nothing), and ending a process that has not ticked for far longer than its lease. From inside, a loop that hangs cannot be told from one that is slow on 0.3 of a core, and the router would read the same bytes again after its restart.

--- a/src/main/java/org/siskindyke/runtime/CallerLimitsLog.java
+++ b/src/main/java/org/siskindyke/runtime/CallerLimitsLog.java
@@ -12,18 +12,6 @@
     private long refused;
     private long connectionsRefused;
 
-    /** Receives log lines. */
-    @FunctionalInterface
-    interface EventSink {
-        /**
-         * Writes a line.
-         *
-         * @param event name of the event: words joined by hyphens
-         * @param fields names and values alternately
-         */
-        void event(String event, Object... fields);
-    }
-
     CallerLimitsLog(EventSink log, HttpListener callers, CallerMemory memory) {
         this.log = log;
         this.callers = callers;
--- a/src/main/java/org/siskindyke/runtime/InstanceRouter.java
+++ b/src/main/java/org/siskindyke/runtime/InstanceRouter.java
@@ -142,6 +142,7 @@
     private final HttpListener callers;
     private final ResponseDrain responses;
     private final SuspensionDetector suspensionDetector;
+    private final ThreadWatches watches;
     private volatile MemberController member;
     private volatile List<EvacuationOrder> evacuations = List.of();
     private volatile boolean configured;
@@ -176,16 +177,11 @@
         this.control = new ControlThread("control-" + settings.instance());
         this.table = control.confine(table);
         this.suspensionDetector = new SuspensionDetector(clock, System::currentTimeMillis);
+        this.watches = new ThreadWatches(clock, TICK_MILLIS, log::event);
         this.meter = new SliceMeter(clock, service -> backendSlots(service));
         CrashGuard crashGuard =
                 new CrashGuard(clock, this::view, () -> member.row().id());
-        this.crashes = new TargetCrashes(
-                clock,
-                control,
-                () -> member,
-                () -> targets().onUnreachable(clock.nowMillis()),
-                target -> targets().onLeavingAnnounced(target, member),
-                log);
+        this.crashes = newTargetCrashes();
         this.backend = new BackendDispatcher(
                 traffic,
                 clock,
@@ -228,6 +224,16 @@
         this.responses = new ResponseDrain(traffic, clock, callers);
     }
 
+    private TargetCrashes newTargetCrashes() {
+        return new TargetCrashes(
+                clock,
+                control,
+                () -> member,
+                () -> targets().onUnreachable(clock.nowMillis()),
+                target -> targets().onLeavingAnnounced(target, member),
+                log);
+    }
+
     private TargetChooser newTargetChooser() {
         Topology topology = settings.deployment().topology();
         return new ScaledTargetChooser(
@@ -282,7 +288,7 @@
         peers.listen(settings.addresses().peersBind());
         callers.listen(settings.addresses().callers());
         control.scheduleWithFixedDelay(this::tick, TICK_MILLIS);
-        traffic.scheduleWithFixedDelay(backend::tick, TICK_MILLIS);
+        traffic.scheduleWithFixedDelay(this::tickTraffic, TICK_MILLIS);
         traffic.scheduleWithFixedDelay(
                 () -> requestLog.flush(traffic.takeMaxDelayMillis(), backend.admissionCounts()),
                 TimeUnit.SECONDS.toMillis(5));
@@ -316,6 +322,8 @@
                 () -> evacuations.stream().filter(EvacuationOrder::evacuated).count());
         metrics.gauge("siskindyke.target.cold", () -> backend.isCold() ? 1 : 0);
         metrics.gauge("siskindyke.slice.runs", () -> sliceRuns);
+        metrics.gauge("siskindyke.traffic.stalls", watches::trafficStalls);
+        metrics.gauge("siskindyke.control.stalls", watches::controlStalls);
         metrics.registerCallers(callers, traffic.callerMemory());
         if (settings.deployment().rankedAdmission()) {
             metrics.registerAdmission(backend::admissionCounts);
@@ -466,7 +474,13 @@
         return member.view();
     }
 
+    private void tickTraffic() {
+        watches.onTrafficTick();
+        backend.tick();
+    }
+
     private void tick() {
+        watches.onControlTick();
         checkSuspension();
         targets.tick(member);
         member.tick();
--- a/src/main/java/org/siskindyke/runtime/RouterProcess.java
+++ b/src/main/java/org/siskindyke/runtime/RouterProcess.java
@@ -66,6 +66,7 @@
 public final class RouterProcess implements AutoCloseable {
     private static final System.Logger LOGGER = System.getLogger(RouterProcess.class.getName());
     private static final long TICK_MILLIS = 25;
+    private static final long TRAFFIC_TICK_MILLIS = 50;
     private static final long REJOIN_DELAY_MILLIS = 200;
     private static final long LIMITS_LOG_INTERVAL_MILLIS = 5_000;
     private static final long NOT_READY_RETRY_MILLIS = 1_000;
@@ -89,6 +90,7 @@
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private final List<HttpServerContext> servers = new ArrayList<>();
     private final TrafficLoop traffic = new TrafficLoop();
+    private final ThreadWatches watches = new ThreadWatches(clock, TRAFFIC_TICK_MILLIS, RouterProcess::logEvent);
     private HttpListener callers;
     private volatile Incarnation incarnation;
     private MemberAddress address;
@@ -151,6 +153,7 @@
                 settings.host(), Http.portOf(peerContext), callerAddress.getPort(), Http.portOf(adminContext));
         incarnation = newIncarnation();
         control.scheduleWithFixedDelay(this::tick, TICK_MILLIS);
+        traffic.scheduleWithFixedDelay(watches::onTrafficTick, TRAFFIC_TICK_MILLIS);
         CallerMetrics.register(registry, callers, traffic.callerMemory());
         CallerLimitsLog limitsLog = new CallerLimitsLog(RouterProcess::logEvent, callers, traffic.callerMemory());
         traffic.scheduleWithFixedDelay(limitsLog::flush, LIMITS_LOG_INTERVAL_MILLIS);
@@ -293,6 +296,7 @@
     }
 
     private void tick() {
+        watches.onControlTick();
         Incarnation current = incarnation;
         current.controller().tick();
         targets.tick(current.controller(), current.servingState());
