Search a body for another response in time that is bounded for each byte

Cause: for each response the traffic loop searched the body with regular expressions. Three parts of the one for fields match blanks, so a last line without an end took the third power of its blanks; each status line copied the rest of the body; each start of a status line was tried up to the end of its line; and the fields of a section were collected in a list without a bound, which took the heap from the control thread.

Ruled out: a better expression for fields (mends one pattern), and a bound on the scanned section as for a header section (a server may send a longer body of candidates, and each of them would be read up to that bound).

Change: a state machine reads the bytes from the first possible start of a status line on. It keeps the state of one line only: where in a status line it is, and whether the line is the field that names the request, which the dialect now says (requestIdField, so far for callers only).

--- a/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/CallDialect.java
@@ -58,7 +58,4 @@
 
     /** Returns the id of the request that made this one while it ran; empty where this one's id names none. */
     Optional<String> parentRequestId(String requestId);
-
-    /** Returns the field that names the request in a response. */
-    Header requestIdField(String requestId);
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -336,7 +336,7 @@
                 onOtherResponse(dialect.answeredRequestId(headers), status);
                 return;
             }
-            if (EmbeddedResponse.isIn(bytes, hasBytesBehind, this::namesAwaited)) {
+            if (holdsAnotherResponse(bytes)) {
                 fail(ResponseLoss.BAD_RESPONSE, "the response broke off and another one fills its body");
                 return;
             }
@@ -352,6 +352,11 @@
         ended.listener().onResponse(status, headers, bytes, !channel.isActive());
     }
 
+    private boolean holdsAnotherResponse(byte[] content) {
+        Header idField = dialect.requestIdField(exchange.requestId());
+        return EmbeddedResponse.isIn(Unpooled.wrappedBuffer(content), hasBytesBehind, idField);
+    }
+
     private boolean namesAwaited(List<Header> headers) {
         return exchange.requestId().equals(dialect.answeredRequestId(headers));
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/ResponseDialect.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/ResponseDialect.java
@@ -13,6 +13,11 @@
             return null;
         }
 
+        @Override
+        public Header requestIdField(String requestId) {
+            throw new UnsupportedOperationException("responses name no requests");
+        }
+
         @Override
         public boolean isNotRun(int status, List<Header> headers) {
             return false;
@@ -27,6 +32,9 @@
     /** Returns the id of the request that a response names; null where it names none. */
     String answeredRequestId(List<Header> headers);
 
+    /** Returns the field with which a response names its request. */
+    Header requestIdField(String requestId);
+
     /** Returns whether a response says that the server has not run the request and never will. */
     boolean isNotRun(int status, List<Header> headers);
 
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -20,6 +21,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests faulty responses: to another request, followed by more bytes, without a length, truncated. */
@@ -73,6 +75,11 @@
             return Headers.firstIgnoringCase(headers, "Id");
         }
 
+        @Override
+        public Header requestIdField(String requestId) {
+            return new Header("Id", requestId);
+        }
+
         @Override
         public boolean isNotRun(int status, List<Header> headers) {
             return status == 503;
@@ -535,6 +542,23 @@
         }
     }
 
+    /** Guards against a body that hangs the traffic loop, since it looks like the start of a header section. */
+    @Example
+    void aBodyThatNearlyHoldsAnotherResponseIsDeliveredWithoutDelay() {
+        for (String body : List.of(
+                "HTTP/1.1 200 OK\r\nnote:" + " ".repeat(4_000),
+                "HTTP/1.1 200 OK\r\n".repeat(200_000),
+                "HTTP/1.1 200 ".repeat(200_000),
+                "HTTP/1.1 200 OK\r\n" + "a:b\r\n".repeat(800_000))) {
+            open();
+            send("a");
+            receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: " + body.length() + "\r\n\r\n");
+            // Far more than one pass over the body takes, and far less than a number of steps that is its square.
+            assertTimeoutPreemptively(Duration.ofSeconds(20), () -> receive(body));
+            assertEquals(List.of("200 " + body), outcomes);
+        }
+    }
+
     @Example
     void aBodyThatQuotesAnotherResponseIsDelivered() {
         String quoted = "HTTP/1.1 200 OK\r\nId: b\r\n\r\nquoted";
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientPoolTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientPoolTest.java
@@ -62,6 +62,11 @@
             return Headers.firstIgnoringCase(headers, "Id");
         }
 
+        @Override
+        public Header requestIdField(String requestId) {
+            return new Header("Id", requestId);
+        }
+
         @Override
         public boolean isNotRun(int status, List<Header> headers) {
             return false;
