Apply the limit on header fields in force to open connections

Cause: Netty's decoder takes its limits when it is created, and HttpListener.setUp gave it the one in force at that moment. All other limits on callers are read at each use.

Ruled out: a new decoder for each open connection at a change (it would lose a partly read section), and a sum over the fields in CountedHeaders (they are added a line late, and a line without end is not seen).

Change: HeaderSectionScanner measures a section ahead of the decoder, each byte once, as the decoder did: without the ends of lines and without the request line. The limit in force is compared before the section is decoded, also for a line without end. A request that began to arrive under a larger limit is read under that, since the configuration allowed it when it was sent. The decoder itself gets a maximum of 256 KiB: compressed, such a section fits into a message between routers; what a section of short lines takes is counted in the memory for callers as before.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpListener.java
@@ -22,7 +22,12 @@
  * except for {@link #listen}.
  */
 public final class HttpListener {
-    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+    /**
+     * Longest request line and longest fields that are accepted, whatever the limits on callers say. Compressed, both
+     * fit into a message between routers beside the longest body, see {@link RequestMemory#MAX_BODY_BYTES}.
+     */
+    static final int MAX_HEADER_BYTES = 256 * 1024;
+
     private static final long PROGRESS_CHECK_MILLIS = 500;
     /** Low and high mark of the bytes that wait in the transport of one connection until its caller reads. */
     private static final WriteBufferWaterMark WRITE_BUFFER = new WriteBufferWaterMark(8_192, 16_384);
@@ -45,7 +50,8 @@
      *
      * @param traffic the loop
      * @param clock the clock
-     * @param limits returns the limits on callers; a changed header size applies to new connections
+     * @param limits returns the limits on callers; changed ones apply to open connections as well, from their next
+     *     request on
      * @param handler handles requests
      */
     public HttpListener(
@@ -101,8 +107,8 @@
 
     private void setUp(Channel accepted) {
         HttpDecoderConfig config = new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.get().maxHeaderBytes())
+                .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setValidateHeaders(true);
         HttpServerConnection connection = new HttpServerConnection(this, clock, handler, accepted);
         if (connections.size() >= connectionLimits.accepted() && !closeOneFor(connection) || !connection.reserve()) {
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -45,6 +45,8 @@
  */
 final class HttpServerConnection extends ChannelInboundHandlerAdapter
         implements CallerMemory.Holder, StrictRequestDecoder.Limiter {
+    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+
     /** Heap for a connection that holds nothing else: the channel, its handlers and their buffers. */
     static final int CONNECTION_BYTES = 6_144;
 
@@ -116,6 +118,8 @@
     private long exchangesBytes;
     /** When the first bytes of the partly read request came; -1 while there is none. */
     private long begunMillis = -1;
+    /** Largest limit on header fields since the first bytes of the partly read request came. */
+    private int headerLimitBytes;
     /** When bytes of a response were last accepted by the transport, or sent to a caller that reads slowly. */
     private long writtenMillis;
     /** Position in the body of the response that is partly written; -1 while none is. */
@@ -312,6 +316,19 @@
         return ignoreInput;
     }
 
+    @Override
+    public int maxRequestLineBytes() {
+        return MAX_REQUEST_LINE_BYTES;
+    }
+
+    /** A request that began to arrive under a larger limit is read under that. */
+    @Override
+    public int maxHeaderBytes() {
+        int presentBytes = Math.min(listener.limits().maxHeaderBytes(), HttpListener.MAX_HEADER_BYTES);
+        headerLimitBytes = begunMillis < 0 ? presentBytes : Math.max(headerLimitBytes, presentBytes);
+        return headerLimitBytes;
+    }
+
     @Override
     public void onLine(int length) {
         linesBytes += lineBytes(length);
--- a/src/main/java/org/siskindyke/runtime/traffic/StrictRequestDecoder.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/StrictRequestDecoder.java
@@ -1,11 +1,13 @@
 package org.siskindyke.runtime.traffic;
 
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -13,6 +15,8 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 
 /**
  * Decodes requests and rejects those of ambiguous length, which would allow request smuggling. Reports what it holds to
@@ -25,6 +29,7 @@
     private static final int PIECE_BYTES = 4_096;
 
     private final Limiter limiter;
+    private final HeaderSectionScanner section = new HeaderSectionScanner();
     private ChannelHandlerContext context;
     private boolean decoding;
 
@@ -36,6 +41,12 @@
         /** Returns whether all further bytes are dropped. */
         boolean ignoresInput();
 
+        /** Returns the maximum length of the request line that is read now, without its end. */
+        int maxRequestLineBytes();
+
+        /** Returns the maximum length of the fields that are read now, without the ends of their lines. */
+        int maxHeaderBytes();
+
         /**
          * Called for each request line and field that is about to be kept.
          *
@@ -159,8 +170,34 @@
         if (limiter.ignoresInput()) {
             in.skipBytes(in.readableBytes());
         } else if (!limiter.isPaused()) {
-            super.decode(readContext, in, out);
+            decodeWithinLimits(readContext, in, out);
+        }
+    }
+
+    private void decodeWithinLimits(ChannelHandlerContext readContext, ByteBuf in, List<Object> out) throws Exception {
+        Optional<Exception> excess = section.read(in) ? excess() : Optional.empty();
+        if (excess.isPresent()) {
+            in.skipBytes(in.readableBytes());
+            HttpMessage refused = createInvalidMessage();
+            refused.setDecoderResult(DecoderResult.failure(excess.get()));
+            out.add(refused);
+            return;
+        }
+        int position = in.readerIndex();
+        int decoded = out.size();
+        super.decode(readContext, in, out);
+        section.onDecoded(in.readerIndex() - position, out.subList(decoded, out.size()));
+    }
+
+    /** Returns what is wrong with the length of the header section as far as it was read. */
+    private Optional<Exception> excess() {
+        if (section.startLineBytes() > limiter.maxRequestLineBytes()) {
+            return Optional.of(new TooLongHttpLineException("request line is too long"));
+        }
+        if (section.fieldsBytes() > limiter.maxHeaderBytes()) {
+            return Optional.of(new TooLongHttpHeaderException("header fields are too long"));
         }
+        return Optional.empty();
     }
 
     private static ByteBuf cumulate(ByteBufAllocator allocator, ByteBuf held, ByteBuf received) {
