Accept request lines as long as the header fields may be

Callers saw (measured by the users): 414 for a request line of 9,000 bytes, 10 of 10, though max_header_bytes is 16,384.

Cause: a bound of 8,192 bytes of our own, which no configuration names and none could raise.

Change: a request line may be as long as the fields may be, and at least 8,192 bytes, so that no line accepted so far is refused. The users' page does not say whether max_header_bytes counts the request line; so it is not added to the fields.

Measured: HeaderLimitsTest.aRequestLineMayBeAsLongAsTheFieldsMayBe fails on (414 for 16,285 bytes at a limit of 16,384) and holds now, up to 131,072.

--- a/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpServerConnection.java
@@ -45,7 +45,8 @@
  */
 final class HttpServerConnection extends ChannelInboundHandlerAdapter
         implements CallerMemory.Holder, StrictRequestDecoder.Limiter {
-    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+    /** Longest request line that is accepted whatever the limit on header fields is. */
+    private static final int MIN_REQUEST_LINE_LIMIT_BYTES = 8_192;
 
     /** Heap for a connection that holds nothing else: the channel, its handlers and their buffers. */
     static final int CONNECTION_BYTES = 6_144;
@@ -318,7 +319,7 @@
 
     @Override
     public int maxRequestLineBytes() {
-        return MAX_REQUEST_LINE_BYTES;
+        return Math.max(MIN_REQUEST_LINE_LIMIT_BYTES, maxHeaderBytes());
     }
 
     /** A request that began to arrive under a larger limit is read under that. */
--- a/src/test/java/org/siskindyke/runtime/traffic/HeaderLimitsTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HeaderLimitsTest.java
@@ -23,6 +23,7 @@
 class HeaderLimitsTest {
     private static final int WAIT_SECONDS = 10;
     private static final int OK = 200;
+    private static final int URI_TOO_LONG = 414;
     private static final int HEADERS_TOO_LARGE = 431;
     private static final String END = "\r\n\r\n";
 
@@ -176,4 +177,21 @@
             assertEquals(HEADERS_TOO_LARGE, send(socket, request("/", fields(HttpListener.MAX_HEADER_BYTES))));
         }
     }
+
+    /** Guards against a limit on request lines that no configuration names. */
+    @Example
+    void aRequestLineMayBeAsLongAsTheFieldsMayBe() throws Exception {
+        for (int limit : List.of(16_384, 131_072)) {
+            limitHeaders(limit);
+            try (Socket socket = connect()) {
+                assertEquals(OK, send(socket, request("/" + "x".repeat(limit - 100), fields(limit - 100))));
+                assertEquals(URI_TOO_LONG, send(socket, request("/" + "x".repeat(limit), "")));
+            }
+        }
+        limitHeaders(4_096);
+        try (Socket socket = connect()) {
+            assertEquals(OK, send(socket, request("/" + "x".repeat(8_000), "")));
+            assertEquals(URI_TOO_LONG, send(socket, request("/" + "x".repeat(8_192), "")));
+        }
+    }
 }
