Refuse header sections with more than 256 folded lines

Change: HeaderSectionScanner counts them ahead of both decoders. A request with more than 256 gets 400, a response is lost as a bad one. 256 copies of 64 KiB are 16 MB.

HttpClientConnectionTest.aResponseWithManyFoldedLinesIsLostWithoutDelay and HeaderLimitsTest.manyFoldedLinesAreRefusedWithoutDelay fail on (not refused) and hold now.

--- a/src/main/java/org/siskindyke/runtime/traffic/HeaderSectionScanner.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HeaderSectionScanner.java
@@ -11,6 +11,12 @@
  * limit is not decoded. Reads each byte once, also where it arrives in many pieces.
  */
 final class HeaderSectionScanner implements ByteProcessor {
+    /**
+     * Folded lines (RFC 9112, section 5.2) that are accepted in a section. The decoder copies the value that it has so
+     * far for each of them.
+     */
+    static final int MAX_FOLDED_LINES = 256;
+
     private static final byte DELETE = 0x7f;
 
     /** Bytes behind the decoder's position that have been read here. */
@@ -21,6 +27,7 @@
     private boolean startLineEnded;
     private int startLineBytes;
     private int fieldsBytes;
+    private int foldedLines;
     private int lineBytes;
     private boolean afterCarriageReturn;
 
@@ -59,6 +66,7 @@
         startLineEnded = false;
         startLineBytes = 0;
         fieldsBytes = 0;
+        foldedLines = 0;
         startLine();
     }
 
@@ -73,6 +81,9 @@
             onLine();
             return !ended;
         }
+        if (lineBytes == 0 && startLineEnded && (next == ' ' || next == '\t')) {
+            foldedLines++;
+        }
         lineBytes++;
         afterCarriageReturn = next == '\r';
         return true;
@@ -113,4 +124,9 @@
     int fieldsBytes() {
         return startLineEnded ? fieldsBytes + presentLineBytes() : 0;
     }
+
+    /** Returns whether more lines continue the field before them than are accepted. */
+    boolean hasTooManyFoldedLines() {
+        return foldedLines > MAX_FOLDED_LINES;
+    }
 }
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientConnection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -119,13 +120,25 @@
      * own client codec no longer knows the method once an interim response has come.
      */
     private final class Decoder extends HttpResponseDecoder {
+        private final HeaderSectionScanner section = new HeaderSectionScanner();
+
         private Decoder(HttpDecoderConfig config) {
             super(config);
         }
 
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+            if (section.read(in) && section.hasTooManyFoldedLines()) {
+                in.skipBytes(in.readableBytes());
+                HttpMessage refused = createInvalidMessage();
+                refused.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("too many folded lines")));
+                out.add(refused);
+                return;
+            }
+            int position = in.readerIndex();
+            int decoded = out.size();
             super.decode(context, in, out);
+            section.onDecoded(in.readerIndex() - position, out.subList(decoded, out.size()));
             hasBytesBehind = in.isReadable();
         }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/StrictRequestDecoder.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/StrictRequestDecoder.java
@@ -197,7 +197,9 @@
         if (section.fieldsBytes() > limiter.maxHeaderBytes()) {
             return Optional.of(new TooLongHttpHeaderException("header fields are too long"));
         }
-        return Optional.empty();
+        return section.hasTooManyFoldedLines()
+                ? Optional.of(new IllegalArgumentException("too many folded lines"))
+                : Optional.empty();
     }
 
     private static ByteBuf cumulate(ByteBufAllocator allocator, ByteBuf held, ByteBuf received) {
--- a/src/test/java/org/siskindyke/runtime/traffic/HeaderLimitsTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HeaderLimitsTest.java
@@ -23,6 +23,7 @@
 class HeaderLimitsTest {
     private static final int WAIT_SECONDS = 10;
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int URI_TOO_LONG = 414;
     private static final int HEADERS_TOO_LARGE = 431;
     private static final String END = "\r\n\r\n";
@@ -194,4 +195,14 @@
             assertEquals(URI_TOO_LONG, send(socket, request("/" + "x".repeat(8_192), "")));
         }
     }
+
+    /** Guards against folded lines that hang the traffic loop, since each copies the field that it continues. */
+    @Example
+    void manyFoldedLinesAreRefusedWithoutDelay() throws Exception {
+        limitHeaders(131_072);
+        try (Socket socket = connect()) {
+            assertEquals(OK, send(socket, request("/", "a: b\r\n" + " c\r\n".repeat(200))));
+            assertEquals(BAD_REQUEST, send(socket, request("/", "a: b\r\n" + " \r\n".repeat(100_000))));
+        }
+    }
 }
--- a/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/HttpClientConnectionTest.java
@@ -559,6 +559,22 @@
         }
     }
 
+    /** Guards against folded lines that hang the traffic loop, since each copies the field that it continues. */
+    @Example
+    void aResponseWithManyFoldedLinesIsLostWithoutDelay() {
+        String start = "HTTP/1.1 200 OK\r\nId: a\r\nNote: x\r\n";
+        open();
+        send("a");
+        receive(start + " y\r\n".repeat(200) + "Content-Length: 2\r\n\r\nok");
+        assertEquals(List.of("200 ok"), outcomes);
+        for (int i = 0; i < 20; i++) {
+            open();
+            send("a");
+            assertTimeoutPreemptively(Duration.ofSeconds(20), () -> receive(start + " \r\n".repeat(60_000)));
+            assertEquals(List.of("lost BAD_RESPONSE"), outcomes);
+        }
+    }
+
     @Example
     void aBodyThatQuotesAnotherResponseIsDelivered() {
         String quoted = "HTTP/1.1 200 OK\r\nId: b\r\n\r\nquoted";
