Accept as many fields from a router as a request may have

HPACK counts 32 bytes for each field besides its text, and the decoder refused more than 256 KiB; so 8,192 fields of one character, which a limit of 16,384 bytes allows as the decoder counts them, were too many, and any section of over 256 KiB.

Change: on a connection whose other end is known as a router the bound follows from the largest header section that a listener accepts. Before a connection is named it stays 256 KiB.

Measured: PeerFrameCodecTest.asManyFieldsAsARequestMayHaveArrive fails on (CorruptedFrameException: fields cannot be decoded) and holds now.

--- a/src/main/java/org/siskindyke/runtime/traffic/FieldCompression.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/FieldCompression.java
@@ -21,15 +21,29 @@
 final class FieldCompression {
     /** Required by the methods of Netty's HTTP/2 codec; frames belong to no stream. */
     private static final int STREAM_ID = 1;
+    /** Bytes that HPACK counts for each field besides its name and value (RFC 7541, section 4.1). */
+    private static final int FIELD_OVERHEAD_BYTES = 32;
     /**
-     * Largest size of a frame's fields. It must be larger than the header fields that callers may send; the
-     * configuration is not checked for that.
+     * Largest size of a frame's fields. A request has as many as its request line and header section allow, at least
+     * two bytes for each, and a few of the router.
      */
-    private static final int MAX_FIELDS_BYTES = 256 * 1024;
+    private static final int MAX_FIELDS_BYTES =
+            HttpListener.MAX_HEADER_BYTES / 2 * (2 + FIELD_OVERHEAD_BYTES) + HttpListener.MAX_HEADER_BYTES + (1 << 16);
+    /** The same on a connection whose opener has not named itself. */
+    private static final int MAX_UNNAMED_FIELDS_BYTES = 256 * 1024;
 
     private final DefaultHttp2HeadersEncoder encoder =
             new DefaultHttp2HeadersEncoder(Http2HeadersEncoder.NEVER_SENSITIVE, true);
-    private final DefaultHttp2HeadersDecoder decoder = new DefaultHttp2HeadersDecoder(false, MAX_FIELDS_BYTES);
+    private final DefaultHttp2HeadersDecoder decoder = new DefaultHttp2HeadersDecoder(false, MAX_UNNAMED_FIELDS_BYTES);
+
+    /** Accepts the fields of any request from now on, since the other end is a router. */
+    void onNamed() {
+        try {
+            decoder.maxHeaderListSize(MAX_FIELDS_BYTES, MAX_FIELDS_BYTES);
+        } catch (Http2Exception e) {
+            throw new IllegalStateException("HPACK does not allow " + MAX_FIELDS_BYTES + " bytes", e);
+        }
+    }
 
     /** Appends the compressed fields. */
     void encode(List<Header> fields, ByteBuf out) {
--- a/src/main/java/org/siskindyke/runtime/traffic/PeerFrameCodec.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/PeerFrameCodec.java
@@ -36,6 +36,7 @@
     /** Creates the codec of a connection to a router that this one has chosen. */
     PeerFrameCodec() {
         this(MAX_FRAME_BYTES, bytes -> {});
+        compression.onNamed();
     }
 
     private PeerFrameCodec(int maxFrameBytes, HeldBytesListener heldBytesListener) {
@@ -51,6 +52,7 @@
     /** Accepts long frames from now on, since the opener is a router. */
     void onNamed() {
         maxFrameBytes = MAX_FRAME_BYTES;
+        compression.onNamed();
     }
 
     @Override
--- a/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
+++ b/src/test/java/org/siskindyke/runtime/traffic/PeerFrameCodecTest.java
@@ -1,6 +1,7 @@
 package org.siskindyke.runtime.traffic;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 
@@ -80,6 +81,24 @@
         assertArrayEquals(new byte[] {7}, frame.payload());
     }
 
+    /**
+     * Guards against a request or a response that ends the connection between two routers, with all requests on it,
+     * since it has many short fields.
+     */
+    @Example
+    void asManyFieldsAsARequestMayHaveArrive() {
+        List<Header> fields = Collections.nCopies(HttpListener.MAX_HEADER_BYTES / 2, new Header("a", ""));
+        PeerFrameCodec codec = PeerFrameCodec.ofAccepted(bytes -> {});
+        codec.onNamed();
+        for (EmbeddedChannel in : List.of(new EmbeddedChannel(new PeerFrameCodec()), new EmbeddedChannel(codec))) {
+            EmbeddedChannel out = new EmbeddedChannel(new PeerFrameCodec());
+            out.writeOutbound(new PeerFrame(PeerFrame.Kind.FORWARD, 1, fields, new byte[0]));
+            in.writeInbound((ByteBuf) out.readOutbound());
+            PeerFrame frame = in.readInbound();
+            assertEquals(fields, frame.fields());
+        }
+    }
+
     /** Calls have small bodies; what costs most about them is their traffic between failure domains. */
     @Example
     void aForwardedCallTakesUnderAHundredBytesBesideItsBodyOnceTheFieldsAreKnown() {
