Look at each slice once for a heartbeat with overlapping ranges

A heartbeat of another writer, of up to 1 MiB, can have thousands of ranges over all keys: 8,192 slices for each.

Change: handover data, the tokens of slices and the slices at work are found by one pass over the ranges that looks at each slice once; of ranges that overlap the same one counts as before.

--- a/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
+++ b/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
@@ -1,6 +1,7 @@
 package org.siskindyke.kernel.grant;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
@@ -9,7 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Supplier;
 
+import com.google.common.base.Suppliers;
 import org.siskindyke.kernel.grant.GrantReply.GrantedRange;
 import org.siskindyke.kernel.grant.TargetHeartbeat.ActiveRange;
 import org.siskindyke.kernel.grant.TargetHeartbeat.ReleasedRange;
@@ -222,28 +225,49 @@
     }
 
     private void recordReleased(TargetHeartbeat heartbeat) {
-        for (ReleasedRange range : heartbeat.releasedRanges()) {
-            int first = KeyRange.sliceOf(range.first(), sliceCount);
-            int last = KeyRange.sliceOf(range.last(), sliceCount);
-            for (int index = first; index <= last; index++) {
-                if (KeyRange.ofSlice(index, sliceCount).isWithin(range.first(), range.last())) {
-                    handovers.put(index, range.handover());
-                }
-            }
+        recordHandovers(heartbeat.releasedRanges());
+        if (revocations.isEmpty()) {
+            return;
         }
+        BitSet active = activeSlices(heartbeat.activeRanges());
         List<Integer> released = new ArrayList<>();
         revocations.forEach((index, revocation) -> {
             boolean isAfterOmission = heartbeat.sequence() > revocation.omittedAtSequence;
-            if (isAfterOmission && !revocation.released && !isActive(heartbeat, index)) {
+            if (isAfterOmission && !revocation.released && !active.get(index)) {
                 released.add(index);
             }
         });
         released.forEach(index -> release(revocations.get(index)));
     }
 
-    private boolean isActive(TargetHeartbeat heartbeat, int index) {
-        KeyRange range = KeyRange.ofSlice(index, sliceCount);
-        return heartbeat.activeRanges().stream().anyMatch(h -> range.overlaps(h.first(), h.last()));
+    /**
+     * Records the handover data of slices that were released as a whole; of ranges that overlap, the last one counts.
+     * Looks at each slice once, however many ranges contain it.
+     */
+    private void recordHandovers(List<ReleasedRange> ranges) {
+        BitSet recorded = new BitSet(sliceCount);
+        for (int i = ranges.size() - 1; i >= 0; i--) {
+            ReleasedRange range = ranges.get(i);
+            int last = KeyRange.sliceOf(range.last(), sliceCount);
+            int index = recorded.nextClearBit(KeyRange.sliceOf(range.first(), sliceCount));
+            while (index <= last) {
+                // Only the first and the last slice of a range may be released in part.
+                if (KeyRange.ofSlice(index, sliceCount).isWithin(range.first(), range.last())) {
+                    recorded.set(index);
+                    handovers.put(index, range.handover());
+                }
+                index = recorded.nextClearBit(index + 1);
+            }
+        }
+    }
+
+    /** Returns the slices of which the backend server has keys or processes calls. */
+    private BitSet activeSlices(List<ActiveRange> ranges) {
+        BitSet active = new BitSet(sliceCount);
+        for (ActiveRange range : ranges) {
+            active.set(KeyRange.sliceOf(range.first(), sliceCount), KeyRange.sliceOf(range.last(), sliceCount) + 1);
+        }
+        return active;
     }
 
     private void releaseAll() {
@@ -267,6 +291,7 @@
         List<GrantedRange> ranges = new ArrayList<>();
         BitSet next = new BitSet();
         BitSet ownedIndexes = SliceRuns.bits(owned);
+        Supplier<long[]> activeTokens = Suppliers.memoize(() -> activeTokens(heartbeat.activeRanges()));
         for (OwnedSlice run : owned) {
             KeyRange runKeys = new KeyRange(
                     KeyRange.ofSlice(run.index(), sliceCount).first(),
@@ -285,7 +310,8 @@
                 }
                 next.set(index);
                 KeyRange keys = KeyRange.ofSlice(index, sliceCount);
-                long activeToken = activeTokenOfRun >= 0 ? activeTokenOfRun : activeToken(keys, heartbeat);
+                long activeToken =
+                        activeTokenOfRun >= 0 ? activeTokenOfRun : activeTokens.get()[index];
                 long token = token(run, index, activeToken);
                 String handover = activeToken == token ? null : handovers.getOrDefault(index, run.handover());
                 append(ranges, keys, token, handover, index > run.index());
@@ -380,6 +406,28 @@
         return token;
     }
 
+    /**
+     * Returns, for each slice, the token of the first range that contains it; -1 where there is none. Looks at each
+     * slice once, however many ranges contain it.
+     */
+    private long[] activeTokens(List<ActiveRange> ranges) {
+        long[] tokenBySlice = new long[sliceCount];
+        Arrays.fill(tokenBySlice, -1);
+        BitSet known = new BitSet(sliceCount);
+        for (ActiveRange range : ranges) {
+            int last = KeyRange.sliceOf(range.last(), sliceCount);
+            int index = known.nextClearBit(KeyRange.sliceOf(range.first(), sliceCount));
+            while (index <= last) {
+                if (KeyRange.ofSlice(index, sliceCount).isWithin(range.first(), range.last())) {
+                    known.set(index);
+                    tokenBySlice[index] = range.token();
+                }
+                index = known.nextClearBit(index + 1);
+            }
+        }
+        return tokenBySlice;
+    }
+
     private static long activeToken(KeyRange keys, TargetHeartbeat heartbeat) {
         for (ActiveRange range : heartbeat.activeRanges()) {
             if (keys.isWithin(range.first(), range.last())) {
--- a/src/main/java/org/siskindyke/platform/HeartbeatCodec.java
+++ b/src/main/java/org/siskindyke/platform/HeartbeatCodec.java
@@ -25,6 +25,9 @@
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final int RANGE_FIELDS = 3;
     private static final int MAX_HANDOVER_LENGTH = 256;
+    /** Ranges in one list; an acknowledgement grants far fewer. */
+    private static final int MAX_RANGES = 8_192;
+
     private static final int MAX_SLOTS = 10_000;
     private static final long MAX_WARM_UP_MILLIS = Duration.ofDays(1).toMillis();
     private static final NumberField SLOTS = NumberField.ofMessage("slots", 0, MAX_SLOTS);
@@ -51,7 +54,8 @@
      * @param id the backend server's id, from the request path
      * @param body the JSON body
      * @throws SiskindykeException with code {@code INVALID_REQUEST} for any other field that is missing or malformed,
-     *     or {@code INVALID_NAME} for a service or an id that is no valid name
+     *     and for a list of more than 8,192 ranges, or {@code INVALID_NAME} for a service or an id that is no valid
+     *     name
      */
     static ReceivedHeartbeat read(String id, byte[] body) {
         JsonNode root;
@@ -88,7 +92,7 @@
 
     private static <T> List<T> ranges(JsonNode root, String field, Function<JsonNode, T> reader) {
         JsonNode list = root.path(field);
-        if (!list.isArray() && !list.isMissingNode()) {
+        if (!list.isArray() && !list.isMissingNode() || list.size() > MAX_RANGES) {
             throw invalid(field);
         }
         List<T> ranges = new ArrayList<>();
--- a/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
+++ b/src/test/java/org/siskindyke/kernel/grant/TargetGrantsTest.java
@@ -1,6 +1,8 @@
 package org.siskindyke.kernel.grant;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +21,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class TargetGrantsTest {
@@ -264,4 +268,38 @@
         assertEquals(8 + 2 * 120, many.grantedSlices().cardinality());
         assertTrue(many.grantedSlices().get(4 * 149));
     }
+
+    /** Guards against a heartbeat that hangs the control thread, since its ranges overlap. */
+    @Example
+    void theWorkForAHeartbeatDoesNotGrowWithTheOverlapOfItsRanges() {
+        int slices = 8_192;
+        TargetGrants many = new TargetGrants(slices, MAX_GRANT_MILLIS, 0);
+        List<OwnedSlice> owned = new ArrayList<>();
+        for (int index = 0; index < slices; index += 2) {
+            owned.add(new OwnedSlice(index, 1, 0));
+        }
+        List<ActiveRange> active = Collections.nCopies(slices, new ActiveRange(1, KeyRange.KEY_COUNT - 2, 1));
+        List<ReleasedRange> released = Collections.nCopies(slices, new ReleasedRange(0, KeyRange.KEY_COUNT - 1, "x"));
+        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+            for (int sequence = 1; sequence <= 20; sequence++) {
+                many.revoke(List.of(1, 3), 0, () -> {});
+                many.onHeartbeat(heartbeat(1, sequence, active, released), owned, LATE_LEASE_END_MILLIS, 10);
+            }
+        });
+    }
+
+    /** Guards against handover data of a slice of which only a part was released, and of an earlier release. */
+    @Example
+    void theLastRangeThatContainsAWholeSliceGivesItsHandover() {
+        int half = KEYS_PER_SLICE / 2;
+        List<ReleasedRange> released = List.of(
+                new ReleasedRange(0, 3 * KEYS_PER_SLICE - 1, "first"),
+                new ReleasedRange(half, 2 * KEYS_PER_SLICE - 1, "second"),
+                new ReleasedRange(2 * KEYS_PER_SLICE, 4 * KEYS_PER_SLICE - half, "third"));
+        grants.onHeartbeat(heartbeat(1, 1, List.of(), released), List.of(), LATE_LEASE_END_MILLIS, 10);
+        assertEquals("first", grants.handover(0));
+        assertEquals("second", grants.handover(1));
+        assertEquals("third", grants.handover(2));
+        assertNull(grants.handover(3));
+    }
 }
