Apply a changed number of connections to a server in use

A change had no effect until the server was replaced, and one whose first heartbeat arrived before the configuration kept the default of 32, which may be more than it accepts.

Change: each heartbeat passes the number on to the pool. Connections beyond a lowered one are closed once they carry no request.

--- a/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/BackendDispatcher.java
@@ -163,6 +163,8 @@
                     announced.connections(),
                     dialect,
                     log.ofConnections(announced.name()));
+        } else {
+            pool.limitConnections(announced.connections());
         }
     }
 
--- a/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/HttpClientPool.java
@@ -32,7 +32,7 @@
     private final TrafficLoop traffic;
     private final MonotonicClock clock;
     private final InetSocketAddress address;
-    private final int maxConnections;
+    private int maxConnections;
     private final ResponseDialect dialect;
     private final ConnectionObserver observer;
     private final ResponseMemory memory;
@@ -175,6 +175,7 @@
     private void putIdle(HttpClientConnection connection) {
         connection.setIdleSince(clock.nowMillis());
         idle.push(connection);
+        closeSurplus();
     }
 
     private void remove(HttpClientConnection connection) {
@@ -182,6 +183,18 @@
         idle.remove(connection);
     }
 
+    /** Changes the maximum number of connections. Those beyond a lower one are closed once they carry no request. */
+    void limitConnections(int max) {
+        maxConnections = max;
+        closeSurplus();
+    }
+
+    private void closeSurplus() {
+        while (all.size() > maxConnections && !idle.isEmpty()) {
+            close(idle.pollLast());
+        }
+    }
+
     /** Closes the connections that carry no request, so that the next request opens a new one. */
     void closeIdle() {
         List.copyOf(idle).forEach(HttpClientConnection::closeSilently);
