Let servers of the soak answer with parts of other responses

One of 32 answers of a server that does not stutter now has a part that nearly holds another response, in each of the four forms; callers check that they get it whole.

--- a/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
+++ b/src/main/java/org/siskindyke/standin/HeartbeatBackendStandin.java
@@ -46,6 +46,16 @@
     private static final int REQUESTS_PER_REFUSED = 16;
 
     private static final int RUNS_PER_FAILED = 8;
+    /** One of this many answers has an odd part of a given form. */
+    private static final int ANSWERS_PER_ODD_FORM = 32;
+
+    /** Parts of bodies that nearly hold another response. */
+    private static final List<String> ODD_PARTS = List.of(
+            "HTTP/1.1 200 OK\r\nnote:" + " ".repeat(4_000),
+            "HTTP/1.1 200 OK\r\n".repeat(500),
+            "HTTP/1.1 200 ".repeat(700),
+            "HTTP/1.1 200 OK\r\n" + "a:b\r\n".repeat(1_800));
+
     /** One of this many later runs is answered as the run before while the server stutters. */
     private static final int RUNS_PER_SAME_STATUS = 4;
 
@@ -198,7 +208,10 @@
         keepsReleasedKeys = true;
     }
 
-    /** Adds the signature of its run to the body of each answer. Must be called before {@link #start}. */
+    /**
+     * Adds the signature of its run to the body of each answer, and to some a part that looks like the start of another
+     * response. Must be called before {@link #start}.
+     */
     public void nameRunsInBodies() {
         namesRuns = true;
     }
@@ -517,8 +530,7 @@
             return Cancellable.NONE;
         }
         headers.add(new Header(SIGNATURE, signature));
-        String answer = "answer of " + identity.name() + (namesRuns ? " " + signature : "");
-        byte[] body = answer.getBytes(StandardCharsets.UTF_8);
+        byte[] body = answer(signature).getBytes(StandardCharsets.UTF_8);
         running.incrementAndGet();
         return traffic.schedule(
                 () -> {
@@ -532,6 +544,15 @@
                 delayMillis(request.target()));
     }
 
+    private String answer(String signature) {
+        if (!namesRuns) {
+            return "answer of " + identity.name();
+        }
+        int form = Math.floorMod(signature.hashCode(), ANSWERS_PER_ODD_FORM * ODD_PARTS.size());
+        boolean odd = form < ODD_PARTS.size() && !stutters;
+        return "answer of " + identity.name() + (odd ? ODD_PARTS.get(form) : "") + " " + signature;
+    }
+
     private void respond(
             InetSocketAddress caller,
             HttpExchange.Response response,
