--- a/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
+++ b/src/main/java/org/siskindyke/kernel/grant/TargetGrants.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 
 import com.google.common.base.Suppliers;
@@ -245,19 +246,26 @@
      * Looks at each slice once, however many ranges contain it.
      */
     private void recordHandovers(List<ReleasedRange> ranges) {
-        BitSet recorded = new BitSet(sliceCount);
+        BitSet recorded = new BitSet();
         for (int i = ranges.size() - 1; i >= 0; i--) {
             ReleasedRange range = ranges.get(i);
-            int last = KeyRange.sliceOf(range.last(), sliceCount);
-            int index = recorded.nextClearBit(KeyRange.sliceOf(range.first(), sliceCount));
-            while (index <= last) {
-                // Only the first and the last slice of a range may be released in part.
-                if (KeyRange.ofSlice(index, sliceCount).isWithin(range.first(), range.last())) {
-                    recorded.set(index);
-                    handovers.put(index, range.handover());
-                }
-                index = recorded.nextClearBit(index + 1);
+            forEachOtherSlice(range.first(), range.last(), recorded, index -> handovers.put(index, range.handover()));
+        }
+    }
+
+    /**
+     * Calls an action for each slice that a range of keys contains whole and that is not in a set, and adds it there.
+     */
+    private void forEachOtherSlice(int firstKey, int lastKey, BitSet seen, IntConsumer action) {
+        int last = KeyRange.sliceOf(lastKey, sliceCount);
+        int index = seen.nextClearBit(KeyRange.sliceOf(firstKey, sliceCount));
+        while (index <= last) {
+            // Only the first and the last slice of a range may be contained in part.
+            if (KeyRange.ofSlice(index, sliceCount).isWithin(firstKey, lastKey)) {
+                seen.set(index);
+                action.accept(index);
             }
+            index = seen.nextClearBit(index + 1);
         }
     }
 
@@ -413,17 +421,9 @@
     private long[] activeTokens(List<ActiveRange> ranges) {
         long[] tokenBySlice = new long[sliceCount];
         Arrays.fill(tokenBySlice, -1);
-        BitSet known = new BitSet(sliceCount);
+        BitSet known = new BitSet();
         for (ActiveRange range : ranges) {
-            int last = KeyRange.sliceOf(range.last(), sliceCount);
-            int index = known.nextClearBit(KeyRange.sliceOf(range.first(), sliceCount));
-            while (index <= last) {
-                if (KeyRange.ofSlice(index, sliceCount).isWithin(range.first(), range.last())) {
-                    known.set(index);
-                    tokenBySlice[index] = range.token();
-                }
-                index = known.nextClearBit(index + 1);
-            }
+            forEachOtherSlice(range.first(), range.last(), known, index -> tokenBySlice[index] = range.token());
         }
         return tokenBySlice;
     }
--- a/src/main/java/org/siskindyke/runtime/traffic/EmbeddedResponse.java
+++ b/src/main/java/org/siskindyke/runtime/traffic/EmbeddedResponse.java
@@ -57,7 +57,7 @@
         return body.indexOf(from, body.writerIndex(), STATUS_LINE_START[0]);
     }
 
-    /** Reads the next byte; returns whether the one behind it matters, even if no status line starts with it. */
+    /** Reads the next byte; returns false once the search may skip to the next byte with which a status line starts. */
     @Override
     public boolean process(byte next) {
         if (next == '\n') {
